Skeleton: outcomes, kernel, rows, platform Protocols, stand-ins

Starts the project: the shared value types, the Protocols of the platform, the engine messages, and the stand-ins of platform, engine and service.

--- /dev/null
+++ b/nutmegspoke/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission decisions: limits, fair queues and refusals."""
--- /dev/null
+++ b/nutmegspoke/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, the load tool and the measurements."""
--- /dev/null
+++ b/nutmegspoke/border/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the outside systems and the decisions."""
--- /dev/null
+++ b/nutmegspoke/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Programs: the daemon and the command-line tool."""
--- /dev/null
+++ b/nutmegspoke/cmd/daemon.py
@@ -0,0 +1,3 @@
+"""The daemon, ``nutmegspoked``."""
+
+from __future__ import annotations
--- /dev/null
+++ b/nutmegspoke/errors.py
@@ -0,0 +1,27 @@
+"""Exceptions of nutmegspoke."""
+
+from __future__ import annotations
+
+
+class NutmegspokeError(Exception):
+    """Base class of all exceptions that nutmegspoke raises."""
+
+
+class BrokenInvariantError(NutmegspokeError):
+    """A state that the program must never reach. It stops the process."""
+
+
+class SettingsError(NutmegspokeError):
+    """The settings file is wrong.
+
+    :param faults: one sentence for each fault, with section and key.
+    """
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        """Join the faults into one message."""
+        super().__init__('\n'.join(faults))
+        self.faults = faults
+
+
+class ServiceNameError(NutmegspokeError):
+    """A service name is unknown or registered twice."""
--- /dev/null
+++ b/nutmegspoke/evidence/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence: records of requests and changes."""
--- /dev/null
+++ b/nutmegspoke/layers.py
@@ -0,0 +1,61 @@
+"""Layer ranges of a model and the chains that cover them."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class LayerRange:
+    """A half-open range of layers, ``start <= layer < stop``."""
+
+    start: int
+    stop: int
+
+    @classmethod
+    def from_text(cls, text: str) -> LayerRange | None:
+        """Parse ``START-STOP``; ``None`` if the text is no range."""
+        start, _, stop = text.partition('-')
+        if not (start.isdecimal() and stop.isdecimal()):
+            return None
+        parsed = cls(int(start), int(stop))
+        return parsed if parsed.start < parsed.stop else None
+
+    def __str__(self) -> str:
+        """Return ``START-STOP``."""
+        return f'{self.start}-{self.stop}'
+
+    def __len__(self) -> int:
+        """Return the number of layers."""
+        return self.stop - self.start
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stage:
+    """One step of a chain: a target and the layers it runs.
+
+    :param target: name of the target.
+    :param address: ``IP:PORT`` of the target.
+    :param layers: the layers it runs in this chain.
+    """
+
+    target: str
+    address: str
+    layers: LayerRange
+
+
+Chain = tuple[Stage, ...]
+
+
+def covers(ranges: Sequence[LayerRange], layer_count: int) -> bool:
+    """Tell whether the ranges cover 0 to ``layer_count`` once and in order."""
+    position = 0
+    for layers in ranges:
+        if layers.start != position:
+            return False
+        position = layers.stop
+    return position == layer_count
--- /dev/null
+++ b/nutmegspoke/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership decisions: daemons, targets and their states."""
--- /dev/null
+++ b/nutmegspoke/pipelines/__init__.py
@@ -0,0 +1,1 @@
+"""Pipeline runs: one request over a chain of layer ranges."""
--- /dev/null
+++ b/nutmegspoke/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement decisions: leases, orders and spare engines."""
--- /dev/null
+++ b/nutmegspoke/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry decisions: budgets, suspicion and quarantine."""
--- /dev/null
+++ b/nutmegspoke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions: chains of engines and single targets."""
--- /dev/null
+++ b/nutmegspoke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the targets."""
--- /dev/null
+++ b/nutmegspoke/standins/arithmetic.py
@@ -0,0 +1,46 @@
+"""The computation of the engine stand-in: one hash for each layer and token."""
+
+from __future__ import annotations
+
+import xxhash
+
+VOCABULARY = (
+    'the a club fan issue print robot turns left right moves forward back '
+    'fixes loop block program member editor recap intro blurb song tour '
+    'kit class lesson step then when until and with our your this that'
+).split()
+_TOKEN_SPACE = 65_521
+
+
+def tokenize(text: str) -> list[int]:
+    """Return one token for each word."""
+    return [
+        xxhash.xxh32_intdigest(word) % _TOKEN_SPACE for word in text.split()
+    ]
+
+
+def embed(token: int, position: int, seed: int) -> int:
+    """Return the input of layer 0 for a token."""
+    return xxhash.xxh64_intdigest(f'embed:{token}:{position}:{seed}')
+
+
+def run_layer(layer: int, hidden: int, cache: int) -> tuple[int, int]:
+    """Run one layer for one token.
+
+    :param layer: index of the layer.
+    :param hidden: output of the layer before.
+    :param cache: digest of what this layer saw of earlier tokens.
+    :returns: the output, and the digest with this token in it.
+    """
+    output = xxhash.xxh64_intdigest(f'layer:{layer}:{hidden}:{cache}')
+    return output, xxhash.xxh64_intdigest(f'cache:{cache}:{hidden}')
+
+
+def sample(hidden: int) -> int:
+    """Return the token that the output of the last layer stands for."""
+    return hidden % _TOKEN_SPACE
+
+
+def token_text(token: int) -> str:
+    """Return the text of a token."""
+    return f'{VOCABULARY[token % len(VOCABULARY)]} '
--- /dev/null
+++ b/nutmegspoke/standins/engine.py
@@ -0,0 +1,208 @@
+"""Stand-in of a model engine that holds a range of layers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+import typer
+from aiohttp import web
+
+from nutmegspoke import engine_protocol as protocol
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.standins import faults, serving
+from nutmegspoke.standins.streams import StreamCaches
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Pace:
+    """Makes steps take the time that the hardware would take.
+
+    :param layer_tokens_per_s: layers times tokens run in a second.
+    :param link_bytes_per_s: rate of the link; 0 for no limit.
+    """
+
+    def __init__(
+        self,
+        layer_tokens_per_s: float,
+        link_bytes_per_s: float,
+        clock_s: Callable[[], float],
+    ) -> None:
+        """Create an idle accelerator."""
+        self.layer_tokens_per_s = layer_tokens_per_s
+        self.link_bytes_per_s = link_bytes_per_s
+        self._clock_s = clock_s
+        self._free_at_s = 0.0
+
+    async def work(self, layer_tokens: int, link_bytes: int) -> None:
+        """Wait until the accelerator and the link have done a step."""
+        now_s = self._clock_s()
+        busy_s = layer_tokens / self.layer_tokens_per_s
+        if self.link_bytes_per_s:
+            busy_s = max(busy_s, link_bytes / self.link_bytes_per_s)
+        self._free_at_s = max(self._free_at_s, now_s) + busy_s
+        await asyncio.sleep(self._free_at_s - now_s)
+
+
+class Engine:
+    """Handlers of an engine."""
+
+    def __init__(
+        self,
+        caches: StreamCaches,
+        pace: Pace,
+        model: str,
+        version: str,
+        activation_bytes: int,
+    ) -> None:
+        """Create an engine.
+
+        :param activation_bytes: bytes of one position between two stages.
+        """
+        self.board = faults.FaultBoard()
+        self._caches = caches
+        self._pace = pace
+        self._model = model
+        self._version = version
+        self._activation_bytes = activation_bytes
+        self._in_flight = 0
+        self._highest_fencing_number = 0
+        self._shown_load: protocol.LoadReport | None = None
+
+    def app(self) -> web.Application:
+        """Build the application of the engine's port."""
+        app = web.Application(
+            middlewares=[faults.fault_middleware(self.board)],
+            client_max_size=_MAX_BODY_BYTES,
+        )
+        app.router.add_post(protocol.STEPS_PATH, self._step)
+        app.router.add_post(protocol.CANCEL_PATH, self._cancel)
+        app.router.add_post(protocol.ORDERS_PATH, self._order)
+        app.router.add_get(protocol.LOAD_PATH, self._load)
+        return app
+
+    async def _step(self, request: web.Request) -> web.Response:
+        step = _decode(await request.read(), type=protocol.StepRequest)
+        self._crash_if_poison(step)
+        if self._is_leaving() and step.position == 0:
+            return _refuse(protocol.StepRefusal('leaving'), status=503)
+        refusal = self._caches.admit(step)
+        if refusal is not None:
+            return _refuse(refusal, status=409)
+        reply = self._caches.run(step)
+        self._in_flight += 1
+        try:
+            await self._pace.work(
+                reply.count * (step.stop_layer - step.first_layer),
+                reply.count * self._activation_bytes,
+            )
+        finally:
+            self._in_flight -= 1
+        return web.Response(
+            body=_encode(reply),
+            content_type=protocol.MEDIA_TYPE,
+        )
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        order = _decode(await request.read(), type=protocol.CancelRequest)
+        self._caches.cancel(order.stream_id, order.attempt)
+        return web.Response(status=204)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(
+            await request.read(),
+            type=protocol.LayerOrder,
+        )
+        ignores_fencing = self.board.peek('fencing') is not None
+        if order.fencing_number < self._highest_fencing_number:
+            if not ignores_fencing:
+                return web.json_response({'reason': 'fencing'}, status=409)
+        self._highest_fencing_number = max(
+            self._highest_fencing_number,
+            order.fencing_number,
+        )
+        self._caches.load(order.first_layer, order.stop_layer)
+        self._model = order.model
+        self._version = order.version
+        return web.Response(status=204)
+
+    async def _load(self, request: web.Request) -> web.Response:
+        if self._shown_load is None or self.board.peek('lag') is None:
+            self._shown_load = self._report()
+        return web.Response(
+            body=msgspec.json.encode(self._shown_load),
+            content_type='application/json',
+        )
+
+    def _report(self) -> protocol.LoadReport:
+        return protocol.LoadReport(
+            target=self._caches.target,
+            in_flight=self._in_flight,
+            queued=max(0, self._in_flight - 1),
+            leaving=self._is_leaving(),
+            model=self._model,
+            version=self._version,
+            first_layer=self._caches.first_layer,
+            stop_layer=self._caches.stop_layer,
+            layer_tokens_per_s=self._pace.layer_tokens_per_s,
+            link_bytes_per_s=self._pace.link_bytes_per_s,
+        )
+
+    def _is_leaving(self) -> bool:
+        return self.board.peek('leave') is not None
+
+    def _crash_if_poison(self, step: protocol.StepRequest) -> None:
+        poison = self.board.peek('crash_on')
+        if poison is not None and step.prompt and poison.text in step.prompt:
+            self.board.give(faults.FaultOrder(fault='die'))
+
+
+def _refuse(refusal: protocol.StepRefusal, status: int) -> web.Response:
+    return web.Response(
+        status=status,
+        body=_encode(refusal),
+        content_type=protocol.MEDIA_TYPE,
+    )
+
+
+def main(
+    name: str,
+    port: int,
+    control_port: int,
+    layers: str = '0-4',
+    layer_count: int = 12,
+    model: str = 'fanletter',
+    version: str = '1',
+    layer_tokens_per_s: float = 8_000.0,
+    link_bytes_per_s: float = 0.0,
+    activation_bytes: int = 16_384,
+) -> None:
+    """Run the engine stand-in.
+
+    :param name: name of the target.
+    :param port: port that takes steps.
+    :param control_port: port that takes orders to show faults.
+    """
+    held = LayerRange.from_text(layers)
+    if held is None:
+        raise typer.BadParameter('layers are START-STOP')
+    caches = StreamCaches(name, held.start, held.stop, layer_count)
+    pace = Pace(layer_tokens_per_s, link_bytes_per_s, time.monotonic)
+    engine = Engine(caches, pace, model, version, activation_bytes)
+    ports = (
+        (engine.app(), port),
+        (faults.control_app(engine.board), control_port),
+    )
+    asyncio.run(serving.serve(ports))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/nutmegspoke/standins/service.py
@@ -0,0 +1,100 @@
+"""Stand-in of a plain service with a journal of the calls it ran."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import typer
+from aiohttp import web
+
+from nutmegspoke.standins import faults, serving
+
+
+class JournalEntry(msgspec.Struct):
+    """One call that ran.
+
+    :param request_id: id that the router gave the request.
+    :param idempotency_key: key that the caller gave; may be empty.
+    :param path: path of the call.
+    :param body: body of the call.
+    """
+
+    request_id: str
+    idempotency_key: str
+    path: str
+    body: str
+
+
+class RecordService:
+    """Runs every call that reaches it and writes it to its journal."""
+
+    def __init__(self, name: str) -> None:
+        """Create a service with an empty journal."""
+        self.board = faults.FaultBoard()
+        self.journal: list[JournalEntry] = []
+        self._name = name
+
+    def app(self) -> web.Application:
+        """Build the application of the service's port."""
+        app = web.Application(
+            middlewares=[faults.fault_middleware(self.board)],
+        )
+        app.router.add_get('/v1/load', self._load)
+        app.router.add_get('/journal', self._show_journal)
+        app.router.add_route('*', '/{path:.*}', self._run)
+        return app
+
+    async def _load(self, request: web.Request) -> web.Response:
+        report = {
+            'target': self._name,
+            'in_flight': 0,
+            'queued': 0,
+            'leaving': self.board.peek('leave') is not None,
+        }
+        return web.json_response(report)
+
+    async def _show_journal(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(self.journal),
+            content_type='application/json',
+        )
+
+    async def _run(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        if self.board.peek('leave') is not None:
+            return web.json_response({'error': 'leaving'}, status=503)
+        entry = JournalEntry(
+            request_id=request.headers.get('Nutmegspoke-Request-Id', ''),
+            idempotency_key=request.headers.get('Idempotency-Key', ''),
+            path=request.path,
+            body=body.decode('utf-8', 'replace'),
+        )
+        self.journal.append(entry)
+        self._crash_if_poison(entry.body)
+        answer = {'service': self._name, 'number': len(self.journal)}
+        return web.json_response(answer)
+
+    def _crash_if_poison(self, body: str) -> None:
+        poison = self.board.peek('crash_on')
+        if poison is not None and poison.text in body:
+            self.board.give(faults.FaultOrder(fault='die'))
+
+
+def main(name: str, port: int, control_port: int) -> None:
+    """Run the service stand-in.
+
+    :param name: name of the target.
+    :param port: port that takes calls.
+    :param control_port: port that takes orders to show faults.
+    """
+    service = RecordService(name)
+    ports = (
+        (service.app(), port),
+        (faults.control_app(service.board), control_port),
+    )
+    asyncio.run(serving.serve(ports))
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/nutmegspoke/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Routes and pools: rows, checks, differences and revisions."""
