--- /dev/null
+++ b/nutmegspoke/border/platform_client.py
@@ -0,0 +1,284 @@
+"""Adapters of the platform's services over HTTP."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any, Self
+
+import aiohttp
+import msgspec
+
+from nutmegspoke import platform
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.settings import PlatformSection
+
+_decode = msgspec.msgpack.decode
+_encode = msgspec.msgpack.encode
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+_HTTP_STORED = frozenset((200, 201, 204))
+_CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
+_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class _WireRows(msgspec.Struct):
+    rows: tuple[platform.StoredRow, ...]
+    committed: bool = True
+
+
+class _Endpoint:
+    """One service of the platform."""
+
+    def __init__(
+        self,
+        url: str,
+        session: aiohttp.ClientSession,
+        timeout_s: float,
+    ) -> None:
+        self._url = url.rstrip('/')
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        **query: str,
+    ) -> tuple[int, bytes]:
+        """Return status and body; errors of the library pass through."""
+        async with self._session.request(
+            method,
+            f'{self._url}{path}',
+            data=body,
+            params=query,
+            timeout=self._timeout,
+        ) as response:
+            return response.status, await response.read()
+
+    async def fetch(
+        self,
+        method: str,
+        path: str,
+        **query: str,
+    ) -> bytes | platform.Unavailable:
+        """Return the body of a 200 answer."""
+        try:
+            status, body = await self.request(method, path, **query)
+        except _CALL_ERRORS as error:
+            return platform.Unavailable(_reason(error))
+        if status != _HTTP_OK:
+            return platform.Unavailable(f'status {status}')
+        return body
+
+
+class HttpTableService:
+    """The table service."""
+
+    def __init__(self, endpoint: _Endpoint) -> None:
+        """Use an endpoint."""
+        self._endpoint = endpoint
+
+    async def read(
+        self,
+        key: str,
+    ) -> platform.StoredRow | platform.Unavailable:
+        """Return a row; version 0 if it is absent."""
+        body = await self._endpoint.fetch('GET', '/tables/row', key=key)
+        return _decoded(body, platform.StoredRow)
+
+    async def scan(
+        self,
+        prefix: str,
+    ) -> tuple[platform.StoredRow, ...] | platform.Unavailable:
+        """Return the rows whose keys begin with the prefix, in order."""
+        body = await self._endpoint.fetch('GET', '/tables/rows', prefix=prefix)
+        answer = _decoded(body, _WireRows)
+        if isinstance(answer, platform.Unavailable):
+            return answer
+        return answer.rows
+
+    async def commit(
+        self,
+        transaction: platform.Transaction,
+    ) -> platform.CommitResult:
+        """Carry out a transaction.
+
+        A failure before the connection stood is ``Unavailable``; any later
+        one is ``InDoubt``.
+        """
+        try:
+            status, body = await self._endpoint.request(
+                'POST',
+                '/tables/commit',
+                _encode(transaction),
+            )
+        except _CONNECT_ERRORS as error:
+            return platform.Unavailable(_reason(error))
+        except _CALL_ERRORS as error:
+            return platform.InDoubt(_reason(error))
+        if status != _HTTP_OK:
+            return platform.InDoubt(f'status {status}')
+        return _commit_result(body)
+
+
+class HttpObjectStore:
+    """The object store."""
+
+    def __init__(self, endpoint: _Endpoint) -> None:
+        """Use an endpoint."""
+        self._endpoint = endpoint
+
+    async def put(self, name: str, body: bytes) -> platform.Unavailable | None:
+        """Store an object; ``None`` if it is kept."""
+        try:
+            status, _ = await self._endpoint.request(
+                'PUT',
+                f'/objects/{name}',
+                body,
+            )
+        except _CALL_ERRORS as error:
+            return platform.Unavailable(_reason(error))
+        if status not in _HTTP_STORED:
+            return platform.Unavailable(f'status {status}')
+        return None
+
+    async def get(self, name: str) -> bytes | platform.Unavailable | None:
+        """Return an object; ``None`` if there is none."""
+        try:
+            status, body = await self._endpoint.request(
+                'GET',
+                f'/objects/{name}',
+            )
+        except _CALL_ERRORS as error:
+            return platform.Unavailable(_reason(error))
+        if status == _HTTP_NOT_FOUND:
+            return None
+        if status != _HTTP_OK:
+            return platform.Unavailable(f'status {status}')
+        return body
+
+    async def names(
+        self,
+        prefix: str,
+    ) -> tuple[str, ...] | platform.Unavailable:
+        """Return the names that begin with the prefix, in order."""
+        body = await self._endpoint.fetch('GET', '/objects', prefix=prefix)
+        return _decoded(body, tuple[str, ...])
+
+
+class HttpHostList:
+    """The host list."""
+
+    def __init__(self, endpoint: _Endpoint) -> None:
+        """Use an endpoint."""
+        self._endpoint = endpoint
+
+    async def entries(
+        self,
+    ) -> tuple[platform.HostEntry, ...] | platform.Unavailable:
+        """Return all entries."""
+        body = await self._endpoint.fetch('GET', '/hosts')
+        return _decoded(body, tuple[platform.HostEntry, ...])
+
+
+class _Reservation(msgspec.Struct):
+    wait_s: float
+
+
+class HttpWeightStore:
+    """The weight store."""
+
+    def __init__(self, endpoint: _Endpoint) -> None:
+        """Use an endpoint."""
+        self._endpoint = endpoint
+
+    async def reserve(
+        self,
+        model: str,
+        layers: str,
+    ) -> float | platform.Unavailable:
+        """Ask to load layers; the seconds to wait before it may start."""
+        body = await self._endpoint.fetch(
+            'POST',
+            '/weights/reserve',
+            model=model,
+            layers=layers,
+        )
+        if isinstance(body, platform.Unavailable):
+            return body
+        return msgspec.json.decode(body, type=_Reservation).wait_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformClient:
+    """The four services of the platform.
+
+    :param tables: the table service.
+    :param objects: the object store.
+    :param hosts: the host list.
+    :param weights: the weight store.
+    """
+
+    tables: platform.TableService
+    objects: platform.ObjectStore
+    hosts: platform.HostList
+    weights: platform.WeightStore
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: PlatformSection,
+        session: aiohttp.ClientSession,
+    ) -> Self:
+        """Build the adapters that the settings name."""
+        wait_s = settings.timeout_s
+
+        def endpoint(url: object) -> _Endpoint:
+            return _Endpoint(str(url), session, wait_s)
+
+        return cls(
+            HttpTableService(endpoint(settings.table_service_url)),
+            HttpObjectStore(endpoint(settings.object_store_url)),
+            HttpHostList(endpoint(settings.host_list_url)),
+            HttpWeightStore(endpoint(settings.weight_store_url)),
+        )
+
+    @classmethod
+    def from_url(
+        cls,
+        url: str,
+        session: aiohttp.ClientSession,
+        timeout_s: float = 2.0,
+    ) -> Self:
+        """Build adapters for four services behind one URL."""
+        endpoint = _Endpoint(url, session, timeout_s)
+        return cls(
+            HttpTableService(endpoint),
+            HttpObjectStore(endpoint),
+            HttpHostList(endpoint),
+            HttpWeightStore(endpoint),
+        )
+
+
+def _commit_result(body: bytes) -> platform.CommitResult:
+    answer = _decoded(body, _WireRows)
+    if isinstance(answer, platform.Unavailable):
+        return platform.InDoubt(answer.reason)
+    if answer.committed:
+        return platform.Committed(answer.rows)
+    return platform.Conflict(answer.rows)
+
+
+def _decoded(body: bytes | platform.Unavailable, kind: Any) -> Any:
+    if isinstance(body, platform.Unavailable):
+        return body
+    try:
+        return _decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        return platform.Unavailable(_reason(error))
+
+
+def _reason(error: BaseException) -> str:
+    return f'{type(error).__name__}: {error}'
--- /dev/null
+++ b/nutmegspoke/border/settings.py
@@ -0,0 +1,157 @@
+"""Settings of the daemon: one INI file, checked whole at start."""
+
+from __future__ import annotations
+
+import configparser
+import os
+import pathlib
+from typing import Annotated, Any, Literal, Self
+
+import pydantic
+
+from nutmegspoke.errors import SettingsError
+
+_Port = Annotated[int, pydantic.Field(ge=1, le=65_535)]
+_PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+_Seconds = Annotated[float, pydantic.Field(ge=0, le=86_400)]
+_ENV_PREFIX = 'env:'
+_FILE_PREFIX = 'file:'
+_MIN_SECRET_CHARS = 16
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class DaemonSection(_Section):
+    """Who and where the daemon is."""
+
+    name: Annotated[str, pydantic.Field(pattern=r'^[A-Za-z0-9][\w-]{0,62}$')]
+    availability_zone: Annotated[str, pydantic.Field(min_length=1)]
+    host_address: pydantic.IPvAnyAddress
+    callers_port: _Port
+    operators_port: _Port
+    peers_port: _Port
+
+
+class PlatformSection(_Section):
+    """Where the platform's services are."""
+
+    table_service_url: pydantic.HttpUrl
+    object_store_url: pydantic.HttpUrl
+    host_list_url: pydantic.HttpUrl
+    weight_store_url: pydantic.HttpUrl
+    timeout_s: _PositiveSeconds = 2.0
+    poll_interval_s: _PositiveSeconds = 1.0
+
+
+class SecretsSection(_Section):
+    """Names of the places that hold secrets: ``env:NAME`` or ``file:PATH``."""
+
+    operators_token: Annotated[str, pydantic.Field(pattern='^(env|file):.+$')]
+    peers_key: Annotated[str, pydantic.Field(pattern='^(env|file):.+$')]
+
+
+class LimitsSection(_Section):
+    """Limits of the callers' port."""
+
+    max_body_bytes: Annotated[int, pydantic.Field(ge=1_024)] = 4_194_304
+    max_header_bytes: Annotated[int, pydantic.Field(ge=1_024)] = 16_384
+    caller_write_timeout_s: _PositiveSeconds = 30.0
+    connection_idle_s: _PositiveSeconds = 60.0
+
+
+class StopSection(_Section):
+    """How a planned stop goes."""
+
+    notice_s: _Seconds = 3.0
+    finish_limit_s: _PositiveSeconds = 300.0
+
+
+class RoutingSection(_Section):
+    """How targets are chosen."""
+
+    policy: Literal['flow', 'random', 'round_robin', 'least_in_flight'] = 'flow'
+    load_poll_interval_s: _PositiveSeconds = 1.0
+
+
+class LogSection(_Section):
+    """What is logged."""
+
+    level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
+
+
+class Settings(_Section):
+    """All settings of the daemon."""
+
+    daemon: DaemonSection
+    platform: PlatformSection
+    secrets: SecretsSection
+    limits: LimitsSection = LimitsSection()
+    stop: StopSection = StopSection()
+    routing: RoutingSection = RoutingSection()
+    log: LogSection = LogSection()
+
+    @classmethod
+    def from_file(cls, path: pathlib.Path) -> Self:
+        """Read and check a settings file.
+
+        :param path: INI file.
+        :raises SettingsError: with every fault of the file.
+        """
+        parser = configparser.ConfigParser(interpolation=None)
+        try:
+            parser.read_string(path.read_text('utf-8'), source=str(path))
+        except (OSError, UnicodeDecodeError, configparser.Error) as error:
+            raise SettingsError((f'{path}: {error}',)) from error
+        sections = {name: dict(parser[name]) for name in parser.sections()}
+        try:
+            return cls.model_validate(sections)
+        except pydantic.ValidationError as error:
+            raise SettingsError(_faults(path, error)) from error
+
+
+def read_secret(place: str) -> str:
+    """Return the secret that a setting names.
+
+    :param place: ``env:NAME`` or ``file:PATH``.
+    :raises SettingsError: if it can't be read or is too short.
+    """
+    secret = _secret_text(place).strip()
+    if len(secret) < _MIN_SECRET_CHARS:
+        raise SettingsError(
+            (
+                f'{place}: the secret must have at least '
+                f'{_MIN_SECRET_CHARS} characters',
+            ),
+        )
+    return secret
+
+
+def _secret_text(place: str) -> str:
+    if place.startswith(_ENV_PREFIX):
+        return os.environ.get(place.removeprefix(_ENV_PREFIX), '')
+    path = pathlib.Path(place.removeprefix(_FILE_PREFIX))
+    try:
+        return path.read_text('utf-8')
+    except OSError as error:
+        raise SettingsError((f'{place}: {error.strerror}',)) from error
+
+
+def _faults(
+    path: pathlib.Path,
+    error: pydantic.ValidationError,
+) -> tuple[str, ...]:
+    return tuple(_fault(path, details) for details in error.errors())
+
+
+def _fault(path: pathlib.Path, details: Any) -> str:
+    section, *keys = (str(part) for part in details['loc'])
+    place = f'{path}: [{section}]'
+    if keys:
+        place = f'{place} {keys[0]}'
+    if details['type'] == 'extra_forbidden':
+        return f'{place}: unknown {"key" if keys else "section"}'
+    if details['type'] == 'missing':
+        return f'{place}: missing {"key" if keys else "section"}'
+    return f'{place}: {details["msg"]}, not {details["input"]!r}'
