--- /dev/null
+++ b/nutmegspoke/border/completions.py
@@ -0,0 +1,169 @@
+"""Bodies of the completion calls, as existing clients send and expect them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from nutmegspoke.outcomes import NotRun, RefusalReason
+
+COMPLETIONS_PATH = '/v1/completions'
+CHAT_PATH = '/v1/chat/completions'
+DONE_EVENT = b'data: [DONE]\n\n'
+_DEFAULT_MAX_TOKENS = 64
+_LARGEST_MAX_TOKENS = 8_192
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _CompletionBody(msgspec.Struct):
+    model: str
+    prompt: str = ''
+    messages: tuple[_Message, ...] = ()
+    max_tokens: int = _DEFAULT_MAX_TOKENS
+    seed: int | None = None
+    stream: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionCall:
+    """A completion call, checked.
+
+    :param model: model that the caller names.
+    :param prompt: text to continue.
+    :param max_tokens: number of tokens to generate.
+    :param seed: seed that the caller gives, if any.
+    :param is_streamed: whether the answer is sent as server-sent events.
+    :param is_chat: whether the chat form was used.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    seed: int | None
+    is_streamed: bool
+    is_chat: bool
+
+
+class _Model(msgspec.Struct):
+    model: str = ''
+
+
+def read_model(body: bytes) -> str:
+    """Return the model that a body names; empty if it names none."""
+    try:
+        return msgspec.json.decode(body, type=_Model).model
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return ''
+
+
+def read_call(body: bytes, *, is_chat: bool) -> CompletionCall | NotRun:
+    """Check the body of a completion call.
+
+    :param body: JSON of the caller.
+    :param is_chat: whether the chat form is expected.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=_CompletionBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _bad(f'the body is no completion call: {error}')
+    prompt = _chat_prompt(parsed.messages) if is_chat else parsed.prompt
+    if not prompt.strip():
+        return _bad('messages are empty' if is_chat else 'prompt is empty')
+    if not 0 < parsed.max_tokens <= _LARGEST_MAX_TOKENS:
+        return _bad(f'max_tokens must be 1 to {_LARGEST_MAX_TOKENS}')
+    return CompletionCall(
+        model=parsed.model,
+        prompt=prompt,
+        max_tokens=parsed.max_tokens,
+        seed=parsed.seed,
+        is_streamed=parsed.stream,
+        is_chat=is_chat,
+    )
+
+
+class _Delta(msgspec.Struct):
+    content: str
+    role: str = 'assistant'
+
+
+class _Choice(msgspec.Struct, omit_defaults=True):
+    index: int = 0
+    text: str | None = None
+    delta: _Delta | None = None
+    message: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int
+
+
+class _Completion(msgspec.Struct, omit_defaults=True):
+    id: str
+    object: str
+    model: str
+    choices: tuple[_Choice, ...]
+    usage: _Usage | None = None
+
+
+def event(
+    call: CompletionCall,
+    request_id: str,
+    text: str,
+    event_id: str,
+) -> bytes:
+    """Return the server-sent event of one token."""
+    if call.is_chat:
+        choice = _Choice(delta=_Delta(text))
+        kind = 'chat.completion.chunk'
+    else:
+        choice = _Choice(text=text)
+        kind = 'text_completion'
+    chunk = _Completion(request_id, kind, call.model, (choice,))
+    return b'id: %b\ndata: %b\n\n' % (
+        event_id.encode(),
+        msgspec.json.encode(chunk),
+    )
+
+
+def error_event(body: bytes) -> bytes:
+    """Return the server-sent event of an error."""
+    return b'event: error\ndata: %b\n\n' % body
+
+
+def whole(
+    call: CompletionCall,
+    request_id: str,
+    text: str,
+    token_count: int,
+) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    if call.is_chat:
+        choice = _Choice(message=_Delta(text), finish_reason='length')
+        kind = 'chat.completion'
+    else:
+        choice = _Choice(text=text, finish_reason='length')
+        kind = 'text_completion'
+    answer = _Completion(
+        request_id,
+        kind,
+        call.model,
+        (choice,),
+        _Usage(token_count),
+    )
+    return msgspec.json.encode(answer)
+
+
+def _chat_prompt(messages: tuple[_Message, ...]) -> str:
+    return '\n'.join(
+        f'{message.role}: {message.content}' for message in messages
+    )
+
+
+def _bad(detail: str) -> NotRun:
+    return NotRun(RefusalReason.BAD_REQUEST, detail=detail)
--- /dev/null
+++ b/nutmegspoke/border/drafts.py
@@ -0,0 +1,275 @@
+"""Serves drafts: runs each over a chain of engines and streams its tokens."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.border.engine_client import RelayCarrier
+from nutmegspoke.border.http_sessions import NAME as SESSIONS, HttpSessions
+from nutmegspoke.border.simple_chain import choose_chain
+from nutmegspoke.border.target_watch import NAME as TARGETS, TargetWatch
+from nutmegspoke.engine_protocol import StepRefusal, StepReply
+from nutmegspoke.pipelines.carrier import LossKind, StepLost
+from nutmegspoke.pipelines.run import (
+    DraftPlan,
+    DraftRun,
+    ReplyDropped,
+    SendStep,
+    TokenReady,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from nutmegspoke.application import Application
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.layers import Chain
+    from nutmegspoke.pipelines.carrier import StepCarrier
+    from nutmegspoke.requests import DraftRequest
+
+logger = logging.getLogger(__name__)
+NAME = 'drafts'
+_MAX_ATTEMPTS = 6
+_NO_TARGET_RETRY_AFTER_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DraftToken:
+    """One token of an answer.
+
+    :param number: number of the token, from 0.
+    :param text: its text.
+    :param event_id: id with which a caller resumes after it.
+    """
+
+    number: int
+    text: str
+    event_id: str
+
+
+DraftItem = DraftToken | outcomes.Completed | outcomes.NotRun | outcomes.Unknown
+
+
+class DraftService:
+    """Runs drafts."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        targets: TargetWatch,
+        carrier: StepCarrier,
+    ) -> None:
+        """Use a carrier towards the targets."""
+        self._clock = clock
+        self._targets = targets
+        self._carrier = carrier
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Do nothing; each draft runs in its caller's task."""
+
+    async def stop(self) -> None:
+        """Wait for the last cancels."""
+        if self._cancels:
+            await asyncio.wait(self._cancels)
+
+    async def stream(self, request: DraftRequest) -> AsyncIterator[DraftItem]:
+        """Run a draft.
+
+        :returns: the tokens in order, then one outcome.
+        """
+        chain = self._choose(request, frozenset())
+        if chain is None:
+            yield _no_target(request)
+            return
+        draft = _Draft(request, chain, self._carrier, self._targets)
+        try:
+            async for item in self._run(draft):
+                yield item
+        finally:
+            self._cancel(draft)
+
+    async def _run(self, draft: _Draft) -> AsyncIterator[DraftItem]:
+        following: SendStep | None = draft.run.begin()
+        while following is not None:
+            if self._clock.now_s() > draft.request.deadline_s:
+                yield _given_up(outcomes.UnknownReason.ANSWER_TIMEOUT)
+                return
+            decision = await draft.carry(following)
+            if isinstance(decision, TokenReady):
+                yield _token(draft.request, decision)
+                following = decision.following
+            elif isinstance(decision, SendStep):
+                following = decision
+            else:
+                following = self._recover(draft, decision)
+                if following is None:
+                    yield draft.give_up()
+                    return
+        yield outcomes.Completed(status=200)
+
+    def _recover(
+        self,
+        draft: _Draft,
+        lost: StepLost | StepRefusal | ReplyDropped,
+    ) -> SendStep | None:
+        draft.note_loss(lost)
+        if draft.run.attempt >= _MAX_ATTEMPTS:
+            return None
+        chain = self._choose(draft.request, draft.avoided)
+        if chain is None:
+            return None
+        return draft.restart(chain)
+
+    def _choose(
+        self,
+        request: DraftRequest,
+        avoided: frozenset[str],
+    ) -> Chain | None:
+        now_s = self._clock.now_s()
+        usable = self._targets.usable(request.pool.name, now_s)
+        chain = choose_chain(usable, request.pool.layer_count, avoided)
+        logger.info(
+            'routing: chain chosen request=%s pool=%s chain=%s avoided=%s',
+            request.request_id,
+            request.pool.name,
+            _chain_text(chain),
+            ','.join(sorted(avoided)),
+        )
+        return chain
+
+    def _cancel(self, draft: _Draft) -> None:
+        for stage in draft.run.chain:
+            self._targets.finished(stage.target)
+            cancel = self._carrier.cancel(
+                stage,
+                draft.run.plan.stream_id,
+                draft.run.attempt,
+            )
+            task = asyncio.create_task(cancel)
+            self._cancels.add(task)
+            task.add_done_callback(self._cancels.discard)
+
+
+class _Draft:
+    """One draft on its way."""
+
+    def __init__(
+        self,
+        request: DraftRequest,
+        chain: Chain,
+        carrier: StepCarrier,
+        targets: TargetWatch,
+    ) -> None:
+        self.request = request
+        self.avoided: frozenset[str] = frozenset()
+        self.has_run = False
+        self._carrier = carrier
+        self._targets = targets
+        plan = DraftPlan(
+            stream_id=request.request_id,
+            prompt=request.prompt,
+            seed=request.seed,
+            layer_count=request.pool.layer_count,
+            max_tokens=request.max_tokens,
+            priority=request.route.priority,
+        )
+        self.run = DraftRun(plan, chain, attempt=1)
+        self._last_sent: SendStep | None = None
+        self._note_started(chain)
+
+    async def carry(
+        self,
+        order: SendStep,
+    ) -> SendStep | TokenReady | StepLost | StepRefusal | ReplyDropped:
+        """Send a step and return the run's decision, or what was lost."""
+        self._last_sent = order
+        result = await self._carrier.carry(
+            order.stage,
+            order.step,
+            self.request.route.progress_timeout_s,
+        )
+        if isinstance(result, StepReply):
+            self.has_run = True
+            return self.run.accept(result)
+        if isinstance(result, StepLost):
+            self.has_run = (
+                self.has_run or result.kind is not LossKind.UNREACHABLE
+            )
+        return result
+
+    def note_loss(self, lost: StepLost | StepRefusal | ReplyDropped) -> None:
+        """Log a loss and avoid its target if the target is to blame."""
+        if self._last_sent is None:
+            return
+        target = self._last_sent.stage.target
+        logger.warning(
+            'pipelines: step lost request=%s target=%s attempt=%d loss=%s',
+            self.request.request_id,
+            target,
+            self.run.attempt,
+            lost,
+        )
+        if not _is_connection_only(lost):
+            self.avoided = self.avoided | {target}
+
+    def restart(self, chain: Chain) -> SendStep:
+        """Begin a new attempt over another chain."""
+        for stage in self.run.chain:
+            self._targets.finished(stage.target)
+        self._note_started(chain)
+        return self.run.restart(chain)
+
+    def give_up(self) -> outcomes.NotRun | outcomes.Unknown:
+        """Return the final answer of a draft that found no way on."""
+        if self.has_run:
+            return _given_up(outcomes.UnknownReason.STREAM_LOST)
+        return outcomes.NotRun(
+            outcomes.RefusalReason.TARGET_UNREACHABLE,
+            _NO_TARGET_RETRY_AFTER_S,
+        )
+
+    def _note_started(self, chain: Chain) -> None:
+        for stage in chain:
+            self._targets.started(stage.target)
+
+
+def setup(app: Application) -> None:
+    """Register the draft service."""
+    sessions = app.kernel.find(SESSIONS, HttpSessions)
+    carrier = RelayCarrier(sessions.targets, sessions.fresh)
+    targets = app.kernel.find(TARGETS, TargetWatch)
+    app.kernel.register(NAME, DraftService(app.clock, targets, carrier))
+
+
+def _is_connection_only(lost: StepLost | StepRefusal | ReplyDropped) -> bool:
+    return (
+        isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT
+    )
+
+
+def _token(request: DraftRequest, ready: TokenReady) -> DraftToken:
+    event_id = f'{request.request_id}:{ready.number}'
+    return DraftToken(ready.number, ready.text, event_id)
+
+
+def _no_target(request: DraftRequest) -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.RefusalReason.NO_TARGET,
+        _NO_TARGET_RETRY_AFTER_S,
+        f'no chain of targets in pool {request.pool.name}',
+    )
+
+
+def _given_up(reason: outcomes.UnknownReason) -> outcomes.Unknown:
+    return outcomes.Unknown(reason, _NO_TARGET_RETRY_AFTER_S)
+
+
+def _chain_text(chain: Chain | None) -> str:
+    if chain is None:
+        return 'none'
+    return ','.join(f'{stage.target}:{stage.layers}' for stage in chain)
--- /dev/null
+++ b/nutmegspoke/border/http_sessions.py
@@ -0,0 +1,57 @@
+"""The daemon's HTTP sessions and the platform's adapters on them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from nutmegspoke.border.platform_client import PlatformClient
+
+if TYPE_CHECKING:
+    from nutmegspoke.application import Application
+    from nutmegspoke.border.settings import Settings
+
+NAME = 'http_sessions'
+_KEEPALIVE_S = 30.0
+
+
+class HttpSessions:
+    """Sessions towards the platform and the targets.
+
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Open the sessions; the event loop must be running."""
+        self.platform_session = _session(force_close=False)
+        self.targets = _session(force_close=False)
+        self.fresh = _session(force_close=True)
+        self.platform = PlatformClient.from_settings(
+            settings.platform,
+            self.platform_session,
+        )
+
+    async def start(self) -> None:
+        """Do nothing; the sessions are open."""
+
+    async def stop(self) -> None:
+        """Close the sessions."""
+        await self.platform_session.close()
+        await self.targets.close()
+        await self.fresh.close()
+
+
+def setup(app: Application) -> None:
+    """Register the sessions."""
+    app.kernel.register(NAME, HttpSessions(app.settings))
+
+
+def _session(*, force_close: bool) -> aiohttp.ClientSession:
+    keepalive_s = None if force_close else _KEEPALIVE_S
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        force_close=force_close,
+        keepalive_timeout=keepalive_s,
+    )
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
--- /dev/null
+++ b/nutmegspoke/border/periodic.py
@@ -0,0 +1,64 @@
+"""Runs a coroutine again and again until it is stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+
+class Periodic:
+    """A task that runs a coroutine with a pause between the runs.
+
+    :param name: name for the log.
+    :param interval_s: pause between the end of a run and the next.
+    :param action: what to run; an exception is logged, not raised.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        interval_s: float,
+        action: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Prepare the task."""
+        self._name = name
+        self._interval_s = interval_s
+        self._action = action
+        self._task: asyncio.Task[None] | None = None
+        self._wake = asyncio.Event()
+
+    def start(self) -> None:
+        """Begin to run."""
+        self._task = asyncio.create_task(self._run(), name=self._name)
+
+    def hurry(self) -> None:
+        """End the present pause."""
+        self._wake.set()
+
+    async def stop(self) -> None:
+        """Cancel the task and wait for its end."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        while True:
+            await self._run_once()
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), self._interval_s)
+
+    async def _run_once(self) -> None:
+        try:
+            await self._action()
+        except Exception:  # noqa: BLE001 -- the next run tries again
+            logger.exception('kernel: periodic run failed name=%s', self._name)
