--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -12,6 +12,7 @@
     from nutmegspoke.border.settings import Settings
 
 BUILTIN_EXTENSIONS = (
+    'nutmegspoke.border.inflight',
     'nutmegspoke.border.http_sessions',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
--- /dev/null
+++ b/nutmegspoke/border/logs.py
@@ -0,0 +1,28 @@
+"""The log: one JSON object for each line, on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_FIELDS = '%(asctime)s %(levelname)s %(name)s %(message)s'
+_NOISY = ('sanic', 'asyncio', 'aiohttp')
+
+
+def configure(level: str, daemon: str) -> None:
+    """Send all log records to standard error.
+
+    :param level: lowest level that is shown.
+    :param daemon: name of the daemon, on each line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(_FIELDS, static_fields={'daemon': daemon}),
+    )
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level)
+    for name in _NOISY:
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/nutmegspoke/border/operators.py
@@ -0,0 +1,127 @@
+"""The operators' port: status and health."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+from sanic import HTTPResponse, Request
+
+from nutmegspoke.border.inflight import NAME as INFLIGHT, InFlight
+from nutmegspoke.border.sanic_server import SanicServer, new_app
+from nutmegspoke.border.settings import read_secret
+from nutmegspoke.border.tables_watch import NAME as TABLES, TablesWatch
+from nutmegspoke.border.target_watch import NAME as TARGETS, TargetWatch
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from nutmegspoke.application import Application
+
+    _Handler = Callable[[Request], Awaitable[HTTPResponse]]
+
+logger = logging.getLogger(__name__)
+NAME = 'operators'
+_JSON = 'application/json'
+
+
+class TargetStatus(msgspec.Struct):
+    """State of one target."""
+
+    name: str
+    pool: str
+    availability_zone: str
+    state: str
+    layers: str
+    in_flight: int
+
+
+class Status(msgspec.Struct):
+    """State of the daemon."""
+
+    daemon: str
+    availability_zone: str
+    revision: int
+    is_ready: bool
+    is_stopping: bool
+    in_flight: int
+    targets: tuple[TargetStatus, ...]
+
+
+class OperatorsPort:
+    """Handlers of the operators' port."""
+
+    def __init__(self, app: Application) -> None:
+        """Find the services that the status shows."""
+        self._app = app
+        self._tables = app.kernel.find(TABLES, TablesWatch)
+        self._targets = app.kernel.find(TARGETS, TargetWatch)
+        self._in_flight = app.kernel.find(INFLIGHT, InFlight)
+        self._token = read_secret(app.settings.secrets.operators_token)
+        sanic = new_app('nutmegspoke-operators')
+        sanic.add_route(self._health, '/health')
+        sanic.add_route(self._guarded(self._status), '/status', name='status')
+        self._server = SanicServer(
+            sanic,
+            str(app.settings.daemon.host_address),
+            app.settings.daemon.operators_port,
+        )
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        await self._server.stop()
+
+    def _guarded(self, handler: _Handler) -> _Handler:
+        async def guarded(request: Request) -> HTTPResponse:
+            given = request.headers.get('Authorization', '')
+            wanted = f'Bearer {self._token}'
+            if not hmac.compare_digest(given.encode(), wanted.encode()):
+                logger.warning(
+                    'operators: call refused path=%s peer=%s',
+                    request.path,
+                    request.ip,
+                )
+                return HTTPResponse(status=401)
+            return await handler(request)
+
+        return guarded
+
+    async def _health(self, request: Request) -> HTTPResponse:
+        return HTTPResponse(status=200)
+
+    async def _status(self, request: Request) -> HTTPResponse:
+        now_s = self._app.clock.now_s()
+        targets = tuple(
+            TargetStatus(
+                target.name,
+                target.pool,
+                target.availability_zone,
+                target.state,
+                str(target.layers or ''),
+                target.own_in_flight,
+            )
+            for pool in self._tables.current.pools
+            for target in self._targets.usable(pool.name, now_s)
+        )
+        daemon = self._app.settings.daemon
+        status = Status(
+            daemon=daemon.name,
+            availability_zone=daemon.availability_zone,
+            revision=self._tables.current.revision,
+            is_ready=self._tables.is_ready,
+            is_stopping=self._in_flight.is_stopping,
+            in_flight=len(self._in_flight.request_ids),
+            targets=targets,
+        )
+        return HTTPResponse(msgspec.json.encode(status), content_type=_JSON)
+
+
+def setup(app: Application) -> None:
+    """Register the operators' port."""
+    app.kernel.register(NAME, OperatorsPort(app))
--- /dev/null
+++ b/nutmegspoke/border/sanic_server.py
@@ -0,0 +1,67 @@
+"""Runs a sanic application in the daemon's own loop and process."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from sanic import Sanic
+
+if TYPE_CHECKING:
+    from sanic.server.async_server import AsyncioServer
+
+logger = logging.getLogger(__name__)
+
+
+def new_app(name: str, **config: float) -> Sanic:
+    """Return an application that prints no banner and configures no log.
+
+    :param name: name of the application, unique in the process.
+    :param config: settings of the library by their names.
+    """
+    Sanic._app_registry.pop(name, None)  # noqa: SLF001, WPS437 -- tests restart
+    app = Sanic(name, configure_logging=False, dumps=str)
+    app.config.MOTD = False
+    app.config.ACCESS_LOG = False
+    app.config.AUTO_EXTEND = False
+    app.config.TOUCHUP = False
+    app.config.update(config)
+    return app
+
+
+class SanicServer:
+    """A listening application.
+
+    :param app: the application.
+    :param host: IP number to listen on.
+    :param port: port to listen on.
+    """
+
+    def __init__(self, app: Sanic, host: str, port: int) -> None:
+        """Prepare the server."""
+        self._app = app
+        self._host = host
+        self._port = port
+        self._server: AsyncioServer | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        server: Any = await self._app.create_server(
+            host=self._host,
+            port=self._port,
+            return_asyncio_server=True,
+            asyncio_server_kwargs={'start_serving': False},
+        )
+        await server.startup()
+        await server.before_start()
+        await server.start_serving()
+        await server.after_start()
+        self._server = server
+
+    async def stop(self) -> None:
+        """Listen no more and close idle connections."""
+        if self._server is None:
+            return
+        self._server.close()
+        for connection in tuple(self._server.connections):
+            connection.close_if_idle()
--- a/nutmegspoke/pipelines/receipts.py
+++ b/nutmegspoke/pipelines/receipts.py
@@ -64,7 +64,7 @@
         reason = self._fault(receipt)
         if reason:
             return reason
-        self._digest.update(repr(dataclasses.astuple(receipt)))
+        self._digest.update(repr(dataclasses.astuple(receipt)).encode())
         self._count = receipt.count
         self._next_layer = receipt.stop_layer
         if self._next_layer == self._layer_count:
--- a/nutmegspoke/standins/arithmetic.py
+++ b/nutmegspoke/standins/arithmetic.py
@@ -15,13 +15,14 @@
 def tokenize(text: str) -> list[int]:
     """Return one token for each word."""
     return [
-        xxhash.xxh32_intdigest(word) % _TOKEN_SPACE for word in text.split()
+        xxhash.xxh32_intdigest(word.encode()) % _TOKEN_SPACE
+        for word in text.split()
     ]
 
 
 def embed(token: int, position: int, seed: int) -> int:
     """Return the input of layer 0 for a token."""
-    return xxhash.xxh64_intdigest(f'embed:{token}:{position}:{seed}')
+    return _digest(f'embed:{token}:{position}:{seed}')
 
 
 def run_layer(layer: int, hidden: int, cache: int) -> tuple[int, int]:
@@ -32,8 +33,8 @@
     :param cache: digest of what this layer saw of earlier tokens.
     :returns: the output, and the digest with this token in it.
     """
-    output = xxhash.xxh64_intdigest(f'layer:{layer}:{hidden}:{cache}')
-    return output, xxhash.xxh64_intdigest(f'cache:{cache}:{hidden}')
+    output = _digest(f'layer:{layer}:{hidden}:{cache}')
+    return output, _digest(f'cache:{cache}:{hidden}')
 
 
 def sample(hidden: int) -> int:
@@ -44,3 +45,7 @@
 def token_text(token: int) -> str:
     """Return the text of a token."""
     return f'{VOCABULARY[token % len(VOCABULARY)]} '
+
+
+def _digest(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
