Add claims and the call path to plain services

A call that may not be repeated leaves only after its claim row was inserted on condition that no row of its key exists. An insert in doubt is read back by nonce; a row still absent proves nothing, so the same conditional insert is sent again, and a claim that is given up is replaced by a release before its key is free.

aiohttp sends PUT and DELETE a second time by itself when a connection breaks; the departure that stands before the first byte of each call allows one only. The same place checks the claim's age.

A refusal by a stand-in now says Nutmegspoke-Executed: no; a 503 without it leaves the outcome unknown.

--- /dev/null
+++ b/nutmegspoke/border/calls.py
@@ -0,0 +1,107 @@
+"""Takes calls for plain services from request to outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.border import service_client
+from nutmegspoke.border.call_attempts import CallAttempts
+from nutmegspoke.border.claim_keeper import ClaimKeeper
+from nutmegspoke.claims import steps
+from nutmegspoke.claims.decider import ClaimDecider, ClaimLimits
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.platform import TableService
+    from nutmegspoke.requests import CallRequest
+    from nutmegspoke.targets import TargetDirectory
+
+logger = logging.getLogger(__name__)
+
+_STOP_LIMIT_S = 10.0
+
+
+class CallService:
+    """Runs calls; those that may not be repeated at most once."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tables: TableService,
+        targets: TargetDirectory,
+        daemon: str,
+        holders: steps.Holders | None = None,
+        limits: ClaimLimits | None = None,
+    ) -> None:
+        """Create the service.
+
+        :param clock: the process's clock.
+        :param tables: the platform's table service.
+        :param targets: knows the targets of each pool.
+        :param daemon: name of this process, not used by any earlier one.
+        :param holders: knows which daemons live.
+        :param limits: bounds of the claims.
+        """
+        decider = ClaimDecider(
+            daemon,
+            holders or steps.UnknownHolders(),
+            limits or ClaimLimits(),
+        )
+        self._claims = ClaimKeeper(clock, tables, decider)
+        self._client = service_client.ServiceClient()
+        self._attempts = CallAttempts(clock, targets, self._client)
+        self._running: set[asyncio.Task[outcomes.Outcome]] = set()
+
+    async def start(self) -> None:
+        """Open connections and start to write outcomes."""
+        await self._client.start()
+        await self._claims.start()
+
+    async def stop(self) -> None:
+        """Finish the calls in flight and write their outcomes."""
+        if self._running:
+            await asyncio.wait(tuple(self._running))
+        await self._claims.stop(_STOP_LIMIT_S)
+        await self._client.stop()
+
+    async def call(self, request: CallRequest) -> outcomes.Outcome:
+        """Run a call.
+
+        A caller that hangs up does not end a call: its outcome is still
+        written.
+
+        :param request: the call.
+        """
+        task = asyncio.create_task(self._run(request))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return await asyncio.shield(task)
+
+    async def _run(self, request: CallRequest) -> outcomes.Outcome:
+        if request.route.repeatable:
+            return await self._attempts.run_repeatable(request)
+        if not request.idempotency_key:
+            return outcomes.NotRun(
+                outcomes.RefusalReason.KEY_REQUIRED,
+                detail='the route needs an Idempotency-Key header',
+            )
+        claim = await self._claims.acquire(request)
+        if not isinstance(claim, str):
+            return claim
+        outcome = await self._run_claimed(request, claim)
+        self._claims.finish(claim, outcome)
+        return outcome
+
+    async def _run_claimed(
+        self,
+        request: CallRequest,
+        key: str,
+    ) -> outcomes.Outcome:
+        return await self._attempts.run_once(
+            request,
+            lambda: self._claims.dispatch(key),
+        )
--- /dev/null
+++ b/nutmegspoke/border/claim_keeper.py
@@ -0,0 +1,143 @@
+"""Carries out the steps of the claim decider on the table service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import uuid
+from typing import TYPE_CHECKING
+
+from nutmegspoke.claims import rows, steps
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.claims.decider import ClaimDecider
+    from nutmegspoke.outcomes import Outcome
+    from nutmegspoke.platform import TableService
+    from nutmegspoke.requests import CallRequest
+
+logger = logging.getLogger(__name__)
+
+
+class ClaimKeeper:
+    """Claims calls, and writes their outcomes in the background."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        tables: TableService,
+        decider: ClaimDecider,
+    ) -> None:
+        """Create a keeper without claims.
+
+        :param clock: the process's clock.
+        :param tables: the platform's table service.
+        :param decider: decides on claims.
+        """
+        self._clock = clock
+        self._tables = tables
+        self._decider = decider
+        self._is_due = asyncio.Event()
+        self._writer: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to write outcomes."""
+        self._writer = asyncio.create_task(self._write_outcomes())
+
+    async def stop(self, limit_s: float) -> None:
+        """Wait until all outcomes are written, then end.
+
+        :param limit_s: the longest wait.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._drain()
+        if self._decider.open_count:
+            logger.warning(
+                'claims: outcomes were not written count=%d',
+                self._decider.open_count,
+            )
+        if self._writer is not None:
+            self._writer.cancel()
+            await asyncio.gather(self._writer, return_exceptions=True)
+
+    async def acquire(self, request: CallRequest) -> str | Outcome:
+        """Claim a call.
+
+        :param request: the call.
+        :returns: the key of the claim, or what the caller is told.
+        """
+        claim = self._claim_request(request)
+        step = self._decider.begin(claim, self._clock.now_s())
+        while not isinstance(step, steps.Proceed):
+            match step:
+                case steps.Answer(outcome):
+                    self._is_due.set()
+                    return outcome
+                case steps.CommitClaim(key, transaction):
+                    commit = await self._tables.commit(transaction)
+                    now_s = self._clock.now_s()
+                    step = self._decider.committed(key, commit, now_s)
+                case steps.ReadClaim(key):
+                    found = await self._tables.read(key)
+                    now_s = self._clock.now_s()
+                    step = self._decider.read(key, found, now_s)
+        return claim.key
+
+    def dispatch(self, key: str) -> steps.Step:
+        """Decide whether the call of a claim may leave now."""
+        return self._decider.dispatch(key, self._clock.now_s())
+
+    def finish(self, key: str, outcome: Outcome) -> None:
+        """Take the outcome of a call, to be written soon."""
+        self._decider.finish(key, outcome, self._clock.now_s())
+        self._is_due.set()
+
+    def _claim_request(self, request: CallRequest) -> steps.ClaimRequest:
+        return steps.ClaimRequest(
+            key=rows.claim_key(
+                request.team,
+                request.route.name,
+                request.idempotency_key,
+            ),
+            fingerprint=rows.call_fingerprint(
+                request.method,
+                request.path,
+                request.body,
+            ),
+            request_id=request.request_id,
+            nonce=uuid.uuid4().hex,
+            started_s=self._clock.now_s(),
+            run_limit_s=request.route.timeout_s,
+            wall_s=self._clock.wall_s(),
+        )
+
+    async def _write_outcomes(self) -> None:
+        while True:
+            await self._wait_until_due()
+            writes = self._decider.due(self._clock.now_s())
+            await asyncio.gather(*(self._write(write) for write in writes))
+
+    async def _wait_until_due(self) -> None:
+        self._is_due.clear()
+        next_due_s = self._decider.next_due_s()
+        if next_due_s is None:
+            await self._is_due.wait()
+            return
+        wait_s = next_due_s - self._clock.now_s()
+        if wait_s <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._is_due.wait(), wait_s)
+
+    async def _write(self, write: steps.CommitClaim) -> None:
+        commit = await self._tables.commit(write.transaction)
+        self._decider.settled(write.key, commit)
+
+    async def _drain(self) -> None:
+        while self._decider.open_count:
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+
+_DRAIN_POLL_S = 0.02
--- /dev/null
+++ b/nutmegspoke/border/service_client.py
@@ -0,0 +1,258 @@
+"""Sends one call to a plain service and tells how far it came."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import SimpleNamespace
+
+    from nutmegspoke.requests import CallRequest
+    from nutmegspoke.targets import Target
+
+logger = logging.getLogger(__name__)
+
+_SERVICE_UNAVAILABLE = 503
+_POOLED_IDLE_S = 15.0
+_CONNECT_TIMEOUT_S = 2.0
+_MIN_TIMEOUT_S = 0.001
+_EXECUTED_HEADER = 'Nutmegspoke-Executed'
+_DEFAULT_MEDIA_TYPE = 'application/octet-stream'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The target answered, and the answer is whole.
+
+    :param status: HTTP status.
+    :param body: body in bytes.
+    :param content_type: media type of the body.
+    """
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the call left this process for the target.
+
+    :param reason: what went wrong.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withheld:
+    """The connection was there, but the call was not allowed to leave."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """The target refused the call and says that it did not run it.
+
+    :param retry_after_s: when the target wants to be asked again.
+    """
+
+    retry_after_s: float | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """Bytes of the call may have left, and no whole answer came.
+
+    :param is_silent: the target was silent too long; otherwise the
+        connection broke.
+    :param reason: what went wrong.
+    """
+
+    is_silent: bool
+    reason: str
+
+
+Attempt = Answered | NotSent | Withheld | Declined | Lost
+
+
+class _WithheldError(Exception):
+    """Raised inside the HTTP client to keep a call from leaving."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Departure:
+    """Stands between a connection and the first byte of one call.
+
+    The HTTP client sends some methods a second time by itself when a
+    connection breaks; the second departure is never allowed.
+
+    :param may_leave: decides at the last moment.
+    :param has_left: whether a byte may have left.
+    """
+
+    may_leave: Callable[[], bool]
+    has_left: bool = False
+
+    def leave(self) -> None:
+        """Let the call leave once.
+
+        :raises _WithheldError: if it may not.
+        """
+        if self.has_left or not self.may_leave():
+            raise _WithheldError
+        self.has_left = True
+
+
+class ServiceClient:
+    """Sends calls over pooled or fresh connections.
+
+    A pooled connection may be stale, and then a call that was not read can't
+    be told from a lost answer. Calls that must not run twice therefore take
+    a fresh connection each.
+    """
+
+    def __init__(self) -> None:
+        """Create a client without connections."""
+        self._pooled: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the sessions."""
+        self._pooled = _session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=_POOLED_IDLE_S),
+        )
+        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for session in (self._pooled, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def send(
+        self,
+        request: CallRequest,
+        target: Target,
+        timeout_s: float,
+        may_leave: Callable[[], bool],
+        *,
+        is_fresh: bool,
+    ) -> Attempt:
+        """Send a call once.
+
+        :param request: the call.
+        :param target: where to.
+        :param timeout_s: the whole time that the attempt may take.
+        :param may_leave: asked once, between connection and first byte.
+        :param is_fresh: use a connection of its own.
+        """
+        departure = _Departure(may_leave)
+        try:
+            return await self._exchange(
+                request,
+                target,
+                timeout_s,
+                departure,
+                is_fresh=is_fresh,
+            )
+        except _WithheldError:
+            return _withheld(departure)
+        except (aiohttp.ClientError, OSError) as error:
+            return _broken(departure, error)
+
+    async def _exchange(
+        self,
+        request: CallRequest,
+        target: Target,
+        timeout_s: float,
+        departure: _Departure,
+        *,
+        is_fresh: bool,
+    ) -> Attempt:
+        session = self._fresh if is_fresh else self._pooled
+        if session is None:
+            return NotSent('the client is not started')
+        timeout = aiohttp.ClientTimeout(
+            total=max(timeout_s, _MIN_TIMEOUT_S),
+            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_read=request.route.progress_timeout_s,
+        )
+        async with session.request(
+            request.method,
+            f'http://{target.address}{request.path}',
+            data=request.body,
+            headers=_headers(request),
+            timeout=timeout,
+            allow_redirects=False,
+            trace_request_ctx=departure,
+        ) as response:
+            body = await response.read()
+            return _answer(response, body)
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_before_first_byte)
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        trace_configs=[trace],
+    )
+
+
+async def _before_first_byte(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    headers: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    departure: _Departure = context.trace_request_ctx
+    departure.leave()
+
+
+def _headers(request: CallRequest) -> dict[str, str]:
+    headers = {
+        'Nutmegspoke-Request-Id': request.request_id,
+        'Nutmegspoke-Team': request.team,
+        'Accept-Encoding': 'identity',
+    }
+    if request.content_type:
+        headers['Content-Type'] = request.content_type
+    if request.idempotency_key:
+        headers['Idempotency-Key'] = request.idempotency_key
+    return headers
+
+
+def _answer(response: aiohttp.ClientResponse, body: bytes) -> Attempt:
+    if response.status == _SERVICE_UNAVAILABLE:
+        return _refusal(response)
+    content_type = response.headers.get('Content-Type', _DEFAULT_MEDIA_TYPE)
+    return Answered(response.status, body, content_type)
+
+
+def _refusal(response: aiohttp.ClientResponse) -> Attempt:
+    if response.headers.get(_EXECUTED_HEADER) != 'no':
+        return Lost(
+            is_silent=False,
+            reason='status 503 without a word on whether the call ran',
+        )
+    retry_after = response.headers.get('Retry-After', '')
+    return Declined(float(retry_after) if retry_after.isdecimal() else None)
+
+
+def _withheld(departure: _Departure) -> Attempt:
+    if departure.has_left:
+        return Lost(is_silent=False, reason='connection broke')
+    return Withheld()
+
+
+def _broken(departure: _Departure, error: Exception) -> Attempt:
+    reason = f'{type(error).__name__}: {error}'
+    if not departure.has_left:
+        return NotSent(reason)
+    return Lost(is_silent=isinstance(error, TimeoutError), reason=reason)
--- /dev/null
+++ b/nutmegspoke/claims/pending.py
@@ -0,0 +1,97 @@
+"""Outcome writes and releases that the table service has not confirmed."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke import platform
+from nutmegspoke.claims import rows
+
+if TYPE_CHECKING:
+    from nutmegspoke.claims.held import HeldClaim
+    from nutmegspoke.claims.steps import CommitClaim
+
+logger = logging.getLogger(__name__)
+
+_MAX_BACKOFF_DOUBLINGS = 10
+
+
+class PendingWrites:
+    """Repeats each write until it surely took effect or never can."""
+
+    def __init__(self, retry_s: float, max_retry_s: float) -> None:
+        """Create without writes.
+
+        :param retry_s: first wait between two writes of a claim.
+        :param max_retry_s: longest wait between two writes of a claim.
+        """
+        self._retry_s = retry_s
+        self._max_retry_s = max_retry_s
+        self._claims: dict[str, HeldClaim] = {}
+
+    def add(self, held: HeldClaim) -> None:
+        """Begin to write a claim that is saving or releasing."""
+        self._claims[held.request.key] = held
+
+    def due(self, now_s: float) -> tuple[CommitClaim, ...]:
+        """Return the writes to send now; each is due again after a wait."""
+        return tuple(
+            self._send(held, now_s)
+            for held in self._claims.values()
+            if held.next_write_s <= now_s
+        )
+
+    def next_due_s(self) -> float | None:
+        """Return when :meth:`due` has work next; ``None`` for never."""
+        return min(
+            (held.next_write_s for held in self._claims.values()),
+            default=None,
+        )
+
+    def settle(self, key: str, commit: platform.CommitResult) -> bool:
+        """Take the result of a write.
+
+        :param key: key of the claim row.
+        :param commit: what the table service answered.
+        :returns: whether the claim needs no more writes.
+        """
+        held = self._claims.get(key)
+        if held is None or not self._is_over(held, commit):
+            return False
+        self._claims.pop(key)
+        return True
+
+    def _send(self, held: HeldClaim, now_s: float) -> CommitClaim:
+        doublings = min(held.write_count, _MAX_BACKOFF_DOUBLINGS)
+        wait_s = self._retry_s * 2**doublings
+        held.write_count += 1
+        held.next_write_s = now_s + min(wait_s, self._max_retry_s)
+        return held.write()
+
+    def _is_over(self, held: HeldClaim, commit: platform.CommitResult) -> bool:
+        key = held.request.key
+        match commit:
+            case platform.Committed():
+                return True
+            case platform.Conflict():
+                found = platform.row_of(key, commit.rows)
+                return found is not None and self._meet(held, found)
+            case platform.InDoubt() | platform.Unavailable():
+                logger.info('claims: write in doubt key=%s', key)
+                return False
+
+    def _meet(self, held: HeldClaim, found: platform.StoredRow) -> bool:
+        row = rows.decode_claim(found.body) if found.version else None
+        is_own = row is not None and row.nonce == held.row.nonce
+        if is_own and row.state is rows.ClaimState.INSERTED:
+            held.version = found.version
+            held.next_write_s = 0.0
+            return False
+        if not (is_own and row.state is held.row.state):
+            logger.warning(
+                'claims: claim was changed by others key=%s phase=%s',
+                held.request.key,
+                held.phase,
+            )
+        return True
--- /dev/null
+++ b/nutmegspoke/claims/replies.py
@@ -0,0 +1,143 @@
+"""What a caller is told about a claim that it can't have."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.claims import rows
+from nutmegspoke.claims.held import HeldClaim, Phase
+
+if TYPE_CHECKING:
+    from nutmegspoke.claims.steps import ClaimRequest, Holders
+
+_RUNNING_RETRY_S = 1.0
+_STORE_RETRY_S = 2.0
+_STALE_RETRY_S = 1.0
+_MAX_SIGHTINGS = 4096
+
+
+def store_unavailable() -> outcomes.NotRun:
+    """Return the refusal while claims can't be written."""
+    return outcomes.NotRun(
+        outcomes.RefusalReason.STORE_UNAVAILABLE,
+        _STORE_RETRY_S,
+        'the claim of the call could not be written',
+    )
+
+
+def claim_stale() -> outcomes.NotRun:
+    """Return the refusal of a call whose claim is too old to use."""
+    return outcomes.NotRun(
+        outcomes.RefusalReason.CLAIM_STALE,
+        _STALE_RETRY_S,
+        'the claim of the call grew too old before the call left',
+    )
+
+
+def for_local(held: HeldClaim, request: ClaimRequest) -> outcomes.Outcome:
+    """Return the answer to a repeat of a key that this daemon works on.
+
+    :param held: the claim of the first call.
+    :param request: the repeat.
+    """
+    if held.phase is Phase.RELEASING:
+        return store_unavailable()
+    if held.row.fingerprint != request.fingerprint:
+        return _key_reused()
+    if held.row.outcome is not None:
+        return rows.from_stored(held.row.outcome)
+    return _key_running()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sighting:
+    nonce: str
+    first_seen_s: float
+
+
+class RowReader:
+    """Turns the row of another attempt into an answer."""
+
+    def __init__(self, daemon: str, holders: Holders) -> None:
+        """Create a reader.
+
+        :param daemon: name of this process.
+        :param holders: knows which daemons live.
+        """
+        self._daemon = daemon
+        self._holders = holders
+        self._sightings: dict[str, _Sighting] = {}
+
+    def reply(
+        self,
+        request: ClaimRequest,
+        row: rows.ClaimRow | None,
+        now_s: float,
+    ) -> outcomes.Outcome:
+        """Return the answer to a call whose key another attempt has used.
+
+        :param request: the call.
+        :param row: the row of its key; ``None`` if it can't be read.
+        :param now_s: present time on the daemon's clock.
+        """
+        if row is None:
+            return outcomes.Unknown(outcomes.UnknownReason.HOLDER_GONE)
+        if row.state is rows.ClaimState.RELEASED:
+            return store_unavailable()
+        if row.fingerprint != request.fingerprint:
+            return _key_reused()
+        if row.outcome is not None:
+            return rows.from_stored(row.outcome)
+        return self._unfinished(request, row, now_s)
+
+    def _unfinished(
+        self,
+        request: ClaimRequest,
+        row: rows.ClaimRow,
+        now_s: float,
+    ) -> outcomes.Outcome:
+        if self._may_still_run(request, row, now_s):
+            return _key_running()
+        return outcomes.Unknown(
+            outcomes.UnknownReason.HOLDER_GONE,
+            detail='the daemon that held the claim left no outcome',
+        )
+
+    def _may_still_run(
+        self,
+        request: ClaimRequest,
+        row: rows.ClaimRow,
+        now_s: float,
+    ) -> bool:
+        if row.daemon == self._daemon:
+            return False
+        if self._holders.is_gone(row.daemon, now_s):
+            return False
+        first_seen_s = self._first_seen_s(request.key, row.nonce, now_s)
+        return now_s - first_seen_s <= request.run_limit_s
+
+    def _first_seen_s(self, key: str, nonce: str, now_s: float) -> float:
+        known = self._sightings.get(key)
+        if known is not None and known.nonce == nonce:
+            return known.first_seen_s
+        if len(self._sightings) >= _MAX_SIGHTINGS:
+            self._sightings.pop(next(iter(self._sightings)))
+        self._sightings[key] = _Sighting(nonce, now_s)
+        return now_s
+
+
+def _key_reused() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.RefusalReason.KEY_REUSED,
+        detail='the key was used with another call',
+    )
+
+
+def _key_running() -> outcomes.NotRun:
+    return outcomes.NotRun(
+        outcomes.RefusalReason.KEY_RUNNING,
+        _RUNNING_RETRY_S,
+        'the first call with this key has no outcome yet',
+    )
--- a/nutmegspoke/outcomes.py
+++ b/nutmegspoke/outcomes.py
@@ -118,11 +118,16 @@
 def executed(outcome: Outcome) -> Executed:
     """Tell whether the call of this outcome ran.
 
+    A caller knows its call by its idempotency key. While the first request
+    with a key has no outcome, a repeat was not run, but the call may run.
+
     :param outcome: any outcome.
     """
     match outcome:
         case Completed() | Failed():
             return Executed.YES
+        case NotRun(reason=RefusalReason.KEY_RUNNING):
+            return Executed.UNKNOWN
         case NotRun():
             return Executed.NO
         case Unknown():
--- a/nutmegspoke/platform.py
+++ b/nutmegspoke/platform.py
@@ -90,6 +90,11 @@
 CommitResult = Committed | Conflict | InDoubt | Unavailable
 
 
+def row_of(key: str, found: tuple[StoredRow, ...]) -> StoredRow | None:
+    """Return the row of a key among several; ``None`` if it is not there."""
+    return next((row for row in found if row.key == key), None)
+
+
 class HostState(enum.StrEnum):
     """State of a host in the host list."""
 
--- a/nutmegspoke/standins/faults.py
+++ b/nutmegspoke/standins/faults.py
@@ -18,6 +18,7 @@
 
 _Handler = Any
 _DIE_EXIT_CODE = 70
+NOT_EXECUTED = (('Nutmegspoke-Executed', 'no'), ('Retry-After', '1'))
 
 
 class FaultOrder(msgspec.Struct, forbid_unknown_fields=True):
@@ -146,7 +147,7 @@
         cut(request)
         return web.Response(status=503)
     if board.take('refuse', request.path):
-        return web.Response(status=503, headers={'Retry-After': '1'})
+        return web.Response(status=503, headers=dict(NOT_EXECUTED))
     return None
 
 
--- a/nutmegspoke/standins/service.py
+++ b/nutmegspoke/standins/service.py
@@ -63,7 +63,11 @@
     async def _run(self, request: web.Request) -> web.Response:
         body = await request.read()
         if self.board.peek('leave') is not None:
-            return web.json_response({'error': 'leaving'}, status=503)
+            return web.json_response(
+                {'error': 'leaving'},
+                status=503,
+                headers=dict(faults.NOT_EXECUTED),
+            )
         entry = JournalEntry(
             request_id=request.headers.get('Nutmegspoke-Request-Id', ''),
             idempotency_key=request.headers.get('Idempotency-Key', ''),
--- /dev/null
+++ b/tests/builders_claims.py
@@ -0,0 +1,174 @@
+"""Builders and fakes for tests of claims and calls."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke import platform
+from nutmegspoke.claims.steps import ClaimRequest
+from nutmegspoke.requests import CallRequest
+from nutmegspoke.tables.rows import PoolKind, PoolRow, RouteRow
+from nutmegspoke.targets import Target
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+KEY = 'claim/press/send/0'
+
+
+@dataclasses.dataclass
+class FakeClock:
+    """A clock that the test moves."""
+
+    present_s: float = 1000.0
+
+    def now_s(self) -> float:
+        """Return the time that the test set."""
+        return self.present_s
+
+    def wall_s(self) -> float:
+        """Return the time that the test set."""
+        return self.present_s
+
+
+class RowStore:
+    """Rows with versions as the platform keeps them."""
+
+    def __init__(self) -> None:
+        """Create a store without rows."""
+        self.rows: dict[str, platform.StoredRow] = {}
+        self.commit_count = 0
+
+    def row(self, key: str) -> platform.StoredRow:
+        """Return a row; version 0 if it is absent."""
+        return self.rows.get(key, platform.StoredRow(key, 0))
+
+    def apply(self, transaction: platform.Transaction) -> platform.CommitResult:
+        """Carry out a transaction whole or not at all."""
+        self.commit_count += 1
+        failed = tuple(
+            self.row(condition.key)
+            for condition in transaction.conditions
+            if self.row(condition.key).version != condition.version
+        )
+        if failed:
+            return platform.Conflict(failed)
+        for write in transaction.writes:
+            version = self.row(write.key).version + 1
+            row = platform.StoredRow(write.key, version, write.body)
+            self.rows[write.key] = row
+        keys = [write.key for write in transaction.writes]
+        return platform.Committed(tuple(map(self.row, keys)))
+
+
+class FakeTables:
+    """A table service whose next commits show the faults of a script.
+
+    ``lost``: takes effect, the answer is lost. ``dropped``: the same answer,
+    no effect. ``late``: no effect until :meth:`land`. ``down``: unavailable.
+    """
+
+    def __init__(self, *script: str) -> None:
+        """Create a table service with a script of faults."""
+        self.store = RowStore()
+        self.script = list(script)
+        self.late: list[platform.Transaction] = []
+        self.is_down = False
+
+    async def read(self, key: str) -> platform.StoredRow | platform.Unavailable:
+        """Return a row."""
+        if self.is_down:
+            return platform.Unavailable('down')
+        return self.store.row(key)
+
+    async def scan(self, prefix: str) -> tuple[platform.StoredRow, ...]:
+        """Return the rows with a prefix."""
+        rows = self.store.rows
+        return tuple(
+            rows[key] for key in sorted(rows) if key.startswith(prefix)
+        )
+
+    async def commit(
+        self,
+        transaction: platform.Transaction,
+    ) -> platform.CommitResult:
+        """Carry out a transaction, or show the next fault."""
+        fault = self.script.pop(0) if self.script else ''
+        if self.is_down or fault == 'down':
+            return platform.Unavailable('down')
+        if fault == 'late':
+            self.late.append(transaction)
+        if fault in {'late', 'dropped'}:
+            return platform.InDoubt(fault)
+        result = self.store.apply(transaction)
+        return platform.InDoubt(fault) if fault == 'lost' else result
+
+    def land(self) -> list[platform.CommitResult]:
+        """Let the late writes arrive."""
+        late, self.late = self.late, []
+        return [self.store.apply(transaction) for transaction in late]
+
+
+class FakeDirectory:
+    """Fixed targets."""
+
+    def __init__(self, targets: Sequence[Target]) -> None:
+        """Create a directory."""
+        self.targets = tuple(targets)
+
+    def usable(self, pool: str, now_s: float) -> tuple[Target, ...]:
+        """Return the targets, whatever the pool."""
+        return self.targets
+
+
+def claim_request(nonce: str = 'n1', **changes: object) -> ClaimRequest:
+    """Build a call that needs a claim."""
+    request = ClaimRequest(
+        key=KEY,
+        fingerprint='body',
+        request_id=f'r-{nonce}',
+        nonce=nonce,
+        started_s=1000.0,
+        run_limit_s=60.0,
+    )
+    return dataclasses.replace(request, **changes)
+
+
+def target(name: str, address: str = '') -> Target:
+    """Build a live target of the pool ``mail``."""
+    return Target(name=name, address=address or name, pool='mail')
+
+
+def call_request(
+    *,
+    repeatable: bool = False,
+    now_s: float = 1000.0,
+    timeout_s: float = 5.0,
+    progress_timeout_s: float = 2.0,
+    **changes: object,
+) -> CallRequest:
+    """Build a call for the pool ``mail``."""
+    route = RouteRow(
+        name='send',
+        path='/send',
+        pool='mail',
+        repeatable=repeatable,
+        timeout_s=timeout_s,
+        progress_timeout_s=progress_timeout_s,
+    )
+    request = CallRequest(
+        request_id='r1',
+        team='press',
+        route=route,
+        pool=PoolRow('mail', PoolKind.SERVICE),
+        revision=1,
+        method='POST',
+        path='/send',
+        body=b'{"issue": 7}',
+        content_type='application/json',
+        idempotency_key='k1',
+        received_s=now_s,
+        deadline_s=now_s + timeout_s,
+    )
+    return dataclasses.replace(request, **changes)
--- /dev/null
+++ b/tests/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of retry and quarantine decisions."""
