--- /dev/null
+++ b/nutmegspoke/border/table_files.py
@@ -0,0 +1,243 @@
+"""Reads and writes the two tables as an INI file."""
+
+from __future__ import annotations
+
+import collections
+import configparser
+import dataclasses
+import re
+from typing import TYPE_CHECKING
+
+from pydantic import ValidationError
+
+from nutmegspoke.border import table_models
+from nutmegspoke.tables.rows import (
+    PoolRow,
+    RouteRow,
+    Row,
+    Tables,
+    TeamShare,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_TITLE = re.compile('^(?P<kind>route|pool) (?P<name>[a-z0-9][a-z0-9._-]*)$')
+_SETTING = re.compile(r'^([^\s=][^=\n]*?)\s*=', re.MULTILINE)
+_MODELS = {  # noqa: WPS407 -- read only
+    'route': table_models.RouteModel,
+    'pool': table_models.PoolModel,
+}
+_TITLE_RULE = (
+    '[route NAME] or [pool NAME], NAME of small letters, digits, ".", "_", "-"'
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableFault:
+    """Something wrong in a tables file.
+
+    :param source: name of the file.
+    :param section: title of the section; empty if outside of any.
+    :param key: key in the section; empty if the section itself is wrong.
+    :param problem: what is wrong.
+    :param allowed: what is allowed instead.
+    """
+
+    source: str
+    section: str
+    key: str
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the fault as one sentence."""
+        section = f' [{self.section}]' if self.section else ''
+        key = f' {self.key}' if self.key else ''
+        return (
+            f'{self.source}:{section}{key} {self.problem}; '
+            f'allowed: {self.allowed}'
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableFaults:
+    """All faults of a tables file.
+
+    :param faults: the faults in the order of the file.
+    """
+
+    faults: tuple[TableFault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Chunk:
+    """Text of one section."""
+
+    title: str
+    text: str
+
+
+def read_tables(text: str, source: str) -> Tables | TableFaults:
+    """Parse a tables file.
+
+    :param text: content of the file.
+    :param source: name of the file, for faults.
+    :returns: the tables at revision 0, or every fault of the file.
+    """
+    rows: list[Row] = []
+    faults: list[TableFault] = []
+    titles: set[str] = set()
+    for chunk in _chunks(text):
+        if chunk.title in titles:
+            faults.append(_title_fault(source, chunk.title, 'appears twice'))
+        titles.add(chunk.title)
+        found = _read_section(chunk, source)
+        if isinstance(found, TableFaults):
+            faults.extend(found.faults)
+        else:
+            rows.append(found)
+    if faults:
+        return TableFaults(tuple(faults))
+    return _tables(rows)
+
+
+def write_tables(tables: Tables) -> str:
+    """Return the tables as text that ``read_tables`` understands."""
+    sections = [_section_text(row) for row in (*tables.routes, *tables.pools)]
+    return '\n'.join((f'# revision {tables.revision}\n', *sections))
+
+
+def _setting_text(setting: object) -> str:
+    """Return a field of a row as the tables file writes it."""
+    match setting:
+        case bool():
+            return ' yes' if setting else ' no'
+        case tuple():
+            return ''.join(f'\n    {_entry_text(entry)}' for entry in setting)
+        case _:
+            return f' {setting}'
+
+
+def _section_text(row: Row) -> str:
+    kind = 'route' if isinstance(row, RouteRow) else 'pool'
+    lines = [f'[{kind} {row.name}]']
+    for field in dataclasses.fields(row):
+        setting = getattr(row, field.name)
+        if field.name != 'name' and setting != field.default:
+            lines.append(f'{field.name} ={_setting_text(setting)}')
+    return ''.join(f'{line}\n' for line in lines)
+
+
+def _entry_text(entry: object) -> str:
+    if not isinstance(entry, TeamShare):
+        return str(entry)
+    return (
+        f'{entry.team} weight={entry.weight:g} '
+        f'max_in_flight={entry.max_in_flight}'
+    )
+
+
+def _tables(rows: list[Row]) -> Tables:
+    ordered = sorted(rows, key=lambda row: row.name)
+    return Tables(
+        routes=tuple(row for row in ordered if isinstance(row, RouteRow)),
+        pools=tuple(row for row in ordered if isinstance(row, PoolRow)),
+    )
+
+
+def _chunks(text: str) -> Iterator[_Chunk]:
+    title = ''
+    lines: list[str] = []
+    for line in text.splitlines():
+        if not line.startswith('['):
+            lines.append(line)
+            continue
+        yield from _chunk(title, lines)
+        title = _title(line.strip())
+        lines = []
+    yield from _chunk(title, lines)
+
+
+def _title(header: str) -> str:
+    return header[1:-1] if header.endswith(']') else header
+
+
+def _chunk(title: str, lines: list[str]) -> Iterator[_Chunk]:
+    settings = [line for line in lines if not _is_comment(line)]
+    if title or any(settings):
+        yield _Chunk(title, '\n'.join(settings))
+
+
+def _is_comment(line: str) -> bool:
+    return not line.strip() or line.lstrip().startswith(('#', ';'))
+
+
+def _read_section(chunk: _Chunk, source: str) -> Row | TableFaults:
+    title = _TITLE.match(chunk.title)
+    if title is None:
+        problem = 'is no known section' if chunk.title else 'lacks a section'
+        return TableFaults((_title_fault(source, chunk.title, problem),))
+    faults = _duplicate_keys(chunk, source)
+    settings = _read_settings(chunk, source)
+    if isinstance(settings, TableFault):
+        return TableFaults((*faults, settings))
+    model = _MODELS[title.group('kind')]
+    try:
+        section = model.model_validate(settings)
+    except ValidationError as error:
+        found = _section_faults(chunk, source, model, error)
+        return TableFaults((*faults, *found))
+    if faults:
+        return TableFaults(faults)
+    return section.to_row(title.group('name'))
+
+
+def _duplicate_keys(chunk: _Chunk, source: str) -> tuple[TableFault, ...]:
+    keys = collections.Counter(_SETTING.findall(chunk.text))
+    return tuple(
+        TableFault(source, chunk.title, key, 'appears twice', 'it once')
+        for key, count in keys.items()
+        if count > 1
+    )
+
+
+def _read_settings(chunk: _Chunk, source: str) -> dict[str, str] | TableFault:
+    parser = configparser.RawConfigParser(delimiters=('=',), strict=False)
+    parser.optionxform = str
+    try:
+        parser.read_string(f'[section]\n{chunk.text}')
+    except configparser.ParsingError as error:
+        lines = ', '.join(text for _, text in error.errors)
+        return TableFault(
+            source,
+            chunk.title,
+            '',
+            f'has lines that are no setting: {lines}',
+            'lines "KEY = VALUE"',
+        )
+    return dict(parser['section'])
+
+
+def _section_faults(
+    chunk: _Chunk,
+    source: str,
+    model: table_models.SectionModel,
+    error: ValidationError,
+) -> tuple[TableFault, ...]:
+    return tuple(
+        TableFault(
+            source,
+            chunk.title,
+            fault.key,
+            fault.problem,
+            table_models.allowed_text(model, fault.key),
+        )
+        for fault in table_models.key_faults(error)
+    )
+
+
+def _title_fault(source: str, title: str, problem: str) -> TableFault:
+    if not title:
+        problem = f'{problem} above its first line'
+    return TableFault(source, title, '', problem, _TITLE_RULE)
--- a/nutmegspoke/tables/codec.py
+++ b/nutmegspoke/tables/codec.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import hashlib
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from nutmegspoke.tables.rows import PoolRow, RouteRow, Row, Tables
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 REVISION_KEY = 'meta/revision'
 ROUTE_PREFIX = 'route/'
 POOL_PREFIX = 'pool/'
@@ -14,10 +20,15 @@
 _decode = msgspec.msgpack.decode
 
 
-class RevisionRow(msgspec.Struct):
-    """Body of the row that holds the revision of the tables."""
+class RevisionRow(msgspec.Struct, frozen=True):
+    """Body of the row that holds the revision of the tables.
 
-    revision: int
+    :param revision: the revision; 0 before the first change.
+    :param digest: digest of all rows at that revision.
+    """
+
+    revision: int = 0
+    digest: bytes = b''
 
 
 def row_key(row: Row) -> str:
@@ -43,16 +54,40 @@
         return None
 
 
-def encode_revision(revision: int) -> bytes:
+def encode_revision(revision: int, digest: bytes) -> bytes:
     """Return the body of the revision row."""
-    return _encode(RevisionRow(revision))
+    return _encode(RevisionRow(revision, digest))
 
 
-def decode_revision(body: bytes) -> int:
-    """Return the revision; 0 for an absent row."""
+def decode_revision_row(body: bytes) -> RevisionRow | None:
+    """Return the content of the revision row.
+
+    :param body: body of the row; empty if the row is absent.
+    :returns: revision 0 for an absent row, ``None`` if it can't be read.
+    """
     if not body:
-        return 0
-    return _decode(body, type=RevisionRow).revision
+        return RevisionRow()
+    try:
+        return _decode(body, type=RevisionRow)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_revision(body: bytes) -> int:
+    """Return the revision; 0 for an absent or unreadable row."""
+    row = decode_revision_row(body)
+    return row.revision if row else 0
+
+
+def rows_digest(bodies: Mapping[str, bytes]) -> bytes:
+    """Return the digest of the rows of both tables.
+
+    :param bodies: body of each row by its key.
+    """
+    digest = hashlib.sha256()
+    for key in sorted(bodies):
+        digest.update(_encode((key, bodies[key])))
+    return digest.digest()
 
 
 def encode_tables(tables: Tables) -> bytes:
--- /dev/null
+++ b/tests/builders_tables.py
@@ -0,0 +1,121 @@
+"""Builders of tables and a table service in memory."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from nutmegspoke.platform import (
+    CommitResult,
+    Committed,
+    Conflict,
+    InDoubt,
+    StoredRow,
+    Transaction,
+    Unavailable,
+)
+from nutmegspoke.tables.apply import Author
+from nutmegspoke.tables.rows import (
+    PoolKind,
+    PoolRow,
+    RouteRow,
+    Tables,
+    TeamShare,
+)
+
+
+def build_route(name: str = 'drafts', **fields: object) -> RouteRow:
+    """Build a route over the pool ``engines``."""
+    defaults = {
+        'path': f'/{name}',
+        'pool': 'engines',
+        'teams': (TeamShare('desk', 2.5, 40), TeamShare('clubs', 1.0, 8)),
+    }
+    return RouteRow(name=name, **{**defaults, **fields})
+
+
+def build_pool(name: str = 'engines', **fields: object) -> PoolRow:
+    """Build a pool of services."""
+    defaults = {'kind': PoolKind.SERVICE, 'targets': ('127.0.0.1:9001',)}
+    return PoolRow(name=name, **{**defaults, **fields})
+
+
+def build_tables(*routes: RouteRow, pools: tuple[PoolRow, ...] = ()) -> Tables:
+    """Build tables with these routes and the pool ``engines``."""
+    return Tables(
+        routes=tuple(sorted(routes, key=lambda row: row.name)),
+        pools=pools or (build_pool(),),
+    )
+
+
+def build_author(
+    operator: str = 'ann',
+    change_id: str = 'change-1',
+) -> Author:
+    """Build an author."""
+    return Author(operator, change_id, at_wall_s=1.0)
+
+
+async def no_pause(_: float) -> None:
+    """Wait for nothing."""
+
+
+@dataclasses.dataclass
+class FakeTableService:
+    """A table service in memory that fails on demand.
+
+    :param faults: what the next commits do instead: ``refused`` writes
+        nothing, ``lost`` loses the request, ``answer lost`` loses the answer.
+    :param unreadable_s: number of reads that fail.
+    """
+
+    rows: dict[str, StoredRow] = dataclasses.field(default_factory=dict)
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    faults: list[str] = dataclasses.field(default_factory=list)
+    is_readable: bool = True
+    before_commit: list[Transaction] = dataclasses.field(default_factory=list)
+
+    async def read(self, key: str) -> StoredRow | Unavailable:
+        """Return a row."""
+        if not self.is_readable:
+            return Unavailable('down')
+        return self.rows.get(key, StoredRow(key, 0))
+
+    async def scan(self, prefix: str) -> tuple[StoredRow, ...] | Unavailable:
+        """Return the rows with a prefix."""
+        if not self.is_readable:
+            return Unavailable('down')
+        return tuple(
+            self.rows[key]
+            for key in sorted(self.rows)
+            if key.startswith(prefix)
+        )
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Carry out a transaction, after those that came first."""
+        while self.before_commit:
+            self.commit_now(self.before_commit.pop(0))
+        fault = self.faults.pop(0) if self.faults else ''
+        if fault == 'refused':
+            return Unavailable('refused')
+        if fault == 'lost':
+            return InDoubt('request lost')
+        done = self.commit_now(transaction)
+        return InDoubt('answer lost') if fault == 'answer lost' else done
+
+    def commit_now(self, transaction: Transaction) -> CommitResult:
+        """Carry out a transaction."""
+        failed = tuple(
+            self.rows.get(condition.key, StoredRow(condition.key, 0))
+            for condition in transaction.conditions
+            if self.rows.get(condition.key, StoredRow('', 0)).version
+            != condition.version
+        )
+        if failed:
+            return Conflict(failed)
+        for write in transaction.writes:
+            self.versions[write.key] = self.versions.get(write.key, 0) + 1
+            self.rows.pop(write.key, None)
+            if write.body is not None:
+                version = self.versions[write.key]
+                self.rows[write.key] = StoredRow(write.key, version, write.body)
+        return Committed()
