Add the target directory

Joins pool rows, host list, load reports, refusals, connection failures and peers' words. A leaving target stays so until it has plainly started anew; reports older than 2.5 s let nothing through, so a frozen daemon sends nothing on old knowledge. Load reports may carry a start id, which decides between two starts of one address where host list and reports lag.

--- a/nutmegspoke/engine_protocol.py
+++ b/nutmegspoke/engine_protocol.py
@@ -99,6 +99,7 @@
     :param layer_tokens_per_s: layers times tokens that it runs in a second.
     :param link_bytes_per_s: rate of its link.
     :param prefixes: digests of cached prompt prefixes.
+    :param start_id: differs after each start of the target; may be empty.
     """
 
     target: str
@@ -112,6 +113,7 @@
     layer_tokens_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
     prefixes: tuple[str, ...] = ()
+    start_id: str = ''
 
 
 class LayerOrder(msgspec.Struct):
--- /dev/null
+++ b/nutmegspoke/membership/directory.py
@@ -0,0 +1,321 @@
+"""Which targets each pool has, and which of them may get new work."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.membership.records import TargetRecord
+from nutmegspoke.membership.selection import PoolSelection
+from nutmegspoke.membership.states import LeavingNote, Source, StateChange
+from nutmegspoke.platform import HostState
+from nutmegspoke.tables.rows import PoolKind
+from nutmegspoke.targets import Target, TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from nutmegspoke.engine_protocol import LoadReport
+    from nutmegspoke.platform import HostEntry
+    from nutmegspoke.tables.rows import PoolRow, Tables
+
+MAX_REPORT_AGE_S = 2.5
+NOTE_LIFETIME_S = 10.0
+_FORGET_AFTER_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class Directory:
+    """Joins host list, pool rows, load reports and what happens to calls.
+
+    A leaving target stays so, whichever source said it first, until it has
+    plainly started anew: the host list lacked it after the mark and shows it
+    live again, its load report bears another start id, or its address refused
+    a connection and then answered. Only a report asked for within
+    ``max_report_age_s`` lets a target have new work, so that a daemon that was
+    frozen or cut off sends nothing on old knowledge.
+
+    :param max_report_age_s: age at which a load report counts no longer.
+    :param hosts_read_s: when the host list was last asked for.
+    """
+
+    max_report_age_s: float = MAX_REPORT_AGE_S
+    hosts_read_s: float | None = None
+    _pools: PoolSelection = dataclasses.field(default_factory=PoolSelection)
+    _records: dict[str, TargetRecord] = dataclasses.field(default_factory=dict)
+
+    def take_tables(self, tables: Tables) -> None:
+        """Put the pool rows of a revision into force."""
+        self._pools.take_tables(tables)
+
+    def take_hosts(
+        self,
+        entries: Sequence[HostEntry],
+        read_s: float,
+    ) -> tuple[StateChange, ...]:
+        """Take a reading of the host list.
+
+        :param entries: all entries.
+        :param read_s: when the reading was asked for; older ones are ignored.
+        """
+        if self.hosts_read_s is not None and read_s < self.hosts_read_s:
+            return ()
+        self.hosts_read_s = read_s
+        self._pools.take_hosts(entries)
+        changes = tuple(self._compare_with_hosts(read_s))
+        self._forget_absent(read_s)
+        return changes
+
+    def load_reported(
+        self,
+        address: str,
+        report: LoadReport,
+        asked_s: float,
+        now_s: float,
+    ) -> StateChange | None:
+        """Take a load report.
+
+        :param asked_s: when it was asked for.
+        :param now_s: when it came.
+        """
+        record = self._record(address)
+        if record.report is not None and asked_s < record.asked_s:
+            return None
+        before = record.state(now_s, self.max_report_age_s)
+        if _is_fresh_start(record, report, asked_s):
+            record.begin_fresh_start(asked_s)
+        record.take_report(report, asked_s, now_s)
+        if _answers_since(record.gone_since_s, asked_s):
+            record.gone_since_s = None
+        if _answers_since(record.silent_since_s, asked_s):
+            record.silent_since_s = None
+        if report.leaving:
+            record.mark_leaving(Source.LOAD_REPORT, now_s)
+        after = record.state(now_s, self.max_report_age_s)
+        if after == before:
+            return None
+        return StateChange(address, after, Source.LOAD_REPORT)
+
+    def work_started(self, address: str, now_s: float) -> None:
+        """Count work that leaves for a target."""
+        record = self._record(address)
+        record.own_in_flight += 1
+        record.sent_s.append(now_s)
+
+    def work_finished(self, address: str) -> None:
+        """Count work that ended, in whatever way."""
+        record = self._record(address)
+        record.own_in_flight = max(0, record.own_in_flight - 1)
+
+    def refused_as_leaving(
+        self,
+        address: str,
+        now_s: float,
+    ) -> StateChange | None:
+        """Note that a target refused work because it is leaving."""
+        return _mark(self._record(address), Source.REFUSAL, now_s)
+
+    def connection_failed(
+        self,
+        address: str,
+        now_s: float,
+        *,
+        refused: bool,
+    ) -> StateChange | None:
+        """Note a connection that was refused or reset.
+
+        :param refused: nothing listens there, so the process has ended.
+        """
+        record = self._record(address)
+        is_first = record.gone_since_s is None
+        record.gone_since_s = now_s
+        if refused:
+            record.refused_s = now_s
+        if is_first and record.leaving is None:
+            return StateChange(address, TargetState.GONE, Source.CONNECTION)
+        return None
+
+    def connection_silent(
+        self,
+        address: str,
+        now_s: float,
+        *,
+        is_new: bool,
+    ) -> StateChange | None:
+        """Note a connection that gave no answer in its time.
+
+        :param is_new: it was opened for this call. An old connection may have
+            been lost track of between the two ends; the target isn't blamed.
+        """
+        record = self._record(address)
+        if not is_new or record.silent_since_s is not None:
+            return None
+        record.silent_since_s = now_s
+        return StateChange(address, TargetState.SUSPECT, Source.CONNECTION)
+
+    def peer_says_leaving(
+        self,
+        note: LeavingNote,
+        now_s: float,
+    ) -> StateChange | None:
+        """Take a peer's word, unless it is of an earlier start."""
+        record = self._record(note.address)
+        said_s = now_s - note.age_s
+        if _is_of_earlier_start(record, note, said_s):
+            return None
+        if not record.mark_leaving(Source.PEER, said_s, note.start_id):
+            return None
+        return StateChange(note.address, TargetState.LEAVING, Source.PEER)
+
+    def leaving_notes(self, now_s: float) -> tuple[LeavingNote, ...]:
+        """Return what peers should hear, newest first."""
+        notes = [
+            LeavingNote(
+                record.address,
+                record.leaving.start_id,
+                now_s - record.leaving.since_s,
+            )
+            for record in self._records.values()
+            if record.leaving is not None
+        ]
+        notes.sort(key=_note_age_s)
+        return tuple(note for note in notes if note.age_s <= NOTE_LIFETIME_S)
+
+    def usable(self, pool: str, now_s: float) -> tuple[Target, ...]:
+        """Return the targets of a pool that may get new work.
+
+        Engines must hold the pool's model and version.
+        """
+        row = self._pools.row(pool)
+        if row is None:
+            return ()
+        return tuple(
+            target
+            for target in self.members(pool, now_s)
+            if target.state == TargetState.LIVE and _serves(row, target)
+        )
+
+    def members(self, pool: str, now_s: float) -> tuple[Target, ...]:
+        """Return all targets of a pool, whatever their state."""
+        row = self._pools.row(pool)
+        if row is None:
+            return ()
+        records = map(self._record, self._pools.addresses(pool))
+        return tuple(
+            record.target(pool, self._state(row, record, now_s))
+            for record in records
+        )
+
+    def watched(self, now_s: float) -> tuple[str, ...]:
+        """Return the addresses to ask for their load."""
+        return self._pools.all_addresses()
+
+    def _record(self, address: str) -> TargetRecord:
+        record = self._records.get(address)
+        if record is None:
+            record = TargetRecord(address)
+            self._records[address] = record
+        return record
+
+    def _state(
+        self,
+        row: PoolRow,
+        record: TargetRecord,
+        now_s: float,
+    ) -> TargetState:
+        name = record.entry.name if record.entry else record.address
+        if name in row.leaving or record.address in row.leaving:
+            return TargetState.LEAVING
+        return record.state(now_s, self.max_report_age_s)
+
+    def _compare_with_hosts(self, read_s: float) -> Iterator[StateChange]:
+        for address, entry in self._pools.hosts.items():
+            change = self._take_entry(self._record(address), entry, read_s)
+            if change is not None:
+                yield change
+        for record in self._records.values():
+            if record.address not in self._pools.hosts and record.entry:
+                record.entry = None
+                record.absent_since_s = read_s
+
+    def _take_entry(
+        self,
+        record: TargetRecord,
+        entry: HostEntry,
+        read_s: float,
+    ) -> StateChange | None:
+        record.entry = entry
+        absent_since_s = record.absent_since_s
+        record.absent_since_s = None
+        if entry.state == HostState.LEAVING:
+            return _mark(record, Source.HOST_LIST, read_s)
+        if not record.is_started_anew(absent_since_s):
+            return None
+        record.begin_fresh_start(read_s)
+        return StateChange(
+            record.address,
+            TargetState.SUSPECT,
+            Source.HOST_LIST,
+        )
+
+    def _forget_absent(self, now_s: float) -> None:
+        forgotten = [
+            record.address
+            for record in self._records.values()
+            if record.is_idle_since(now_s - _FORGET_AFTER_S)
+            and not self._pools.is_by_hand(record.address)
+        ]
+        for address in forgotten:
+            self._records.pop(address)
+
+
+def _mark(
+    record: TargetRecord,
+    source: Source,
+    now_s: float,
+) -> StateChange | None:
+    if not record.mark_leaving(source, now_s):
+        return None
+    return StateChange(record.address, TargetState.LEAVING, source)
+
+
+def _is_fresh_start(
+    record: TargetRecord,
+    report: LoadReport,
+    asked_s: float,
+) -> bool:
+    if record.leaving is None:
+        return False
+    marked_start = record.leaving.start_id or record.start_id
+    if marked_start and report.start_id:
+        return report.start_id != marked_start
+    if record.refused_s is None:
+        return False
+    return record.leaving.since_s <= record.refused_s <= asked_s
+
+
+def _is_of_earlier_start(
+    record: TargetRecord,
+    note: LeavingNote,
+    said_s: float,
+) -> bool:
+    if record.start_id and note.start_id:
+        return note.start_id != record.start_id
+    return record.fresh_start_s is not None and said_s <= record.fresh_start_s
+
+
+def _answers_since(since_s: float | None, asked_s: float) -> bool:
+    return since_s is not None and since_s <= asked_s
+
+
+def _serves(row: PoolRow, target: Target) -> bool:
+    if row.kind == PoolKind.SERVICE:
+        return True
+    is_version = row.version in {'', target.version}
+    return (
+        target.layers is not None and target.model == row.model and is_version
+    )
+
+
+def _note_age_s(note: LeavingNote) -> float:
+    return note.age_s
--- /dev/null
+++ b/tests/builders_membership.py
@@ -0,0 +1,81 @@
+"""Builders of test data for membership and placement."""
+
+from __future__ import annotations
+
+from nutmegspoke.engine_protocol import LoadReport
+from nutmegspoke.membership.directory import Directory
+from nutmegspoke.platform import HostEntry, HostState
+from nutmegspoke.tables.rows import PoolKind, PoolRow, Tables
+
+ADDRESS = '127.0.0.1:7001'
+OTHER_ADDRESS = '127.0.0.1:7002'
+POOL = 'drafting'
+SELECTOR = 'drafting-engines'
+
+
+def host(
+    address: str = ADDRESS,
+    state: HostState = HostState.LIVE,
+    selector: str = SELECTOR,
+) -> HostEntry:
+    """Build an entry of the host list, named after its port."""
+    port = address.rpartition(':')[2]
+    return HostEntry(f'engine-{port}', address, 'pnw-1', selector, state)
+
+
+def report(
+    address: str = ADDRESS,
+    *,
+    leaving: bool = False,
+    start_id: str = '',
+    layers: tuple[int, int] = (0, 12),
+    in_flight: int = 0,
+) -> LoadReport:
+    """Build the load report of an engine."""
+    return LoadReport(
+        target=f'engine-{address}',
+        in_flight=in_flight,
+        leaving=leaving,
+        model='fanletter',
+        version='1',
+        first_layer=layers[0],
+        stop_layer=layers[1],
+        layer_tokens_per_s=100.0,
+        start_id=start_id,
+    )
+
+
+def engine_pool(
+    targets: tuple[str, ...] = (),
+    leaving: tuple[str, ...] = (),
+    *,
+    checks_fencing: bool = False,
+) -> PoolRow:
+    """Build a pool of engines."""
+    return PoolRow(
+        name=POOL,
+        kind=PoolKind.ENGINE,
+        model='fanletter',
+        version='1',
+        layer_count=12,
+        targets=targets,
+        selector=SELECTOR,
+        leaving=leaving,
+        checks_fencing=checks_fencing,
+    )
+
+
+def directory(
+    *hosts: HostEntry,
+    pool: PoolRow | None = None,
+    now_s: float = 0.0,
+    start_id: str = '',
+) -> Directory:
+    """Build a directory whose listed engines have all reported."""
+    built = Directory()
+    built.take_tables(Tables(1, (), (pool or engine_pool(),)))
+    built.take_hosts(hosts, now_s)
+    for address in built.watched(now_s):
+        answer = report(address, start_id=start_id)
+        built.load_reported(address, answer, now_s, now_s)
+    return built
