--- /dev/null
+++ b/nutmegspoke/border/answers.py
@@ -0,0 +1,118 @@
+"""Sends the tokens of a draft to its caller, streamed or whole."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.border import completions, responses
+from nutmegspoke.border.drafts import DraftToken
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from sanic import HTTPResponse, Request
+
+    from nutmegspoke.border.drafts import DraftItem
+
+_STREAM_TYPE = 'text/event-stream'
+
+
+class StreamWriter:
+    """Sends a draft as server-sent events.
+
+    :param request: request of the caller.
+    :param call: the checked call.
+    :param request_id: id of the request.
+    :param write_timeout_s: how long a caller may take to read one event.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        call: completions.CompletionCall,
+        request_id: str,
+        write_timeout_s: float,
+    ) -> None:
+        """Prepare to send."""
+        self._request = request
+        self._call = call
+        self._request_id = request_id
+        self._write_timeout_s = write_timeout_s
+        self._response: HTTPResponse | None = None
+
+    async def write(
+        self,
+        stream: AsyncIterator[DraftItem],
+    ) -> outcomes.Outcome | None:
+        """Send all tokens; a refusal before the first one is returned."""
+        try:
+            async for item in stream:
+                if isinstance(item, DraftToken):
+                    await self._send_token(item)
+                elif self._response is None:
+                    return item
+                else:
+                    await self._finish(item)
+        finally:
+            await stream.aclose()
+        return None
+
+    async def _send_token(self, token: DraftToken) -> None:
+        if self._response is None:
+            self._response = await self._request.respond(
+                content_type=_STREAM_TYPE,
+                headers={
+                    responses.REQUEST_ID_HEADER: self._request_id,
+                    responses.EXECUTED_HEADER: outcomes.Executed.YES.value,
+                },
+            )
+        await self._send(
+            completions.event(
+                self._call,
+                self._request_id,
+                token.text,
+                token.event_id,
+            ),
+        )
+
+    async def _finish(self, outcome: outcomes.Outcome) -> None:
+        if isinstance(outcome, outcomes.Completed):
+            await self._send(completions.DONE_EVENT)
+        elif isinstance(outcome, outcomes.NotRun | outcomes.Unknown):
+            body = responses.error_body(outcome, self._request_id)
+            await self._send(completions.error_event(body))
+        await self._response.eof()
+
+    async def _send(self, event: bytes) -> None:
+        await asyncio.wait_for(
+            self._response.send(event),
+            self._write_timeout_s,
+        )
+
+
+async def collect(
+    stream: AsyncIterator[DraftItem],
+    call: completions.CompletionCall,
+    request_id: str,
+) -> outcomes.Outcome:
+    """Return the whole answer of a draft.
+
+    :param stream: the tokens, then one outcome.
+    :param call: the checked call.
+    :param request_id: id of the request.
+    """
+    texts: list[str] = []
+    outcome: outcomes.Outcome | None = None
+    async for item in stream:
+        if isinstance(item, DraftToken):
+            texts.append(item.text)
+        else:
+            outcome = item
+    if isinstance(outcome, outcomes.Completed):
+        body = completions.whole(call, request_id, ''.join(texts), len(texts))
+        return outcomes.Completed(status=200, body=body)
+    if outcome is None:
+        return outcomes.Unknown(outcomes.UnknownReason.STREAM_LOST)
+    return outcome
--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import zlib
 from typing import TYPE_CHECKING
@@ -11,21 +10,23 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import completions, responses
-from nutmegspoke.border.calls import NAME as CALLS, CallService
-from nutmegspoke.border.drafts import NAME as DRAFTS, DraftService, DraftToken
-from nutmegspoke.border.inflight import NAME as INFLIGHT, InFlight
+from nutmegspoke.border.answers import StreamWriter, collect
+from nutmegspoke.border.calls import NAME as CALLS
+from nutmegspoke.border.calls import CallService
+from nutmegspoke.border.drafts import NAME as DRAFTS
+from nutmegspoke.border.drafts import DraftService
+from nutmegspoke.border.inflight import NAME as INFLIGHT
+from nutmegspoke.border.inflight import InFlight
 from nutmegspoke.border.request_ids import new_request_id
 from nutmegspoke.border.sanic_server import SanicServer, new_app
-from nutmegspoke.border.tables_watch import NAME as TABLES, TablesWatch
+from nutmegspoke.border.tables_watch import NAME as TABLES
+from nutmegspoke.border.tables_watch import TablesWatch
 from nutmegspoke.requests import CallRequest, DraftRequest
 from nutmegspoke.tables.matching import match_route, path_is_routed
 from nutmegspoke.tables.rows import PoolKind
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from nutmegspoke.application import Application
-    from nutmegspoke.border.drafts import DraftItem
     from nutmegspoke.tables.rows import PoolRow, RouteRow
 
 logger = logging.getLogger(__name__)
@@ -37,7 +38,6 @@
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
 _DRAFT_PATHS = frozenset((completions.COMPLETIONS_PATH, completions.CHAT_PATH))
 _NOT_READY_RETRY_AFTER_S = 2.0
-_STREAM_TYPE = 'text/event-stream'
 
 
 class CallersPort:
@@ -217,100 +217,14 @@
         )
         stream = self._drafts.stream(draft)
         if call.is_streamed:
-            writer = _StreamWriter(
+            writer = StreamWriter(
                 request,
                 call,
                 request_id,
                 self._settings.limits.caller_write_timeout_s,
             )
             return await writer.write(stream)
-        return await _collect(stream, call, request_id)
-
-
-class _StreamWriter:
-    """Sends a draft as server-sent events."""
-
-    def __init__(
-        self,
-        request: Request,
-        call: completions.CompletionCall,
-        request_id: str,
-        write_timeout_s: float,
-    ) -> None:
-        self._request = request
-        self._call = call
-        self._request_id = request_id
-        self._write_timeout_s = write_timeout_s
-        self._response: HTTPResponse | None = None
-
-    async def write(
-        self,
-        stream: AsyncIterator[DraftItem],
-    ) -> outcomes.Outcome | None:
-        """Send all tokens; a refusal before the first one is returned."""
-        try:
-            async for item in stream:
-                if isinstance(item, DraftToken):
-                    await self._send_token(item)
-                elif self._response is None:
-                    return item
-                else:
-                    await self._finish(item)
-        finally:
-            await stream.aclose()
-        return None
-
-    async def _send_token(self, token: DraftToken) -> None:
-        if self._response is None:
-            self._response = await self._request.respond(
-                content_type=_STREAM_TYPE,
-                headers={
-                    responses.REQUEST_ID_HEADER: self._request_id,
-                    responses.EXECUTED_HEADER: outcomes.Executed.YES.value,
-                },
-            )
-        await self._send(
-            completions.event(
-                self._call,
-                self._request_id,
-                token.text,
-                token.event_id,
-            ),
-        )
-
-    async def _finish(self, outcome: outcomes.Outcome) -> None:
-        if isinstance(outcome, outcomes.Completed):
-            await self._send(completions.DONE_EVENT)
-        elif isinstance(outcome, outcomes.NotRun | outcomes.Unknown):
-            body = responses.error_body(outcome, self._request_id)
-            await self._send(completions.error_event(body))
-        await self._response.eof()
-
-    async def _send(self, event: bytes) -> None:
-        await asyncio.wait_for(
-            self._response.send(event),
-            self._write_timeout_s,
-        )
-
-
-async def _collect(
-    stream: AsyncIterator[DraftItem],
-    call: completions.CompletionCall,
-    request_id: str,
-) -> outcomes.Outcome:
-    texts: list[str] = []
-    outcome: outcomes.Outcome | None = None
-    async for item in stream:
-        if isinstance(item, DraftToken):
-            texts.append(item.text)
-        else:
-            outcome = item
-    if isinstance(outcome, outcomes.Completed):
-        body = completions.whole(call, request_id, ''.join(texts), len(texts))
-        return outcomes.Completed(status=200, body=body)
-    if outcome is None:
-        return outcomes.Unknown(outcomes.UnknownReason.STREAM_LOST)
-    return outcome
+        return await collect(stream, call, request_id)
 
 
 def _add_handlers(sanic: Sanic, port: CallersPort) -> None:
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import logging
+import secrets
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
 from nutmegspoke.border.call_attempts import CallAttempts
 from nutmegspoke.border.claim_keeper import ClaimKeeper
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.target_watch import NAME as TARGETS
+from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.claims import steps
 from nutmegspoke.claims.decider import ClaimDecider, ClaimLimits
 
 if TYPE_CHECKING:
+    from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.platform import TableService
     from nutmegspoke.requests import CallRequest
@@ -21,7 +27,9 @@
 
 logger = logging.getLogger(__name__)
 
+NAME = 'calls'
 _STOP_LIMIT_S = 10.0
+_START_ID_BYTES = 6
 
 
 class CallService:
@@ -105,3 +113,15 @@
             request,
             lambda: self._claims.dispatch(key),
         )
+
+
+def setup(app: Application) -> None:
+    """Register the call service."""
+    start_id = secrets.token_hex(_START_ID_BYTES)
+    service = CallService(
+        clock=app.clock,
+        tables=app.kernel.find(SESSIONS, HttpSessions).platform.tables,
+        targets=app.kernel.find(TARGETS, TargetWatch),
+        daemon=f'{app.settings.daemon.name}.{start_id}',
+    )
+    app.kernel.register(NAME, service)
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -9,9 +9,11 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border.engine_client import RelayCarrier
-from nutmegspoke.border.http_sessions import NAME as SESSIONS, HttpSessions
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
 from nutmegspoke.border.simple_chain import choose_chain
-from nutmegspoke.border.target_watch import NAME as TARGETS, TargetWatch
+from nutmegspoke.border.target_watch import NAME as TARGETS
+from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.engine_protocol import StepRefusal, StepReply
 from nutmegspoke.pipelines.carrier import LossKind, StepLost
 from nutmegspoke.pipelines.run import (
@@ -144,7 +146,7 @@
 
     def _cancel(self, draft: _Draft) -> None:
         for stage in draft.run.chain:
-            self._targets.finished(stage.target)
+            self._targets.finished(stage.address)
             cancel = self._carrier.cancel(
                 stage,
                 draft.run.plan.stream_id,
@@ -220,7 +222,7 @@
     def restart(self, chain: Chain) -> SendStep:
         """Begin a new attempt over another chain."""
         for stage in self.run.chain:
-            self._targets.finished(stage.target)
+            self._targets.finished(stage.address)
         self._note_started(chain)
         return self.run.restart(chain)
 
@@ -235,7 +237,7 @@
 
     def _note_started(self, chain: Chain) -> None:
         for stage in chain:
-            self._targets.started(stage.target)
+            self._targets.started(stage.address)
 
 
 def setup(app: Application) -> None:
--- a/nutmegspoke/border/operators.py
+++ b/nutmegspoke/border/operators.py
@@ -9,11 +9,14 @@
 import msgspec
 from sanic import HTTPResponse, Request
 
-from nutmegspoke.border.inflight import NAME as INFLIGHT, InFlight
+from nutmegspoke.border.inflight import NAME as INFLIGHT
+from nutmegspoke.border.inflight import InFlight
 from nutmegspoke.border.sanic_server import SanicServer, new_app
 from nutmegspoke.border.settings import read_secret
-from nutmegspoke.border.tables_watch import NAME as TABLES, TablesWatch
-from nutmegspoke.border.target_watch import NAME as TARGETS, TargetWatch
+from nutmegspoke.border.tables_watch import NAME as TABLES
+from nutmegspoke.border.tables_watch import TablesWatch
+from nutmegspoke.border.target_watch import NAME as TARGETS
+from nutmegspoke.border.target_watch import TargetWatch
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/nutmegspoke/border/tables_watch.py
+++ b/nutmegspoke/border/tables_watch.py
@@ -5,16 +5,19 @@
 import logging
 from typing import TYPE_CHECKING
 
-from nutmegspoke.border.http_sessions import NAME as SESSIONS, HttpSessions
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
 from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.border.table_reads import read_snapshot
 from nutmegspoke.platform import Unavailable
 from nutmegspoke.tables import codec
-from nutmegspoke.tables.rows import PoolRow, RouteRow, Tables
+from nutmegspoke.tables.rows import Tables
+from nutmegspoke.tables.snapshot import TablesSnapshot
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.platform import StoredRow, TableService
+    from nutmegspoke.platform import TableService
 
 logger = logging.getLogger(__name__)
 NAME = 'tables_watch'
@@ -52,9 +55,11 @@
         if revision <= self.current.revision:
             self.is_ready = True
             return
-        tables = await self._read_tables(revision)
-        if tables is not None and await self._read_revision() == revision:
-            self._take(tables)
+        snapshot = await read_snapshot(self._tables)
+        if isinstance(snapshot, TablesSnapshot):
+            self._take(snapshot.tables)
+        else:
+            logger.warning('tables: rows not read result=%s', snapshot)
 
     def _take(self, tables: Tables) -> None:
         self.current = tables
@@ -71,26 +76,8 @@
         if isinstance(row, Unavailable):
             logger.warning('tables: store unreachable reason=%s', row.reason)
             return None
-        return codec.decode_revision(row.body)
-
-    async def _read_tables(self, revision: int) -> Tables | None:
-        routes = await self._tables.scan(codec.ROUTE_PREFIX)
-        pools = await self._tables.scan(codec.POOL_PREFIX)
-        if isinstance(routes, Unavailable) or isinstance(pools, Unavailable):
-            return None
-        return Tables(
-            revision=revision,
-            routes=tuple(
-                row for row in _decoded(routes) if isinstance(row, RouteRow)
-            ),
-            pools=tuple(
-                row for row in _decoded(pools) if isinstance(row, PoolRow)
-            ),
-        )
-
-
-def _decoded(rows: tuple[StoredRow, ...]) -> list[RouteRow | PoolRow | None]:
-    return [codec.decode_row(row.key, row.body) for row in rows]
+        head = codec.decode_revision_row(row.body)
+        return head.revision if head is not None else None
 
 
 def setup(app: Application) -> None:
--- a/nutmegspoke/cmd/daemon.py
+++ b/nutmegspoke/cmd/daemon.py
@@ -16,7 +16,8 @@
 from nutmegspoke.application import Application
 from nutmegspoke.border import logs
 from nutmegspoke.border.clock import SystemClock
-from nutmegspoke.border.inflight import NAME as INFLIGHT, InFlight
+from nutmegspoke.border.inflight import NAME as INFLIGHT
+from nutmegspoke.border.inflight import InFlight
 from nutmegspoke.border.settings import Settings, read_secret
 from nutmegspoke.errors import SettingsError
 
