--- a/nutmegspoke/bench/demo.py
+++ b/nutmegspoke/bench/demo.py
@@ -5,7 +5,6 @@
 import dataclasses
 import json
 import pathlib
-import subprocess
 import sys
 from http import client as http_client
 from urllib import parse as url_parse
@@ -175,21 +174,12 @@
 
 
 def _tool(deployment: Deployment, command: str, *arguments: str) -> str:
-    finished = subprocess.run(
-        (
-            sys.executable,
-            '-m',
-            'nutmegspoke.cmd.cli',
-            command,
-            *arguments,
-            '--platform',
-            deployment.platform.url,
-        ),
-        check=True,
-        capture_output=True,
-        text=True,
+    return processes.run_tool(
+        command,
+        *arguments,
+        '--platform',
+        deployment.platform.url,
     )
-    return finished.stdout.strip()
 
 
 def _draft(daemon: Daemon, prompt: str) -> _Answer:
--- a/nutmegspoke/bench/deployment.py
+++ b/nutmegspoke/bench/deployment.py
@@ -160,8 +160,12 @@
         self,
         name: str,
         options: DaemonOptions | None = None,
+        tracer: tuple[str, ...] = (),
     ) -> Daemon:
-        """Start a daemon; it may not be ready yet."""
+        """Start a daemon; it may not be ready yet.
+
+        :param tracer: command that runs the daemon, such as ``strace``.
+        """
         chosen = options or DaemonOptions()
         callers, operators, peers = free_ports(3)
         settings = _SETTINGS.format(
@@ -187,6 +191,7 @@
             (str(path),),
             self.path / f'{name}.log',
             (callers, 0),
+            tracer,
             **{
                 OPERATORS_TOKEN_VARIABLE: self.token,
                 PEERS_KEY_VARIABLE: self._peers_key,
--- a/nutmegspoke/bench/processes.py
+++ b/nutmegspoke/bench/processes.py
@@ -85,6 +85,7 @@
     arguments: Sequence[str],
     log_path: pathlib.Path,
     ports: tuple[int, int],
+    tracer: tuple[str, ...] = (),
     **environment: str,
 ) -> Process:
     """Start a module of this package as a process.
@@ -94,11 +95,12 @@
     :param arguments: its arguments.
     :param log_path: file that takes its output.
     :param ports: main port and control port.
+    :param tracer: command that runs the module, such as ``strace``.
     :param environment: variables besides those of this process.
     """
     with log_path.open('wb') as log:
         popen = subprocess.Popen(
-            (sys.executable, '-m', module, *arguments),
+            (*tracer, sys.executable, '-m', module, *arguments),
             stdout=log,
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
@@ -131,6 +133,20 @@
     )
 
 
+def run_tool(*arguments: str) -> str:
+    """Run the command-line tool and return what it printed.
+
+    :raises subprocess.CalledProcessError: if its exit code is not 0.
+    """
+    finished = subprocess.run(
+        (sys.executable, '-m', 'nutmegspoke.cmd.cli', *arguments),
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    return finished.stdout.strip()
+
+
 def wait_for(url: str, limit_s: float = 20.0) -> None:
     """Wait until a URL answers with status 200.
 
--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,166 @@
+"""Small deployments of real processes for tests."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import urllib.parse
+from typing import TYPE_CHECKING
+
+from nutmegspoke.bench import processes
+from nutmegspoke.bench.deployment import Daemon, Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+TABLES = """\
+[route drafts]
+path = /v1/completions
+model = fanletter
+pool = drafting
+repeatable = yes
+max_body_bytes = 65536
+progress_timeout_s = 2
+
+[route chat]
+path = /v1/chat/completions
+model = fanletter
+pool = drafting
+repeatable = yes
+
+[route roster]
+path = /roster/*
+pool = records
+repeatable = yes
+progress_timeout_s = 1
+
+[route mailing]
+path = /mailings
+pool = records
+repeatable = no
+progress_timeout_s = 1
+
+[pool drafting]
+kind = engine
+model = fanletter
+layer_count = 6
+selector = drafting
+
+[pool records]
+kind = service
+selector = records
+"""
+LAYERS = ('0-3', '3-6')
+
+
+class Answer:
+    """An answer as a caller sees it."""
+
+    def __init__(self, response: http.client.HTTPResponse) -> None:
+        """Read an answer whole."""
+        self.status = response.status
+        self.headers = response.headers
+        self.body = response.read()
+
+    @property
+    def executed(self) -> str:
+        """Return what the caller is told of the run."""
+        return self.headers.get('Nutmegspoke-Executed', '')
+
+    @property
+    def reason(self) -> str:
+        """Return the reason of a refusal."""
+        return self.headers.get('Nutmegspoke-Reason', '')
+
+    @property
+    def texts(self) -> list[str]:
+        """Return the tokens of a streamed answer."""
+        return [
+            choice['text']
+            for line in self.body.decode().splitlines()
+            if line.startswith('data: {')
+            for choice in json.loads(line[len('data: ') :]).get('choices', ())
+        ]
+
+
+def start_small(deployment: Deployment, daemons: int = 1) -> None:
+    """Start two engines, a service and daemons, and wait for them."""
+    for number, layers in enumerate(LAYERS):
+        deployment.start_target(
+            f'engine-{number}',
+            'engine',
+            'drafting',
+            'pnw-a',
+            '--layers',
+            layers,
+            '--layer-count',
+            '6',
+        )
+    deployment.start_target('records-1', 'service', 'records', 'pnw-a')
+    apply(deployment, TABLES)
+    for number in range(daemons):
+        deployment.start_daemon(f'daemon-{number}')
+    deployment.wait_ready()
+    for daemon in deployment.daemons.values():
+        deployment.wait_targets(daemon, len(LAYERS) + 1)
+
+
+def apply(deployment: Deployment, tables: str) -> None:
+    """Apply tables with the command-line tool."""
+    path = deployment.path / 'tables.ini'
+    path.write_text(tables, 'utf-8')
+    processes.run_tool(
+        'apply',
+        str(path),
+        '--operator',
+        'test',
+        '--platform',
+        deployment.platform.url,
+    )
+
+
+def call(
+    daemon: Daemon,
+    method: str,
+    path: str,
+    body: str | bytes = '',
+    headers: Mapping[str, str] | None = None,
+    timeout_s: float = 20,
+) -> Answer:
+    """Call a daemon and read its answer whole."""
+    address = urllib.parse.urlsplit(daemon.url)
+    connection = http.client.HTTPConnection(
+        address.hostname,
+        address.port,
+        timeout=timeout_s,
+    )
+    try:
+        connection.request(method, path, body, dict(headers or {}))
+        return Answer(connection.getresponse())
+    finally:
+        connection.close()
+
+
+def draft_body(prompt: str = 'club notes', **fields: object) -> str:
+    """Return the body of a streamed draft."""
+    body = {
+        'model': 'fanletter',
+        'prompt': prompt,
+        'max_tokens': 8,
+        'stream': True,
+    }
+    return json.dumps({**body, **fields})
+
+
+def draft(
+    daemon: Daemon, prompt: str = 'club notes', **fields: object
+) -> Answer:
+    """Send a streamed draft and read it whole."""
+    return call(daemon, 'POST', '/v1/completions', draft_body(prompt, **fields))
+
+
+def journal(deployment: Deployment, path: str) -> list[dict[str, str]]:
+    """Return the calls of a path that the record service ran."""
+    service = deployment.targets['records-1']
+    entries = processes.call_json(f'{service.url}/journal')
+    return [entry for entry in entries if entry['path'] == path]
