Count receipts by layer, judge losses, sign event ids for resumes

Sub-range chains shared one cache length over all layers of an engine, so a layer without a cache could be taken as filled; lengths and attempts are now kept by layer. A wrong or silent connection no longer blames its target, a stage that lost its cache is run again without blame, and dropped stages are told that the stream has left them.

--- /dev/null
+++ b/nutmegspoke/border/draft_runs.py
@@ -0,0 +1,168 @@
+"""One draft on its way: its run, its losses and what targets are told."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.engine_protocol import RefusalKind, StepRefusal, StepReply
+from nutmegspoke.pipelines.carrier import LossKind, StepLost
+from nutmegspoke.pipelines.losses import LossJudge, Remedy, may_have_run
+from nutmegspoke.pipelines.resume import ResumePoint, stage_records
+from nutmegspoke.pipelines.run import DraftPlan, DraftRun
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.target_watch import TargetWatch
+    from nutmegspoke.layers import Chain, Stage
+    from nutmegspoke.pipelines.carrier import Loss, StepCarrier
+    from nutmegspoke.pipelines.decisions import RunDecision, SendStep
+    from nutmegspoke.requests import DraftRequest
+
+logger = logging.getLogger(__name__)
+FIRST_ATTEMPT = 1
+RETRY_AFTER_S = 2.0
+
+
+class DraftInProgress:
+    """A draft and what became of its steps.
+
+    :param request: the caller's request.
+    :param fingerprint: digest of the request, for event ids.
+    :param chain: the first chain.
+    :param point: where the caller resumes; ``None`` for a new draft.
+    """
+
+    def __init__(
+        self,
+        request: DraftRequest,
+        fingerprint: str,
+        chain: Chain,
+        point: ResumePoint | None,
+    ) -> None:
+        """Prepare a run."""
+        self.request = request
+        self.avoided: frozenset[str] = frozenset()
+        self.has_run = point is not None
+        attempt = point.next_attempt if point else FIRST_ATTEMPT
+        self.run = DraftRun(_plan(request, point), chain, attempt)
+        self._fingerprint = fingerprint
+        self._point = point
+        self._judge = LossJudge(attempt)
+
+    def first_step(self) -> SendStep:
+        """Return the first step."""
+        if self._point is None:
+            return self.run.begin()
+        return self.run.resume(self._point)
+
+    async def carry(
+        self,
+        carrier: StepCarrier,
+        order: SendStep,
+        limit_s: float,
+    ) -> RunDecision | StepLost | StepRefusal:
+        """Send a step and return the run's decision, or what was lost.
+
+        :param limit_s: time left for the whole draft.
+        """
+        progress_timeout_s = self.request.route.progress_timeout_s
+        result = await carrier.carry(
+            order.stage,
+            order.step,
+            min(progress_timeout_s, limit_s),
+        )
+        if not isinstance(result, StepReply):
+            return result
+        self.has_run = True
+        self._judge.progressed()
+        return self.run.accept(result)
+
+    def judge(self, lost: Loss) -> Remedy:
+        """Log a loss and return how to go on."""
+        self.has_run = self.has_run or may_have_run(lost)
+        stage = self.run.awaited_stage
+        remedy = self._judge.judge(lost, stage.target, self.run.attempt)
+        if remedy is Remedy.REPLACE:
+            self.avoided = self.avoided | {stage.target}
+        logger.warning(
+            'pipelines: step lost request=%s target=%s attempt=%d '
+            'position=%d loss=%s remedy=%s',
+            self.request.request_id,
+            stage.target,
+            self.run.attempt,
+            self.run.position,
+            loss_text(lost),
+            remedy.value,
+        )
+        return remedy
+
+    def resume_point(self) -> ResumePoint:
+        """Return the point after the last token."""
+        run = self.run
+        return ResumePoint(
+            stream_id=run.plan.stream_id,
+            fingerprint=self._fingerprint,
+            attempt=run.attempt,
+            position=run.position,
+            count=run.answer.count,
+            last_token=run.last_token,
+            digest=run.answer.digest,
+            seed=run.plan.seed,
+            stages=stage_records(run.chain),
+        )
+
+    def give_up(
+        self,
+        reason: outcomes.UnknownReason,
+    ) -> outcomes.NotRun | outcomes.Unknown:
+        """Return the final answer of a draft that can't go on."""
+        if self.has_run:
+            return outcomes.Unknown(reason, RETRY_AFTER_S)
+        if reason is outcomes.UnknownReason.ANSWER_TIMEOUT:
+            return outcomes.NotRun(
+                outcomes.RefusalReason.DEADLINE,
+                RETRY_AFTER_S,
+            )
+        return outcomes.NotRun(
+            outcomes.RefusalReason.TARGET_UNREACHABLE,
+            RETRY_AFTER_S,
+        )
+
+
+def tell_directory(targets: TargetWatch, stage: Stage, lost: Loss) -> None:
+    """Tell the directory what a loss says of its target."""
+    if isinstance(lost, StepRefusal):
+        if lost.reason == RefusalKind.LEAVING:
+            targets.refused_as_leaving(stage.address)
+        return
+    if not isinstance(lost, StepLost):
+        return
+    if lost.kind is LossKind.UNREACHABLE:
+        targets.connection_failed(stage.address, refused=True)
+    elif lost.kind is LossKind.RESET:
+        targets.connection_failed(stage.address, refused=False)
+    elif lost.kind is LossKind.CONNECTION_SILENT:
+        targets.connection_silent(stage.address, is_new=False)
+    elif lost.kind is LossKind.TARGET_SILENT:
+        targets.connection_silent(stage.address, is_new=True)
+
+
+def loss_text(lost: Loss) -> str:
+    """Return a loss for the log."""
+    if isinstance(lost, StepLost):
+        return lost.kind.value
+    if isinstance(lost, StepRefusal):
+        return f'refused:{lost.reason}'
+    return f'dropped:{lost.reason}'
+
+
+def _plan(request: DraftRequest, point: ResumePoint | None) -> DraftPlan:
+    return DraftPlan(
+        stream_id=point.stream_id if point else request.request_id,
+        prompt=request.prompt,
+        seed=point.seed if point else request.seed,
+        layer_count=request.pool.layer_count,
+        max_tokens=request.max_tokens,
+        priority=request.route.priority,
+    )
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -8,21 +8,21 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
+from nutmegspoke.border.draft_runs import (
+    RETRY_AFTER_S,
+    DraftInProgress,
+    tell_directory,
+)
 from nutmegspoke.border.engine_client import RelayCarrier
+from nutmegspoke.border.http_sessions import KEEPALIVE_S, HttpSessions
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
-from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.settings import read_secret
 from nutmegspoke.border.simple_chain import choose_chain
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
-from nutmegspoke.engine_protocol import StepRefusal, StepReply
-from nutmegspoke.pipelines.carrier import LossKind, StepLost
-from nutmegspoke.pipelines.run import (
-    DraftPlan,
-    DraftRun,
-    ReplyDropped,
-    SendStep,
-    TokenReady,
-)
+from nutmegspoke.pipelines.decisions import AnswerDiffers, SendStep, TokenReady
+from nutmegspoke.pipelines.losses import Remedy
+from nutmegspoke.pipelines.resume import ResumeSigner, fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -30,13 +30,13 @@
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.layers import Chain
-    from nutmegspoke.pipelines.carrier import StepCarrier
+    from nutmegspoke.pipelines.carrier import Loss, StepCarrier
+    from nutmegspoke.pipelines.resume import ResumePoint
     from nutmegspoke.requests import DraftRequest
 
 logger = logging.getLogger(__name__)
 NAME = 'drafts'
-_MAX_ATTEMPTS = 6
-_NO_TARGET_RETRY_AFTER_S = 2.0
+_CHAIN_PAUSE_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,18 +57,26 @@
 
 
 class DraftService:
-    """Runs drafts."""
+    """Runs drafts.
+
+    :param clock: the clock of the process.
+    :param targets: the targets, told of what happens to them.
+    :param carrier: carries steps to them.
+    :param signer: signs event ids.
+    """
 
     def __init__(
         self,
         clock: Clock,
         targets: TargetWatch,
         carrier: StepCarrier,
+        signer: ResumeSigner,
     ) -> None:
         """Use a carrier towards the targets."""
         self._clock = clock
         self._targets = targets
         self._carrier = carrier
+        self._signer = signer
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -84,48 +92,89 @@
 
         :returns: the tokens in order, then one outcome.
         """
-        chain = self._choose(request, frozenset())
+        point = self._read_point(request)
+        if isinstance(point, outcomes.NotRun):
+            yield point
+            return
+        if point is not None and point.count >= request.max_tokens:
+            yield outcomes.Completed(status=200)
+            return
+        chain = self._choose_first(request, point)
         if chain is None:
             yield _no_target(request)
             return
-        draft = _Draft(request, chain, self._carrier, self._targets)
+        draft = DraftInProgress(request, _fingerprint(request), chain, point)
+        self._note_started(chain)
         try:
             async for item in self._run(draft):
                 yield item
         finally:
-            self._cancel(draft)
+            self._leave(draft)
 
-    async def _run(self, draft: _Draft) -> AsyncIterator[DraftItem]:
-        following: SendStep | None = draft.run.begin()
+    async def _run(self, draft: DraftInProgress) -> AsyncIterator[DraftItem]:
+        following: SendStep | None = draft.first_step()
         while following is not None:
-            if self._clock.now_s() > draft.request.deadline_s:
-                yield _given_up(outcomes.UnknownReason.ANSWER_TIMEOUT)
+            item = await self._next_token(draft, following)
+            if not isinstance(item, TokenReady):
+                yield item
                 return
-            decision = await draft.carry(following)
-            if isinstance(decision, TokenReady):
-                yield _token(draft.request, decision)
-                following = decision.following
-            elif isinstance(decision, SendStep):
-                following = decision
-            else:
-                following = self._recover(draft, decision)
-                if following is None:
-                    yield draft.give_up()
-                    return
+            yield self._token(draft, item)
+            following = item.following
         yield outcomes.Completed(status=200)
 
-    def _recover(
+    async def _next_token(
         self,
-        draft: _Draft,
-        lost: StepLost | StepRefusal | ReplyDropped,
+        draft: DraftInProgress,
+        order: SendStep,
+    ) -> TokenReady | outcomes.NotRun | outcomes.Unknown:
+        """Carry steps until a token is complete or the draft can't go on."""
+        while True:
+            left_s = draft.request.deadline_s - self._clock.now_s()
+            if left_s <= 0:
+                return draft.give_up(outcomes.UnknownReason.ANSWER_TIMEOUT)
+            decision = await draft.carry(self._carrier, order, left_s)
+            if isinstance(decision, TokenReady):
+                return decision
+            if isinstance(decision, AnswerDiffers):
+                return draft.give_up(outcomes.UnknownReason.RESUME_MISMATCH)
+            if not isinstance(decision, SendStep):
+                decision = await self._recover(draft, decision)
+            if decision is None:
+                return draft.give_up(outcomes.UnknownReason.STREAM_LOST)
+            order = decision
+
+    async def _recover(
+        self,
+        draft: DraftInProgress,
+        lost: Loss,
     ) -> SendStep | None:
-        draft.note_loss(lost)
-        if draft.run.attempt >= _MAX_ATTEMPTS:
+        remedy = draft.judge(lost)
+        if self._clock.now_s() < draft.request.deadline_s:
+            stage = draft.run.awaited_stage
+            tell_directory(self._targets, stage, lost)
+        if remedy is Remedy.GIVE_UP:
             return None
-        chain = self._choose(draft.request, draft.avoided)
+        if remedy is Remedy.RESEND:
+            return draft.run.resend()
+        chain: Chain | None = draft.run.chain
+        if remedy is Remedy.REPLACE:
+            chain = await self._await_chain(draft)
         if chain is None:
             return None
-        return draft.restart(chain)
+        self._leave(draft, chain)
+        self._note_started(chain)
+        return draft.run.restart(chain, getattr(lost, 'attempt', 0))
+
+    async def _await_chain(self, draft: DraftInProgress) -> Chain | None:
+        """Wait for a chain, as long as a target may stay silent."""
+        request = draft.request
+        patience_s = request.route.progress_timeout_s
+        end_s = min(self._clock.now_s() + patience_s, request.deadline_s)
+        chain = self._choose(request, draft.avoided)
+        while chain is None and self._clock.now_s() < end_s:
+            await asyncio.sleep(_CHAIN_PAUSE_S)
+            chain = self._choose(request, frozenset())
+        return chain
 
     def _choose(
         self,
@@ -144,9 +193,55 @@
         )
         return chain
 
-    def _cancel(self, draft: _Draft) -> None:
+    def _choose_first(
+        self,
+        request: DraftRequest,
+        point: ResumePoint | None,
+    ) -> Chain | None:
+        if point is not None and self._is_usable(request, point.chain):
+            logger.info(
+                'routing: chain resumed request=%s stream=%s count=%d chain=%s',
+                request.request_id,
+                point.stream_id,
+                point.count,
+                _chain_text(point.chain),
+            )
+            return point.chain
+        return self._choose(request, frozenset())
+
+    def _is_usable(self, request: DraftRequest, chain: Chain) -> bool:
+        now_s = self._clock.now_s()
+        usable = self._targets.usable(request.pool.name, now_s)
+        addresses = {target.address for target in usable}
+        return all(stage.address in addresses for stage in chain)
+
+    def _read_point(
+        self,
+        request: DraftRequest,
+    ) -> ResumePoint | outcomes.NotRun | None:
+        if not request.resume_from:
+            return None
+        point = self._signer.read(request.resume_from)
+        if point is None:
+            return _bad_resume('the event id is none of ours')
+        if point.fingerprint != _fingerprint(request):
+            return _bad_resume('the event id is of another request')
+        return point
+
+    def _token(self, draft: DraftInProgress, ready: TokenReady) -> DraftToken:
+        event_id = self._signer.sign(draft.resume_point())
+        return DraftToken(ready.number, ready.text, event_id)
+
+    def _leave(
+        self,
+        draft: DraftInProgress,
+        following: Chain = (),
+    ) -> None:
+        """Count the work as done and end it where it does not go on."""
         for stage in draft.run.chain:
             self._targets.finished(stage.address)
+            if stage in following:
+                continue
             cancel = self._carrier.cancel(
                 stage,
                 draft.run.plan.stream_id,
@@ -156,85 +251,6 @@
             self._cancels.add(task)
             task.add_done_callback(self._cancels.discard)
 
-
-class _Draft:
-    """One draft on its way."""
-
-    def __init__(
-        self,
-        request: DraftRequest,
-        chain: Chain,
-        carrier: StepCarrier,
-        targets: TargetWatch,
-    ) -> None:
-        self.request = request
-        self.avoided: frozenset[str] = frozenset()
-        self.has_run = False
-        self._carrier = carrier
-        self._targets = targets
-        plan = DraftPlan(
-            stream_id=request.request_id,
-            prompt=request.prompt,
-            seed=request.seed,
-            layer_count=request.pool.layer_count,
-            max_tokens=request.max_tokens,
-            priority=request.route.priority,
-        )
-        self.run = DraftRun(plan, chain, attempt=1)
-        self._last_sent: SendStep | None = None
-        self._note_started(chain)
-
-    async def carry(
-        self,
-        order: SendStep,
-    ) -> SendStep | TokenReady | StepLost | StepRefusal | ReplyDropped:
-        """Send a step and return the run's decision, or what was lost."""
-        self._last_sent = order
-        result = await self._carrier.carry(
-            order.stage,
-            order.step,
-            self.request.route.progress_timeout_s,
-        )
-        if isinstance(result, StepReply):
-            self.has_run = True
-            return self.run.accept(result)
-        if isinstance(result, StepLost):
-            self.has_run = (
-                self.has_run or result.kind is not LossKind.UNREACHABLE
-            )
-        return result
-
-    def note_loss(self, lost: StepLost | StepRefusal | ReplyDropped) -> None:
-        """Log a loss and avoid its target if the target is to blame."""
-        if self._last_sent is None:
-            return
-        target = self._last_sent.stage.target
-        logger.warning(
-            'pipelines: step lost request=%s target=%s attempt=%d loss=%s',
-            self.request.request_id,
-            target,
-            self.run.attempt,
-            lost,
-        )
-        if not _is_connection_only(lost):
-            self.avoided = self.avoided | {target}
-
-    def restart(self, chain: Chain) -> SendStep:
-        """Begin a new attempt over another chain."""
-        for stage in self.run.chain:
-            self._targets.finished(stage.address)
-        self._note_started(chain)
-        return self.run.restart(chain)
-
-    def give_up(self) -> outcomes.NotRun | outcomes.Unknown:
-        """Return the final answer of a draft that found no way on."""
-        if self.has_run:
-            return _given_up(outcomes.UnknownReason.STREAM_LOST)
-        return outcomes.NotRun(
-            outcomes.RefusalReason.TARGET_UNREACHABLE,
-            _NO_TARGET_RETRY_AFTER_S,
-        )
-
     def _note_started(self, chain: Chain) -> None:
         for stage in chain:
             self._targets.started(stage.address)
@@ -243,34 +259,34 @@
 def setup(app: Application) -> None:
     """Register the draft service."""
     sessions = app.kernel.find(SESSIONS, HttpSessions)
-    carrier = RelayCarrier(sessions.targets, sessions.fresh)
+    carrier = RelayCarrier(sessions.targets, sessions.fresh, KEEPALIVE_S)
     targets = app.kernel.find(TARGETS, TargetWatch)
-    app.kernel.register(NAME, DraftService(app.clock, targets, carrier))
+    signer = ResumeSigner(read_secret(app.settings.secrets.peers_key))
+    drafts = DraftService(app.clock, targets, carrier, signer)
+    app.kernel.register(NAME, drafts)
 
 
-def _is_connection_only(lost: StepLost | StepRefusal | ReplyDropped) -> bool:
-    return (
-        isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT
+def _fingerprint(request: DraftRequest) -> str:
+    return fingerprint(
+        request.team,
+        request.pool.model,
+        request.prompt,
+        request.max_tokens,
     )
 
 
-def _token(request: DraftRequest, ready: TokenReady) -> DraftToken:
-    event_id = f'{request.request_id}:{ready.number}'
-    return DraftToken(ready.number, ready.text, event_id)
+def _bad_resume(detail: str) -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.RefusalReason.BAD_REQUEST, detail=detail)
 
 
 def _no_target(request: DraftRequest) -> outcomes.NotRun:
     return outcomes.NotRun(
         outcomes.RefusalReason.NO_TARGET,
-        _NO_TARGET_RETRY_AFTER_S,
+        RETRY_AFTER_S,
         f'no chain of targets in pool {request.pool.name}',
     )
 
 
-def _given_up(reason: outcomes.UnknownReason) -> outcomes.Unknown:
-    return outcomes.Unknown(reason, _NO_TARGET_RETRY_AFTER_S)
-
-
 def _chain_text(chain: Chain | None) -> str:
     if chain is None:
         return 'none'
--- a/nutmegspoke/border/http_sessions.py
+++ b/nutmegspoke/border/http_sessions.py
@@ -13,7 +13,7 @@
     from nutmegspoke.border.settings import Settings
 
 NAME = 'http_sessions'
-_KEEPALIVE_S = 30.0
+KEEPALIVE_S = 30.0
 
 
 class HttpSessions:
@@ -48,7 +48,7 @@
 
 
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
-    keepalive_s = None if force_close else _KEEPALIVE_S
+    keepalive_s = None if force_close else KEEPALIVE_S
     connector = aiohttp.TCPConnector(
         limit=0,
         force_close=force_close,
--- a/nutmegspoke/engine_protocol.py
+++ b/nutmegspoke/engine_protocol.py
@@ -2,15 +2,27 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 STEPS_PATH = '/v1/steps'
 LOAD_PATH = '/v1/load'
 CANCEL_PATH = '/v1/cancel'
+CACHES_PATH = '/v1/caches'
 ORDERS_PATH = '/v1/orders'
 MEDIA_TYPE = 'application/msgpack'
 
 
+class RefusalKind(enum.StrEnum):
+    """Why a stage refuses a step before running it."""
+
+    CACHE_LENGTH = 'cache_length'
+    OLD_ATTEMPT = 'old_attempt'
+    LAYERS = 'layers'
+    LEAVING = 'leaving'
+
+
 class StepRequest(msgspec.Struct):
     """One step of a stream at one stage: a run of consecutive positions.
 
@@ -68,7 +80,7 @@
 class StepRefusal(msgspec.Struct):
     """A stage refused a step before running it (HTTP 409 or 503).
 
-    :param reason: ``cache_length``, ``old_attempt``, ``layers``, ``leaving``.
+    :param reason: a :class:`RefusalKind`; an unknown one is taken as text.
     :param cache_length: positions that the stage holds of the stream.
     :param attempt: highest attempt that the stage has seen of the stream.
     """
@@ -78,6 +90,25 @@
     attempt: int = 0
 
 
+class CacheBlock(msgspec.Struct):
+    """The exported KV cache of a stream.
+
+    :param stream_id: id of the stream.
+    :param attempt: highest attempt of the stream.
+    :param first_layer: first layer of the block.
+    :param stop_layer: layer after the last one of the block.
+    :param digests: what each layer keeps, by position.
+    :param padding: makes the block as large as a real one.
+    """
+
+    stream_id: str
+    attempt: int
+    first_layer: int
+    stop_layer: int
+    digests: tuple[tuple[int, ...], ...]
+    padding: bytes = b''
+
+
 class CancelRequest(msgspec.Struct):
     """Ends a stream at an engine, unless a higher attempt has begun."""
 
--- a/nutmegspoke/pipelines/carrier.py
+++ b/nutmegspoke/pipelines/carrier.py
@@ -6,8 +6,10 @@
 import enum
 from typing import TYPE_CHECKING, Protocol
 
+from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
+from nutmegspoke.pipelines.decisions import ReplyDropped
+
 if TYPE_CHECKING:
-    from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
     from nutmegspoke.layers import Stage
 
 
@@ -33,6 +35,10 @@
     detail: str = ''
 
 
+Loss = StepLost | StepRefusal | ReplyDropped
+CarryResult = StepReply | StepRefusal | StepLost
+
+
 class StepCarrier(Protocol):
     """Carries steps to stages."""
 
@@ -41,7 +47,7 @@
         stage: Stage,
         step: StepRequest,
         progress_timeout_s: float,
-    ) -> StepReply | StepRefusal | StepLost:
+    ) -> CarryResult:
         """Send a step and return what became of it."""
 
     async def cancel(self, stage: Stage, stream_id: str, attempt: int) -> None:
--- a/nutmegspoke/pipelines/receipts.py
+++ b/nutmegspoke/pipelines/receipts.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 import xxhash
 
+if TYPE_CHECKING:
+    from nutmegspoke.layers import LayerRange
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Receipt:
@@ -28,64 +32,64 @@
 
 
 class ReceiptLedger:
-    """Checks receipts as they come and keeps their digest."""
+    """Counts the positions that each layer has run and checks new receipts.
 
-    def __init__(self, layer_count: int) -> None:
-        """Expect layer 0 of position 0.
+    :param layer_count: layers of the model.
+    :param position: positions that all layers have run already.
+    """
 
-        :param layer_count: layers of the model.
-        """
-        self._layer_count = layer_count
-        self._next_layer = 0
-        self._position = 0
-        self._count = 0
+    def __init__(self, layer_count: int, position: int = 0) -> None:
+        """Expect layer 0 at a position."""
+        self._run_by_layer = [position for _ in range(layer_count)]
         self._digest = xxhash.xxh3_64()
 
     @property
     def position(self) -> int:
-        """Return the first position that no stage has run."""
-        return self._position
-
-    @property
-    def next_layer(self) -> int:
-        """Return the layer that must run next at the present position."""
-        return self._next_layer
+        """Return the first position that the last layer has not run."""
+        return self._run_by_layer[-1]
 
     @property
     def digest(self) -> str:
         """Return the digest of all accepted receipts."""
         return self._digest.hexdigest()
 
+    def position_at(self, layer: int) -> int:
+        """Return the first position that a layer has not run."""
+        return self._run_by_layer[layer]
+
     def accept(self, receipt: Receipt) -> str:
         """Take a receipt.
 
-        :returns: empty if it is the one that must come now, else the reason.
+        :returns: empty if it is one that may come now, else the reason.
         """
         reason = self._fault(receipt)
         if reason:
             return reason
         self._digest.update(repr(dataclasses.astuple(receipt)).encode())
-        self._count = receipt.count
-        self._next_layer = receipt.stop_layer
-        if self._next_layer == self._layer_count:
-            self._position += receipt.count
-            self._next_layer = 0
-            self._count = 0
+        for layer in range(receipt.first_layer, receipt.stop_layer):
+            self._run_by_layer[layer] += receipt.count
         return ''
 
     def rewind(self, position: int) -> None:
-        """Expect layer 0 of an earlier position again, for a new attempt."""
-        self._position = position
-        self._next_layer = 0
-        self._count = 0
+        """Expect layer 0 at an earlier position again, for a new attempt."""
+        self._run_by_layer = [position for _ in self._run_by_layer]
+
+    def forget(self, layers: LayerRange) -> None:
+        """Expect these layers from position 0 again: their cache is lost."""
+        for layer in range(layers.start, layers.stop):
+            self._run_by_layer[layer] = 0
 
     def _fault(self, receipt: Receipt) -> str:
-        if receipt.position != self._position:
-            return 'position'
-        if receipt.first_layer != self._next_layer:
-            return 'layer order'
-        if not receipt.first_layer < receipt.stop_layer <= self._layer_count:
+        first = receipt.first_layer
+        layers = range(first, receipt.stop_layer)
+        if not layers or first < 0 or layers.stop > len(self._run_by_layer):
             return 'layer range'
-        if receipt.count < 1 or self._count not in {0, receipt.count}:
+        if receipt.count < 1:
             return 'count'
+        run = self._run_by_layer[first : receipt.stop_layer]
+        if any(position != receipt.position for position in run):
+            return 'position'
+        reached = receipt.position + receipt.count
+        if first and self._run_by_layer[first - 1] < reached:
+            return 'layer order'
         return ''
--- /dev/null
+++ b/nutmegspoke/pipelines/resume.py
@@ -0,0 +1,127 @@
+"""Event ids with which a caller resumes an answer at any daemon."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+from nutmegspoke.layers import Chain, LayerRange, Stage
+
+ATTEMPTS_PER_RESUME = 64
+_MAC_BYTES = 12
+_PERSON = b'nsk-resume'
+
+
+class _StageRecord(msgspec.Struct, array_like=True, frozen=True):
+    target: str
+    address: str
+    start: int
+    stop: int
+
+
+class ResumePoint(msgspec.Struct, array_like=True, frozen=True):
+    """What a caller has of an answer, and how the stages stand.
+
+    :param stream_id: id of the stream at the engines.
+    :param fingerprint: digest of the request.
+    :param attempt: attempt that ran the last token.
+    :param position: first position that no stage has run after that token.
+    :param count: tokens that the caller has.
+    :param last_token: the last of them.
+    :param digest: digest of all of them.
+    :param seed: seed of the sampling.
+    :param stages: the chain that ran the last token.
+    """
+
+    stream_id: str
+    fingerprint: str
+    attempt: int
+    position: int
+    count: int
+    last_token: int
+    digest: str
+    seed: int
+    stages: tuple[_StageRecord, ...]
+
+    @property
+    def chain(self) -> Chain:
+        """Return the chain that ran the last token."""
+        return tuple(
+            Stage(
+                record.target,
+                record.address,
+                LayerRange(record.start, record.stop),
+            )
+            for record in self.stages
+        )
+
+    @property
+    def next_attempt(self) -> int:
+        """Return the first attempt of a resumed run.
+
+        Attempts come in blocks and a run never leaves its block, so it is
+        higher than any that the daemon before can reach.
+        """
+        return (self.attempt // ATTEMPTS_PER_RESUME + 1) * ATTEMPTS_PER_RESUME
+
+
+def stage_records(chain: Chain) -> tuple[_StageRecord, ...]:
+    """Return a chain in the form that an event id holds."""
+    return tuple(
+        _StageRecord(
+            stage.target,
+            stage.address,
+            stage.layers.start,
+            stage.layers.stop,
+        )
+        for stage in chain
+    )
+
+
+def fingerprint(team: str, model: str, prompt: str, max_tokens: int) -> str:
+    """Return the digest by which a repeated request is known."""
+    digest = hashlib.blake2b(digest_size=8, person=_PERSON)
+    for part in (team, model, prompt, str(max_tokens)):
+        encoded = part.encode()
+        digest.update(b'%d:' % len(encoded))
+        digest.update(encoded)
+    return digest.hexdigest()
+
+
+class ResumeSigner:
+    """Turns resume points into event ids and back.
+
+    :param secret: key that all daemons share.
+    """
+
+    def __init__(self, secret: str) -> None:
+        """Derive the key of event ids."""
+        derived = hashlib.blake2b(secret.encode(), person=_PERSON)
+        self._key = derived.digest()
+
+    def sign(self, point: ResumePoint) -> str:
+        """Return the event id of a point."""
+        body = msgspec.msgpack.encode(point)
+        return base64.urlsafe_b64encode(self._mac(body) + body).decode()
+
+    def read(self, event_id: str) -> ResumePoint | None:
+        """Return the point of an event id; ``None`` if it is not ours."""
+        try:
+            signed = base64.urlsafe_b64decode(event_id.encode())
+        except (binascii.Error, ValueError):
+            return None
+        body = signed[_MAC_BYTES:]
+        if not hmac.compare_digest(signed[:_MAC_BYTES], self._mac(body)):
+            return None
+        try:
+            return msgspec.msgpack.decode(body, type=ResumePoint)
+        except msgspec.MsgspecError:
+            return None
+
+    def _mac(self, body: bytes) -> bytes:
+        mac = hashlib.blake2b(body, key=self._key, digest_size=_MAC_BYTES)
+        return mac.digest()
--- a/nutmegspoke/pipelines/run.py
+++ b/nutmegspoke/pipelines/run.py
@@ -5,50 +5,26 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from nutmegspoke.engine_protocol import StepReply, StepRequest
 from nutmegspoke.errors import BrokenInvariantError
 from nutmegspoke.layers import covers
+from nutmegspoke.pipelines.answer import Answer, TokenKind
+from nutmegspoke.pipelines.decisions import (
+    AnswerDiffers,
+    ReplyDropped,
+    RunDecision,
+    SendStep,
+    TokenReady,
+)
 from nutmegspoke.pipelines.receipts import Receipt, ReceiptLedger
+from nutmegspoke.pipelines.recovery import ReplayStage, RerunStrategy
 
 if TYPE_CHECKING:
     from nutmegspoke.layers import Chain, Stage
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendStep:
-    """Send this step to this stage."""
-
-    stage: Stage
-    step: StepRequest
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TokenReady:
-    """A token is complete; deliver it to the caller.
-
-    :param number: number of the token in the answer, from 0.
-    :param token: the token.
-    :param text: its text.
-    :param following: the next step; ``None`` if the answer is whole.
-    """
-
-    number: int
-    token: int
-    text: str
-    following: SendStep | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplyDropped:
-    """The reply was not the awaited one and changed nothing.
-
-    :param reason: why it was dropped.
-    """
-
-    reason: str
-
-
-RunDecision = SendStep | TokenReady | ReplyDropped
+    from nutmegspoke.pipelines.recovery import RecoveryStrategy
+    from nutmegspoke.pipelines.resume import ResumePoint
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,49 +48,106 @@
 
 
 class DraftRun:
-    """Decides the steps of one draft. One step is in flight at a time."""
+    """Decides the steps of one draft. One step is in flight at a time.
 
-    def __init__(self, plan: DraftPlan, chain: Chain, attempt: int) -> None:
-        """Prepare a run; ``begin`` gives its first step.
+    :param plan: what to generate.
+    :param chain: stages that cover all layers.
+    :param attempt: attempt of the first step.
+    :param strategy: how to go on after a stage's loss.
+    :raises BrokenInvariantError: if the chain does not cover the layers.
+    """
 
-        :raises BrokenInvariantError: if the chain does not cover the layers.
-        """
+    def __init__(
+        self,
+        plan: DraftPlan,
+        chain: Chain,
+        attempt: int,
+        strategy: RecoveryStrategy | None = None,
+    ) -> None:
+        """Prepare a run; ``begin`` or ``resume`` gives its first step."""
+        _check_chain(chain, plan.layer_count)
         self.plan = plan
-        self.tokens: list[int] = []
+        self.answer = Answer()
         self.attempt = attempt
         self.chain = chain
+        self.last_token = 0
+        self._strategy = strategy or RerunStrategy()
         self._ledger = ReceiptLedger(plan.layer_count)
         self._awaited: SendStep | None = None
-        _check_chain(chain, plan.layer_count)
 
     @property
     def receipts_digest(self) -> str:
         """Return the digest of all accepted receipts."""
         return self._ledger.digest
 
+    @property
+    def position(self) -> int:
+        """Return the first position that the last layer has not run."""
+        return self._ledger.position
+
     @property
     def is_whole(self) -> bool:
-        """Tell whether all tokens are generated."""
-        return len(self.tokens) >= self.plan.max_tokens
+        """Tell whether the caller has all tokens."""
+        return self.answer.count >= self.plan.max_tokens
+
+    @property
+    def awaited_stage(self) -> Stage:
+        """Return the stage whose reply is awaited.
+
+        :raises BrokenInvariantError: if no step is in flight.
+        """
+        return self._in_flight().stage
 
     def begin(self) -> SendStep:
         """Return the first step: the prompt and the tokens that are known."""
+        self.answer.begin_again()
+        return self._fill_first_stage()
+
+    def resume(self, point: ResumePoint) -> SendStep:
+        """Return the first step of a run for a caller who has some tokens.
+
+        On the chain that ran the last token it is the step after it: the
+        stages take it if they still hold the stream, else one refuses and
+        ``restart`` runs the draft from its prompt. On another chain that is
+        done at once. Tokens that the caller has are compared, not repeated.
+
+        :param point: what the caller has.
+        """
+        self.answer = Answer(point.count, point.digest)
+        self.last_token = point.last_token
+        if self.chain != point.chain:
+            return self.begin()
+        self._ledger.rewind(point.position)
         return self._await_step(
             self.chain[0],
-            position=0,
-            prompt=self.plan.prompt,
-            tokens=tuple(self.tokens),
+            point.position,
+            tokens=(point.last_token,),
         )
 
-    def restart(self, chain: Chain) -> SendStep:
-        """Run again over another chain, keeping the tokens delivered.
+    def resend(self) -> SendStep:
+        """Send the step in flight again; its stage truncates its cache.
+
+        :raises BrokenInvariantError: if no step is in flight.
+        """
+        sent = self._in_flight()
+        self.attempt += 1
+        step = _copy_with_attempt(sent.step, self.attempt)
+        return self._await(SendStep(sent.stage, step))
+
+    def restart(self, chain: Chain, above_attempt: int = 0) -> SendStep:
+        """Go on over a chain after the awaited stage lost the stream.
 
         :param chain: stages that cover all layers.
+        :param above_attempt: an attempt that a stage has seen.
         :raises BrokenInvariantError: if the chain does not cover the layers.
         """
         _check_chain(chain, self.plan.layer_count)
+        lost = self._in_flight().stage
+        recovery = self._strategy.recover(lost, self.chain, chain)
         self.chain = chain
-        self.attempt += 1
+        self.attempt = max(self.attempt, above_attempt) + 1
+        if isinstance(recovery, ReplayStage) and self._knows_inputs(lost):
+            return self._replay(recovery)
         self._ledger.rewind(0)
         return self.begin()
 
@@ -126,13 +159,13 @@
         fault = self._ledger.accept(_receipt(reply))
         if fault:
             return ReplyDropped(fault)
-        self._awaited = None
         if reply.stop_layer == self.plan.layer_count:
             return self._take_token(reply)
+        position = self._ledger.position_at(reply.stop_layer)
         return self._await_step(
-            self._stage_after(reply.stop_layer),
-            position=reply.position,
-            hidden=reply.hidden,
+            _stage_from(self.chain, reply.stop_layer),
+            position=position,
+            hidden=reply.hidden[position - reply.position :],
         )
 
     def _reply_fault(self, reply: StepReply) -> str:
@@ -142,34 +175,54 @@
             return 'other stream'
         if reply.attempt != self.attempt:
             return 'other attempt'
-        stage = self._awaited.stage
+        stage, step = self._awaited.stage, self._awaited.step
         if reply.target != stage.target:
             return 'other target'
-        if reply.stop_layer != stage.layers.stop:
+        if (reply.first_layer, reply.stop_layer) != (
+            stage.layers.start,
+            stage.layers.stop,
+        ):
             return 'other layers'
-        if reply.stop_layer == self.plan.layer_count:
-            return '' if reply.token is not None else 'no token'
-        return '' if len(reply.hidden) == reply.count else 'hidden count'
+        return _content_fault(reply, step, self.plan.layer_count)
 
-    def _take_token(self, reply: StepReply) -> TokenReady:
+    def _take_token(self, reply: StepReply) -> RunDecision:
         if reply.token is None:
             raise BrokenInvariantError('a checked reply lacks its token')
-        number = len(self.tokens)
-        self.tokens.append(reply.token)
+        self._awaited = None
+        kind = self.answer.take(reply.token)
+        if kind is TokenKind.DIFFERENT:
+            return AnswerDiffers()
+        self.last_token = reply.token
         following = None
-        if not self.is_whole:
+        if kind is TokenKind.REPEATED or not self.is_whole:
             following = self._await_step(
                 self.chain[0],
-                position=self._ledger.position,
+                self._ledger.position_at(0),
                 tokens=(reply.token,),
             )
+        if kind is TokenKind.REPEATED and following is not None:
+            return following
+        number = self.answer.count - 1
         return TokenReady(number, reply.token, reply.text, following)
 
-    def _stage_after(self, layer: int) -> Stage:
-        for stage in self.chain:
-            if stage.layers.start == layer:
-                return stage
-        raise BrokenInvariantError(f'no stage begins at layer {layer}')
+    def _replay(self, recovery: ReplayStage) -> SendStep:
+        stage = recovery.stage
+        self._ledger.forget(stage.layers)
+        if stage.layers.start == 0:
+            return self._fill_first_stage()
+        return self._await_step(stage, position=0, hidden=recovery.hidden)
+
+    def _knows_inputs(self, lost: Stage) -> bool:
+        is_first = lost.layers.start == 0
+        return not is_first or len(self.answer.tokens) == self.answer.count
+
+    def _fill_first_stage(self) -> SendStep:
+        return self._await_step(
+            self.chain[0],
+            position=0,
+            prompt=self.plan.prompt,
+            tokens=self.answer.tokens,
+        )
 
     def _await_step(
         self,
@@ -191,7 +244,16 @@
             hidden=hidden,
             priority=self.plan.priority,
         )
-        self._awaited = SendStep(stage, step)
+        return self._await(SendStep(stage, step))
+
+    def _await(self, order: SendStep) -> SendStep:
+        self._strategy.keep(order.step)
+        self._awaited = order
+        return order
+
+    def _in_flight(self) -> SendStep:
+        if self._awaited is None:
+            raise BrokenInvariantError('no step is in flight')
         return self._awaited
 
 
@@ -200,6 +262,32 @@
         raise BrokenInvariantError('the chain does not cover the layers')
 
 
+def _stage_from(chain: Chain, layer: int) -> Stage:
+    for stage in chain:
+        if stage.layers.start == layer:
+            return stage
+    raise BrokenInvariantError(f'no stage begins at layer {layer}')
+
+
+def _content_fault(
+    reply: StepReply,
+    step: StepRequest,
+    layer_count: int,
+) -> str:
+    if reply.position != step.position:
+        return 'position'
+    sent_count = len(step.hidden) or len(step.tokens)
+    if reply.count != sent_count and not step.prompt:
+        return 'count'
+    if reply.stop_layer == layer_count:
+        return '' if reply.token is not None else 'no token'
+    return '' if len(reply.hidden) == reply.count else 'hidden count'
+
+
+def _copy_with_attempt(step: StepRequest, attempt: int) -> StepRequest:
+    return msgspec.structs.replace(step, attempt=attempt)
+
+
 def _receipt(reply: StepReply) -> Receipt:
     return Receipt(
         target=reply.target,
--- a/nutmegspoke/standins/streams.py
+++ b/nutmegspoke/standins/streams.py
@@ -2,22 +2,49 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
-from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
+from nutmegspoke.engine_protocol import (
+    CacheBlock,
+    RefusalKind,
+    StepRefusal,
+    StepReply,
+    StepRequest,
+)
 from nutmegspoke.standins import arithmetic
 
+_MAX_ENDED_STREAMS = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class _LayerCache:
+    """What one layer saw: a digest after each position, from the empty one."""
+
+    attempt: int
+    digests: list[int] = dataclasses.field(default_factory=lambda: [0])
+
+    @property
+    def length(self) -> int:
+        return len(self.digests) - 1
+
+    def enter_attempt(self, attempt: int, position: int) -> None:
+        """Truncate to a position if the attempt is higher."""
+        if attempt > self.attempt:
+            self.attempt = attempt
+            del self.digests[position + 1 :]  # noqa: WPS420
+
 
 @dataclasses.dataclass(slots=True)
 class _Stream:
     attempt: int
-    length: int = 0
-    caches: dict[int, list[int]] = dataclasses.field(default_factory=dict)
+    caches: dict[int, _LayerCache] = dataclasses.field(default_factory=dict)
 
-    def truncate(self, length: int) -> None:
-        self.length = length
-        for cache in self.caches.values():
-            del cache[length + 1 :]  # noqa: WPS420
+    def layers(self, first: int, stop: int) -> list[_LayerCache]:
+        return [
+            self.caches.setdefault(layer, _LayerCache(self.attempt))
+            for layer in range(first, stop)
+        ]
 
 
 class StreamCaches:
@@ -42,6 +69,9 @@
         self.stop_layer = stop_layer
         self.layer_count = layer_count
         self._streams: dict[str, _Stream] = {}
+        self._ended: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
 
     def load(self, first_layer: int, stop_layer: int) -> None:
         """Hold another layer range; all caches are lost."""
@@ -52,18 +82,25 @@
     def admit(self, step: StepRequest) -> StepRefusal | None:
         """Check a step against the stream's attempt and cache length."""
         if not self._holds(step):
-            return StepRefusal('layers')
+            return StepRefusal(RefusalKind.LAYERS)
+        lowest = self._lowest_attempt(step.stream_id)
+        if step.attempt < lowest:
+            return StepRefusal(RefusalKind.OLD_ATTEMPT, 0, lowest)
         stream = self._streams.setdefault(
             step.stream_id,
             _Stream(step.attempt),
         )
-        if step.attempt < stream.attempt:
-            return StepRefusal('old_attempt', stream.length, stream.attempt)
-        if step.attempt > stream.attempt:
-            stream.attempt = step.attempt
-            stream.truncate(min(step.position, stream.length))
-        if step.position != stream.length:
-            return StepRefusal('cache_length', stream.length, stream.attempt)
+        stream.attempt = step.attempt
+        caches = stream.layers(step.first_layer, step.stop_layer)
+        for cache in caches:
+            cache.enter_attempt(step.attempt, step.position)
+        if any(cache.length != step.position for cache in caches):
+            length = min(cache.length for cache in caches)
+            return StepRefusal(
+                RefusalKind.CACHE_LENGTH,
+                length,
+                stream.attempt,
+            )
         return None
 
     def run(self, step: StepRequest) -> StepReply:
@@ -85,24 +122,61 @@
             text='' if token is None else arithmetic.token_text(token),
         )
 
-    def position_count(self, step: StepRequest) -> int:
-        """Return the number of positions of a step."""
-        if step.hidden:
-            return len(step.hidden)
-        return len(step.prompt.split()) + len(step.tokens)
-
     def cancel(self, stream_id: str, attempt: int) -> bool:
-        """Forget a stream unless a higher attempt has begun."""
+        """Forget a stream unless a higher attempt has begun.
+
+        Its highest attempt is remembered, so that a late step of an older
+        attempt does not bring the stream back.
+        """
         stream = self._streams.get(stream_id)
         if stream is None or stream.attempt > attempt:
             return False
         self._streams.pop(stream_id)
+        self._ended[stream_id] = stream.attempt
+        if len(self._ended) > _MAX_ENDED_STREAMS:
+            self._ended.popitem(last=False)
         return True
 
     def stream_count(self) -> int:
         """Return the number of streams with a cache."""
         return len(self._streams)
 
+    def export(
+        self, stream_id: str, first: int, stop: int
+    ) -> CacheBlock | None:
+        """Return the caches of a stream; ``None`` if it is not held."""
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return None
+        caches = stream.layers(first, stop)
+        return CacheBlock(
+            stream_id=stream_id,
+            attempt=stream.attempt,
+            first_layer=first,
+            stop_layer=stop,
+            digests=tuple(tuple(cache.digests) for cache in caches),
+        )
+
+    def take(self, block: CacheBlock) -> bool:
+        """Hold the caches of a stream that another engine exported."""
+        if block.attempt < self._lowest_attempt(block.stream_id):
+            return False
+        stream = self._streams.setdefault(
+            block.stream_id,
+            _Stream(block.attempt),
+        )
+        stream.attempt = block.attempt
+        for layer, digests in enumerate(block.digests, block.first_layer):
+            stream.caches[layer] = _LayerCache(block.attempt, list(digests))
+        return True
+
+    def _lowest_attempt(self, stream_id: str) -> int:
+        """Return the lowest attempt that may run; an ended one may not."""
+        stream = self._streams.get(stream_id)
+        if stream is not None:
+            return stream.attempt
+        return self._ended.get(stream_id, 0) + 1
+
     def _holds(self, step: StepRequest) -> bool:
         return (
             self.first_layer <= step.first_layer
@@ -122,9 +196,12 @@
 
     def _run_position(self, step: StepRequest, hidden: int) -> int:
         stream = self._streams[step.stream_id]
-        for layer in range(step.first_layer, step.stop_layer):
-            cache = stream.caches.setdefault(layer, [0])
-            hidden, digest = arithmetic.run_layer(layer, hidden, cache[-1])
-            cache.append(digest)
-        stream.length += 1
+        caches = stream.layers(step.first_layer, step.stop_layer)
+        for layer, cache in enumerate(caches, step.first_layer):
+            hidden, digest = arithmetic.run_layer(
+                layer,
+                hidden,
+                cache.digests[-1],
+            )
+            cache.digests.append(digest)
         return hidden
