--- a/nutmegspoke/pipelines/resume.py
+++ b/nutmegspoke/pipelines/resume.py
@@ -111,7 +111,7 @@
     def read(self, event_id: str) -> ResumePoint | None:
         """Return the point of an event id; ``None`` if it is not ours."""
         try:
-            signed = base64.urlsafe_b64decode(event_id.encode())
+            signed = base64.b64decode(event_id, altchars=b'-_', validate=True)
         except (binascii.Error, ValueError):
             return None
         body = signed[_MAC_BYTES:]
--- /dev/null
+++ b/tests/builders_pipelines.py
@@ -0,0 +1,253 @@
+"""Builders and fakes for tests of pipelines, and the answer that is right."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+
+from nutmegspoke.layers import LayerRange, Stage
+from nutmegspoke.pipelines.carrier import LossKind, StepLost
+from nutmegspoke.pipelines.run import DraftPlan, DraftRun
+from nutmegspoke.requests import DraftRequest
+from nutmegspoke.standins.streams import StreamCaches
+from nutmegspoke.tables.rows import PoolKind, PoolRow, RouteRow
+from nutmegspoke.targets import Target
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
+    from nutmegspoke.layers import Chain
+
+LAYER_COUNT = 6
+PROMPT = 'Notes of the club: the band plays in Tacoma'
+SECRET = 'a-secret-of-sixteen'
+_TOKEN_SPACE = 65_521
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def right_answer(
+    prompt: str = PROMPT,
+    seed: int = 7,
+    count: int = 8,
+    layer_count: int = LAYER_COUNT,
+) -> list[int]:
+    """Compute an answer position by position, with no cache, chain or step."""
+    inputs = [
+        xxhash.xxh32_intdigest(word.encode()) % _TOKEN_SPACE
+        for word in prompt.split()
+    ]
+    prompt_length = len(inputs)
+    histories = [0 for _ in range(layer_count)]
+    position = 0
+    while len(inputs) < prompt_length + count:
+        flow = _hash(f'embed:{inputs[position]}:{position}:{seed}')
+        for layer, history in enumerate(histories):
+            histories[layer] = _hash(f'cache:{history}:{flow}')
+            flow = _hash(f'layer:{layer}:{flow}:{history}')
+        position += 1
+        if position >= prompt_length:
+            inputs.append(flow % _TOKEN_SPACE)
+    return inputs[prompt_length:]
+
+
+def stage(name: str, layers: str) -> Stage:
+    """Build a stage; its address is its name."""
+    return Stage(name, name, LayerRange.from_text(layers))
+
+
+def chain(*stages: str) -> Chain:
+    """Build a chain of ``NAME:START-STOP``."""
+    return tuple(stage(*text.split(':')) for text in stages)
+
+
+CHAIN = chain('a:0-2', 'b:2-4', 'c:4-6')
+OTHER_CHAIN = chain('a:0-2', 'd:2-4', 'c:4-6')
+
+
+def engines(layer_count: int = LAYER_COUNT) -> dict[str, StreamCaches]:
+    """Build engines by name; two hold each range, one all layers."""
+    held = {
+        'a': (0, 2),
+        'b': (2, 4),
+        'c': (4, layer_count),
+        'd': (2, 4),
+        'e': (0, 4),
+        'f': (0, layer_count),
+    }
+    return {
+        name: StreamCaches(name, *layers, layer_count)
+        for name, layers in held.items()
+    }
+
+
+def plan(**changes: Any) -> DraftPlan:
+    """Build a plan of eight tokens."""
+    made = DraftPlan(
+        stream_id='s1',
+        prompt=PROMPT,
+        seed=7,
+        layer_count=LAYER_COUNT,
+        max_tokens=8,
+    )
+    return dataclasses.replace(made, **changes)
+
+
+def run(over: Chain = CHAIN, attempt: int = 1, **changes: Any) -> DraftRun:
+    """Build a run."""
+    return DraftRun(plan(**changes), over, attempt)
+
+
+def ask(
+    held: dict[str, StreamCaches],
+    target: str,
+    step: StepRequest,
+) -> StepReply | StepRefusal:
+    """Give a step to an engine."""
+    refusal = held[target].admit(step)
+    return refusal if refusal is not None else held[target].run(step)
+
+
+class FakeTargets:
+    """A directory with the targets of some engines, and what it is told."""
+
+    def __init__(self, names: Sequence[str], layer_count: int) -> None:
+        """List the engines by their names."""
+        self.told: list[tuple[str, str]] = []
+        self.hidden: set[str] = set()
+        self.in_flight: dict[str, int] = {}
+        self._targets = [
+            Target(
+                name=name,
+                address=name,
+                pool='drafting',
+                layers=LayerRange(held.first_layer, held.stop_layer),
+            )
+            for name, held in engines(layer_count).items()
+            if name in names
+        ]
+
+    def usable(self, pool: str, now_s: float) -> tuple[Target, ...]:
+        """Return the targets that are not hidden."""
+        return tuple(
+            target for target in self._targets if target.name not in self.hidden
+        )
+
+    def started(self, address: str) -> None:
+        """Count up."""
+        self.in_flight[address] = self.in_flight.get(address, 0) + 1
+
+    def finished(self, address: str) -> None:
+        """Count down."""
+        self.in_flight[address] -= 1
+
+    def refused_as_leaving(self, address: str) -> None:
+        """Note it."""
+        self._tell('leaving', address)
+
+    def connection_failed(self, address: str, *, refused: bool) -> None:
+        """Note it."""
+        self._tell('refused' if refused else 'reset', address)
+
+    def connection_silent(self, address: str, *, is_new: bool) -> None:
+        """Note it."""
+        self._tell('silent' if is_new else 'old silent', address)
+
+    def _tell(self, what: str, address: str) -> None:
+        self.told.append((what, address))
+        if what in {'leaving', 'refused', 'reset', 'silent'}:
+            self.hidden.add(address)
+
+
+class FakeCarrier:
+    """Carries steps to engines in this process, with faults by a script.
+
+    Each entry of ``script`` names what the next steps meet: ``ok``, the
+    values of :class:`LossKind` (the step does not run), ``lost_reply`` (it
+    runs), ``twice``, ``old``, ``crossed``, ``empty`` (the stage restarted),
+    ``dead`` (the target is gone for good).
+    """
+
+    def __init__(self, held: dict[str, StreamCaches]) -> None:
+        """Begin without faults."""
+        self.held = held
+        self.script: list[str] = []
+        self.dead: set[str] = set()
+        self.cancelled: list[str] = []
+        self._replies: list[StepReply] = []
+        self._others: list[StepReply] = []
+
+    async def carry(
+        self,
+        stage: Stage,
+        step: StepRequest,
+        progress_timeout_s: float,
+    ) -> StepReply | StepRefusal | StepLost:
+        """Give a step to its engine, or show the next fault."""
+        fault = self.script.pop(0) if self.script else 'ok'
+        if fault == 'dead':
+            self.dead.add(stage.target)
+            return StepLost(LossKind.RESET)
+        if stage.target in self.dead:
+            return StepLost(LossKind.UNREACHABLE)
+        if fault in set(LossKind):
+            return StepLost(LossKind(fault))
+        if fault == 'empty':
+            held = self.held[stage.target]
+            held.load(held.first_layer, held.stop_layer)
+        reply = ask(self.held, stage.target, step)
+        if fault == 'lost_reply':
+            return StepLost(LossKind.CONNECTION_SILENT)
+        if fault == 'twice':
+            reply = ask(self.held, stage.target, step)
+        return self._swap(fault, reply)
+
+    async def cancel(self, stage: Stage, stream_id: str, attempt: int) -> None:
+        """End a stream."""
+        self.cancelled.append(stage.target)
+        self.held[stage.target].cancel(stream_id, attempt)
+
+    def _swap(self, fault: str, reply: Any) -> Any:
+        self._replies.append(reply)
+        if fault == 'old':
+            return self._replies[0]
+        if fault == 'crossed':
+            return self._others.pop()
+        return reply
+
+    def cross(self, reply: Any) -> None:
+        """Keep a reply of another stream, to be given in place of one."""
+        self._others.append(reply)
+
+
+def draft_request(**changes: Any) -> DraftRequest:
+    """Build a request of eight tokens."""
+    made = DraftRequest(
+        request_id='r1',
+        team='press',
+        route=RouteRow(
+            'drafts',
+            '/v1/completions',
+            'drafting',
+            repeatable=True,
+            progress_timeout_s=0.2,
+        ),
+        pool=PoolRow(
+            'drafting',
+            PoolKind.ENGINE,
+            model='fanletter',
+            layer_count=LAYER_COUNT,
+        ),
+        revision=1,
+        prompt=PROMPT,
+        max_tokens=8,
+        seed=7,
+        received_s=1000.0,
+        deadline_s=1060.0,
+    )
+    return dataclasses.replace(made, **changes)
--- /dev/null
+++ b/tests/pipelines/test_run.py
@@ -0,0 +1,244 @@
+"""Tests of a run, reply by reply."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from nutmegspoke.errors import BrokenInvariantError
+from nutmegspoke.pipelines.decisions import (
+    AnswerDiffers,
+    ReplyDropped,
+    SendStep,
+    TokenReady,
+)
+from nutmegspoke.pipelines.recovery import ReplayStrategy
+from nutmegspoke.pipelines.resume import ResumePoint, stage_records
+from nutmegspoke.pipelines.run import DraftRun
+from tests import builders_pipelines as build
+
+_PROMPT_LENGTH = len(build.PROMPT.split())
+
+
+class RunCase(unittest.TestCase):
+    """A run before engines in this process."""
+
+    def setUp(self) -> None:
+        """Begin a draft."""
+        self.held = build.engines()
+        self.run_ = build.run()
+        self.order = self.run_.begin()
+        self.delivered: list[int] = []
+        self.carried: list[tuple[str, int]] = []
+
+    def ask(self, order: SendStep | None = None) -> Any:
+        """Let the awaited stage answer."""
+        sent = order or self.order
+        reply = build.ask(self.held, sent.stage.target, sent.step)
+        self.carried.append((sent.stage.target, getattr(reply, 'count', 0)))
+        return reply
+
+    def advance(self, steps: int = 1) -> None:
+        """Carry some steps."""
+        for _ in range(steps):
+            self.take(self.run_.accept(self.ask()))
+
+    def take(self, decision: Any) -> None:
+        """Carry out a decision."""
+        self.order = decision
+        if isinstance(decision, TokenReady):
+            self.delivered.append(decision.token)
+            self.order = decision.following
+
+    def finish(self) -> list[int]:
+        """Carry steps to the end and return all tokens."""
+        while self.order is not None:
+            self.advance()
+        return self.delivered
+
+    def point(self) -> ResumePoint:
+        """Return what a caller has now."""
+        run = self.run_
+        return ResumePoint(
+            stream_id='s1',
+            fingerprint='',
+            attempt=run.attempt,
+            position=run.position,
+            count=run.answer.count,
+            last_token=run.last_token,
+            digest=run.answer.digest,
+            seed=7,
+            stages=stage_records(run.chain),
+        )
+
+
+class ReplyTest(RunCase):
+    """Only the awaited reply moves a run."""
+
+    def test_a_wrong_reply_changes_nothing(self) -> None:
+        """At the first, a middle and the last stage."""
+        wrong = {
+            'stream_id': 'other stream',
+            'attempt': 'other attempt',
+            'target': 'other target',
+            'first_layer': 'other layers',
+            'stop_layer': 'other layers',
+            'position': 'position',
+            'count': 'count',
+        }
+        for _ in range(7):
+            reply = self.ask()
+            for field, reason in wrong.items():
+                before = getattr(reply, field)
+                fault = 'x' if isinstance(before, str) else before + 1
+                changed = msgspec.structs.replace(reply, **{field: fault})
+                told = self.run_.accept(changed)
+                allowed = {reason, 'hidden count'} if reply.hidden else {reason}
+                if field == 'count' and self.order.step.prompt:
+                    allowed = {'hidden count'}
+                self.assertIn(told.reason, allowed, field)
+            self.take(self.run_.accept(reply))
+            self.assertIsInstance(self.run_.accept(reply), ReplyDropped)
+        self.assertEqual(self.finish(), build.right_answer())
+
+    def test_the_last_stage_must_give_a_token(self) -> None:
+        """Without one the reply is dropped."""
+        self.advance(2)
+        reply = msgspec.structs.replace(self.ask(), token=None)
+        self.assertEqual(self.run_.accept(reply), ReplyDropped('no token'))
+
+    def test_a_chain_must_cover_the_layers(self) -> None:
+        """A gap or an overlap is a broken invariant."""
+        for stages in (('a:0-2', 'c:4-6'), ('e:0-4', 'b:2-4', 'c:4-6')):
+            with self.assertRaises(BrokenInvariantError):
+                build.run(build.chain(*stages))
+            with self.assertRaises(BrokenInvariantError):
+                self.run_.restart(build.chain(*stages))
+
+    def test_every_chain_gives_the_right_answer(self) -> None:
+        """Also sub-ranges, and an engine that serves two stages."""
+        for stages in (
+            ('f:0-6',),
+            ('f:0-2', 'b:2-4', 'f:4-6'),
+            ('e:0-1', 'f:1-5', 'c:5-6'),
+        ):
+            self.run_ = build.run(build.chain(*stages), stream_id=str(stages))
+            self.order, self.delivered = self.run_.begin(), []
+            self.assertEqual(self.finish(), build.right_answer())
+
+
+class RecoveryTest(RunCase):
+    """Going on after a loss."""
+
+    def test_resend_after_a_lost_reply(self) -> None:
+        """One step more, and every later one is right."""
+        for _ in range(12):
+            self.ask()
+            self.order = self.run_.resend()
+            self.advance()
+        self.assertEqual(self.finish(), build.right_answer())
+        self.assertEqual(len(self.carried), 3 * 8 + 12)
+
+    def test_rerun_keeps_delivered_tokens(self) -> None:
+        """The prompt and the delivered tokens run over the new chain."""
+        self.advance(3 * 4 + 1)
+        self.order = self.run_.restart(build.OTHER_CHAIN)
+        self.carried.clear()
+        self.assertEqual(self.finish(), build.right_answer())
+        filled = _PROMPT_LENGTH + 4
+        self.assertEqual(
+            self.carried[:3],
+            [('a', filled), ('d', filled), ('c', filled)],
+        )
+
+    def test_replay_fills_the_replacement_only(self) -> None:
+        """The other stages run each position once."""
+        for lost, place in (('a', 0), ('b', 1), ('c', 2)):
+            self.held = build.engines()
+            self.delivered = []
+            self.run_ = DraftRun(
+                build.plan(),
+                build.CHAIN,
+                1,
+                ReplayStrategy(1_000),
+            )
+            self.order = self.run_.begin()
+            self.advance(3 * 4 + place)
+            replaced = build.chain('f:0-2', 'f:2-4', 'f:4-6')[place]
+            chain = list(build.CHAIN)
+            chain[place] = replaced
+            self.order = self.run_.restart(tuple(chain))
+            self.carried.clear()
+            self.assertEqual(self.finish(), build.right_answer(), lost)
+            self.assertEqual(self.carried[0], ('f', _PROMPT_LENGTH + 4))
+            counts = {count for _, count in self.carried[1:]}
+            self.assertEqual(counts, {1})
+
+    def test_replay_keeps_no_more_than_its_limit(self) -> None:
+        """Beyond it the draft is run again."""
+        strategy = ReplayStrategy(2 * _PROMPT_LENGTH + 4)
+        self.run_ = DraftRun(build.plan(), build.CHAIN, 1, strategy)
+        self.order = self.run_.begin()
+        self.advance(3 * 2)
+        self.assertEqual(strategy.kept_count, 2 * _PROMPT_LENGTH + 2)
+        self.advance(3 * 2 + 1)
+        self.assertEqual(strategy.kept_count, 0)
+        self.order = self.run_.restart(build.OTHER_CHAIN)
+        self.assertEqual(self.order.step.prompt, build.PROMPT)
+        self.assertEqual(self.finish(), build.right_answer())
+
+
+class ResumeTest(RunCase):
+    """Another daemon goes on where the caller is."""
+
+    def resume(self, **changes: Any) -> ResumePoint:
+        """Deliver four tokens, then go on in another run."""
+        self.advance(3 * 4 + 2)
+        point = msgspec.structs.replace(self.point(), **changes)
+        self.run_ = DraftRun(
+            build.plan(seed=point.seed),
+            build.CHAIN,
+            point.next_attempt,
+        )
+        self.order = self.run_.resume(point)
+        self.carried.clear()
+        return point
+
+    def test_stages_that_hold_the_stream_go_on(self) -> None:
+        """Each later token takes one step a stage."""
+        self.resume()
+        self.assertEqual(self.finish(), build.right_answer())
+        self.assertEqual({count for _, count in self.carried}, {1})
+
+    def test_stages_that_lost_it_run_it_again(self) -> None:
+        """No delivered token is repeated; a later loss is survived too."""
+        self.resume()
+        self.held = build.engines()
+        self.order = self.run_.restart(build.CHAIN)
+        self.advance(3 * 6)
+        self.assertEqual(self.delivered, build.right_answer()[:6])
+        self.order = self.run_.restart(build.OTHER_CHAIN)
+        self.assertEqual(self.finish(), build.right_answer())
+
+    def test_a_difference_is_told(self) -> None:
+        """Other tokens than the delivered ones are never spliced on."""
+        self.resume(seed=8)
+        self.order = self.run_.restart(build.CHAIN)
+        self.advance(3 * 4)
+        self.assertIsInstance(self.order, AnswerDiffers)
+        self.assertEqual(len(self.delivered), 4)
+
+    def test_the_daemon_before_never_reaches_the_attempt(self) -> None:
+        """Its restarts stay below; its steps are refused."""
+        stale, stale_order = self.run_, self.order
+        self.advance(1)
+        stale_order = self.order
+        self.resume()
+        self.advance(3)
+        for _ in range(5):
+            stale_order = stale.restart(build.CHAIN)
+            refusal = self.ask(stale_order)
+            self.assertEqual(refusal.reason, 'old_attempt')
+        self.assertEqual(self.finish(), build.right_answer())
--- /dev/null
+++ b/tests/pipelines/test_run_interleavings.py
@@ -0,0 +1,266 @@
+"""Promise 1 under any interleaving of losses, doubles, restarts, resumes."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from nutmegspoke.engine_protocol import StepRefusal, StepReply
+from nutmegspoke.pipelines.decisions import SendStep, TokenReady
+from nutmegspoke.pipelines.losses import LossJudge, Remedy
+from nutmegspoke.pipelines.recovery import ReplayStrategy
+from nutmegspoke.pipelines.resume import ResumePoint, stage_records
+from nutmegspoke.pipelines.run import DraftRun
+from tests import builders_pipelines as build
+
+_CHAINS = (
+    build.CHAIN,
+    build.OTHER_CHAIN,
+    build.chain('e:0-4', 'c:4-6'),
+    build.chain('f:0-6'),
+    build.chain('a:0-2', 'f:2-6'),
+    build.chain('e:0-3', 'f:3-6'),
+    build.chain('f:0-2', 'b:2-4', 'f:4-6'),
+)
+_PICK = st.integers(0, 1_000)
+_MAX_MESSAGES = 12
+_MAX_CLOSING_STEPS = 400
+
+
+@dataclasses.dataclass
+class _Message:
+    """A step on its way to a stage, or what the stage answered."""
+
+    owner: int
+    order: SendStep
+    answer: StepReply | StepRefusal | None = None
+
+
+class _Daemon:
+    """A run and the tokens that it delivered."""
+
+    def __init__(self, run: DraftRun, first: int) -> None:
+        self.run = run
+        self.judge = LossJudge(run.attempt)
+        self.first = first
+        self.delivered: list[int] = []
+        self.has_ended = False
+
+
+class Interleavings(stateful.RuleBasedStateMachine):
+    """Daemons with one stream before engines, and a wire between them."""
+
+    def __init__(self) -> None:
+        """Begin a draft at the first daemon."""
+        super().__init__()
+        self.right = build.right_answer()
+        self.held = build.engines()
+        self.wire: list[_Message] = []
+        self.daemons: list[_Daemon] = []
+        self.point: ResumePoint | None = None
+
+    @stateful.initialize(pick=_PICK, replays=st.booleans())
+    def begin(self, pick: int, *, replays: bool) -> None:
+        """Start the first daemon and a stream of another request."""
+        self.replays = replays
+        self._start(self._run(_pick(_CHAINS, pick), 1)).begin()
+        other = build.run(stream_id='s2', prompt='another request')
+        order = other.begin()
+        reply = build.ask(self.held, order.stage.target, order.step)
+        self.other = reply
+        self._send(0, self.daemons[0].run.begin())
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule(pick=_PICK)
+    def deliver(self, pick: int) -> None:
+        """Deliver any message."""
+        self._deliver(self.wire.pop(pick % len(self.wire)))
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule()
+    def deliver_first(self) -> None:
+        """Deliver the oldest message."""
+        self._deliver(self.wire.pop(0))
+
+    @stateful.precondition(lambda self: 0 < len(self.wire) < _MAX_MESSAGES)
+    @stateful.rule(pick=_PICK)
+    def double(self, pick: int) -> None:
+        """Let any message arrive twice."""
+        self.wire.append(dataclasses.replace(_pick(self.wire, pick)))
+
+    @stateful.precondition(lambda self: self.wire)
+    @stateful.rule(pick=_PICK)
+    def cross(self, pick: int) -> None:
+        """Give an answer, or a reply of another stream, to any daemon."""
+        owner = pick % len(self.daemons)
+        answer = _pick(self.wire, pick).answer or self.other
+        order = _pick(self.wire, pick).order
+        self._take(_Message(owner, order, answer))
+
+    @stateful.rule(pick=_PICK)
+    def restart_engine(self, pick: int) -> None:
+        """Empty the caches of an engine."""
+        held = _pick(list(self.held.values()), pick)
+        held.load(held.first_layer, held.stop_layer)
+
+    @stateful.rule(first=st.integers(0, 2), pick=_PICK)
+    def change_layers(self, first: int, pick: int) -> None:
+        """Give an engine another layer range."""
+        _pick(list(self.held.values()), pick).load(first, first + 3)
+
+    @stateful.rule(pick=_PICK)
+    def time_out(self, pick: int) -> None:
+        """Let a daemon go on without an answer."""
+        daemon = _pick(self.daemons, pick)
+        if daemon.has_ended:
+            return
+        if pick % 3:
+            self._send_by(daemon, daemon.run.resend())
+        else:
+            chain = _pick(_CHAINS, pick // 3)
+            self._send_by(daemon, daemon.run.restart(chain))
+
+    @stateful.precondition(lambda self: len(self.daemons) < 3)
+    @stateful.rule(pick=_PICK)
+    def resume(self, pick: int) -> None:
+        """Let the caller come back to another daemon."""
+        point = self.point
+        if point is None or point.count == len(self.right):
+            return
+        chain = point.chain if pick % 2 else _pick(_CHAINS, pick)
+        run = self._run(chain, point.next_attempt)
+        self._start(run, point.count)
+        self._send_by(self.daemons[-1], run.resume(point))
+
+    @stateful.invariant()
+    def delivered_is_right(self) -> None:
+        """Each daemon delivered a part of the right answer, and no other."""
+        for daemon in self.daemons:
+            end = daemon.first + len(daemon.delivered)
+            assert daemon.delivered == self.right[daemon.first : end]
+
+    def teardown(self) -> None:
+        """Without further faults the last daemon completes the answer."""
+        if not self.daemons:
+            return
+        self.wire.clear()
+        self._load_first_layers()
+        daemon = self.daemons[-1]
+        if not daemon.has_ended:
+            self._send_by(daemon, daemon.run.resend())
+        for _ in range(_MAX_CLOSING_STEPS):
+            if self.wire:
+                self._deliver(self.wire.pop(0))
+        assert daemon.delivered == self.right[daemon.first :]
+
+    def _load_first_layers(self) -> None:
+        """Give engines whose layers changed their first ones, empty."""
+        for name, first in build.engines().items():
+            held = self.held[name]
+            layers = (first.first_layer, first.stop_layer)
+            if layers != (held.first_layer, held.stop_layer):
+                held.load(*layers)
+
+    def _run(self, over: Any, attempt: int) -> DraftRun:
+        strategy = ReplayStrategy(100_000) if self.replays else None
+        return DraftRun(build.plan(), over, attempt, strategy)
+
+    def _start(self, run: DraftRun, first: int = 0) -> DraftRun:
+        self.daemons.append(_Daemon(run, first))
+        return run
+
+    def _send(self, owner: int, order: SendStep) -> None:
+        self.wire.append(_Message(owner, order))
+
+    def _send_by(self, daemon: _Daemon, order: SendStep) -> None:
+        self._send(self.daemons.index(daemon), order)
+
+    def _deliver(self, message: _Message) -> None:
+        if message.answer is None:
+            message.answer = build.ask(
+                self.held,
+                message.order.stage.target,
+                message.order.step,
+            )
+            self.wire.append(message)
+        else:
+            self._take(message)
+
+    def _take(self, message: _Message) -> None:
+        daemon = self.daemons[message.owner]
+        if daemon.has_ended:
+            return
+        if isinstance(message.answer, StepRefusal):
+            self._take_refusal(daemon, message)
+            return
+        decision = daemon.run.accept(message.answer)
+        if isinstance(decision, SendStep):
+            self._send(message.owner, decision)
+        if isinstance(decision, TokenReady):
+            daemon.delivered.append(decision.token)
+            self._note_point(message.owner)
+            daemon.has_ended = decision.following is None
+            if decision.following is not None:
+                self._send(message.owner, decision.following)
+
+    def _note_point(self, owner: int) -> None:
+        """Note the event id, if the caller listens to this daemon."""
+        if owner == len(self.daemons) - 1:
+            self.point = _point(self.daemons[owner].run)
+
+    def _take_refusal(self, daemon: _Daemon, message: _Message) -> None:
+        attempt = message.order.step.attempt
+        if attempt != daemon.run.attempt:
+            return
+        judge = LossJudge(daemon.run.attempt)
+        remedy = judge.judge(
+            message.answer, message.order.stage.target, attempt
+        )
+        if remedy is Remedy.GIVE_UP:
+            return
+        chain = daemon.run.chain
+        if remedy is Remedy.REPLACE:
+            chain = _CHAINS[attempt % len(_CHAINS)]
+        order = daemon.run.restart(chain, message.answer.attempt)
+        self._send_by(daemon, order)
+
+
+def _pick(choices: Any, pick: int) -> Any:
+    return choices[pick % len(choices)]
+
+
+def _point(run: DraftRun) -> ResumePoint:
+    return ResumePoint(
+        stream_id=run.plan.stream_id,
+        fingerprint='',
+        attempt=run.attempt,
+        position=run.position,
+        count=run.answer.count,
+        last_token=run.last_token,
+        digest=run.answer.digest,
+        seed=run.plan.seed,
+        stages=stage_records(run.chain),
+    )
+
+
+class InterleavingsTest(unittest.TestCase):
+    """Runs the machine."""
+
+    def test_interleavings(self) -> None:
+        """Every interleaving delivers the right answer."""
+        stateful.run_state_machine_as_test(
+            Interleavings,
+            settings=hypothesis.settings(
+                derandomize=True,
+                deadline=None,
+                max_examples=100,
+                stateful_step_count=60,
+                database=None,
+                suppress_health_check=list(hypothesis.HealthCheck),
+            ),
+        )
