--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -36,7 +36,7 @@
 
 logger = logging.getLogger(__name__)
 NAME = 'drafts'
-_CHAIN_PAUSE_S = 0.05
+_CHAIN_PAUSE_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/border/test_drafts.py
@@ -0,0 +1,276 @@
+"""Tests of the draft service before engines in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+import msgspec
+
+from nutmegspoke import outcomes
+from nutmegspoke.border.drafts import DraftService
+from nutmegspoke.engine_protocol import StepRefusal, StepReply
+from nutmegspoke.pipelines.resume import ResumeSigner
+from tests import builders_pipelines as build
+
+_STREAMS = 200
+_COMPLETED = outcomes.Completed(status=200)
+
+
+class DraftCase(unittest.IsolatedAsyncioTestCase):
+    """A draft service, its carrier and its directory."""
+
+    def setUp(self) -> None:
+        """Start with several engines for each layer."""
+        self.held = build.engines()
+        self.carrier = build.FakeCarrier(self.held)
+        self.targets = build.FakeTargets(tuple('abcdef'), build.LAYER_COUNT)
+        self.clock = build.TickingClock()
+        self.signer = ResumeSigner(build.SECRET)
+        self.drafts = self.daemon()
+
+    def daemon(self, carrier: Any = None) -> DraftService:
+        """Build a draft service."""
+        chosen = carrier or self.carrier
+        return DraftService(self.clock, self.targets, chosen, self.signer)
+
+    async def take(self, drafts: Any = None, **changes: Any) -> list[Any]:
+        """Return all items of a draft."""
+        service = drafts or self.drafts
+        request = build.draft_request(**changes)
+        items = [item async for item in service.stream(request)]
+        await service.stop()
+        return items
+
+    def assert_whole(
+        self,
+        items: list[Any],
+        first: int = 0,
+        prompt: str = build.PROMPT,
+    ) -> None:
+        """The right tokens from one on, then the completion."""
+        *tokens, end = items
+        self.assertEqual(end, _COMPLETED)
+        numbers = [token.number for token in tokens]
+        self.assertEqual(numbers, list(range(first, 8)))
+        points = [self.signer.read(token.event_id) for token in tokens]
+        told = [point.last_token for point in points]
+        self.assertEqual(told, build.right_answer(prompt)[first:])
+
+    def assert_nothing_left(self) -> None:
+        """No work is counted and no engine holds a stream."""
+        self.assertEqual(set(self.targets.in_flight.values()), {0})
+        streams = [held.stream_count() for held in self.held.values()]
+        self.assertEqual(sum(streams), 0)
+
+
+class LossTest(DraftCase):
+    """The answer is whole whatever is lost."""
+
+    async def test_each_fault_at_each_step(self) -> None:
+        """And the directory hears of what is the target's fault only."""
+        faults = {
+            'reset': 'reset',
+            'unreachable': 'refused',
+            'target_silent': 'silent',
+            'connection_silent': 'old silent',
+            'lost_reply': 'old silent',
+            'bad_reply': '',
+            'twice': '',
+            'empty': '',
+            'old': '',
+        }
+        for fault, word in faults.items():
+            for step in range(24):
+                self.setUp()
+                self.carrier.script = ['ok'] * step + [fault]
+                self.assert_whole(await self.take())
+                heard = {told for told, _ in self.targets.told}
+                self.assertEqual(heard, {word} if word else set(), fault)
+                self.assert_nothing_left()
+
+    async def test_two_faults_and_the_same_twice(self) -> None:
+        """Any two, one after the other, and the target dead for good."""
+        kinds = ('reset', 'lost_reply', 'empty', 'twice', 'dead', 'old')
+        for first in kinds:
+            for second in kinds:
+                self.setUp()
+                ok = ['ok'] * 7
+                self.carrier.script = [*ok, first, second, 'ok', second]
+                self.assert_whole(await self.take())
+                self.assertEqual(set(self.targets.in_flight.values()), {0})
+
+    async def test_layers_change_under_a_draft(self) -> None:
+        """The stage refuses and the draft goes on elsewhere."""
+        stream = self.drafts.stream(build.draft_request())
+        items = [await anext(stream) for _ in range(3)]
+        self.held['b'].load(0, 2)
+        self.assert_whole(items + [item async for item in stream])
+
+    async def test_nothing_ran_is_told(self) -> None:
+        """Refused connections only, no chain, and a deadline gone by."""
+        self.carrier.dead = set('abcdef')
+        (told,) = await self.take()
+        self.assertEqual(
+            (told.reason, outcomes.executed(told).value),
+            (outcomes.RefusalReason.TARGET_UNREACHABLE, 'no'),
+        )
+        (told,) = await self.take()
+        self.assertEqual(told.reason, outcomes.RefusalReason.NO_TARGET)
+        self.targets.hidden.clear()
+        (told,) = await self.take(deadline_s=0.0)
+        self.assertEqual(told.reason, outcomes.RefusalReason.DEADLINE)
+
+    async def test_what_may_have_run_is_unknown(self) -> None:
+        """A reset may have come after the step ran."""
+        self.carrier.script = ['dead']
+        self.carrier.dead = set('bcdef')
+        (told,) = await self.take()
+        self.assertEqual(told.reason, outcomes.UnknownReason.STREAM_LOST)
+
+    async def asyncTearDown(self) -> None:
+        """End the service."""
+        await self.drafts.stop()
+
+
+class HangUpTest(DraftCase):
+    """A caller who goes and comes back."""
+
+    async def test_hang_up_ends_the_streams(self) -> None:
+        """Every stage is told, and no later step is sent."""
+        stream = self.drafts.stream(build.draft_request())
+        await anext(stream)
+        await stream.aclose()
+        await self.drafts.stop()
+        self.assertEqual(sorted(self.carrier.cancelled), ['a', 'b', 'c'])
+        self.assert_nothing_left()
+
+    async def test_resume_at_each_token(self) -> None:
+        """Held by the stages, lost by some, or cancelled by a hang-up."""
+        for count in range(1, 9):
+            for lost in ('', 'b', 'abcdef', 'hang up'):
+                self.setUp()
+                stream = self.drafts.stream(build.draft_request())
+                tokens = [await anext(stream) for _ in range(count)]
+                if lost == 'hang up':
+                    await stream.aclose()
+                    await self.drafts.stop()
+                    lost = ''
+                for name in lost:
+                    held = self.held[name]
+                    held.load(held.first_layer, held.stop_layer)
+                other = self.daemon()
+                rest = await self.take(
+                    other,
+                    request_id='r2',
+                    seed=99,
+                    resume_from=tokens[-1].event_id,
+                )
+                self.assert_whole(tokens + rest)
+                await stream.aclose()
+
+    async def test_a_daemon_that_wakes_changes_nothing(self) -> None:
+        """Its steps are refused, and it delivers no token more."""
+        stream = self.drafts.stream(build.draft_request())
+        tokens = [await anext(stream) for _ in range(3)]
+        resumed = self.daemon().stream(
+            build.draft_request(resume_from=tokens[-1].event_id),
+        )
+        tokens.append(await anext(resumed))
+        late = [item async for item in stream]
+        self.assertEqual(late[-1].reason, outcomes.UnknownReason.STREAM_LOST)
+        self.assertEqual(len(late), 1)
+        self.assert_whole(tokens + [item async for item in resumed])
+
+    async def test_two_resumes_of_one_event(self) -> None:
+        """Both answers are right."""
+        stream = self.drafts.stream(build.draft_request())
+        event_id = (await anext(stream)).event_id
+        resumed = [
+            self.daemon().stream(build.draft_request(resume_from=event_id))
+            for _ in range(2)
+        ]
+        items: list[list[Any]] = [[], []]
+        for _ in range(7):
+            for number, other in enumerate(resumed):
+                items[number].append(await anext(other))
+        for number, other in enumerate(resumed):
+            items[number].extend([item async for item in other])
+            self.assert_whole(items[number], first=1)
+
+    async def test_another_answer_is_not_spliced(self) -> None:
+        """A digest that differs ends the draft with the reason."""
+        stream = self.drafts.stream(build.draft_request())
+        token = [await anext(stream) for _ in range(3)][-1]
+        point = msgspec.structs.replace(
+            self.signer.read(token.event_id),
+            digest='another',
+        )
+        for held in self.held.values():
+            held.load(held.first_layer, held.stop_layer)
+        (told,) = await self.take(resume_from=self.signer.sign(point))
+        self.assertEqual(told.reason, outcomes.UnknownReason.RESUME_MISMATCH)
+        await stream.aclose()
+
+    async def test_a_wrong_event_id_is_refused(self) -> None:
+        """Of another key, or of another request."""
+        token, *_ = await self.take()
+        for changes in (
+            {'resume_from': 'x'},
+            {'resume_from': token.event_id, 'prompt': 'another'},
+            {'resume_from': token.event_id, 'team': 'another'},
+        ):
+            (told,) = await self.take(**changes)
+            self.assertEqual(told.reason, outcomes.RefusalReason.BAD_REQUEST)
+
+
+class MixingCarrier(build.FakeCarrier):
+    """Mixes up the answers of all streams, by a seed."""
+
+    def __init__(self, held: Any, seed: int) -> None:
+        """Begin without answers."""
+        super().__init__(held)
+        self._random = random.Random(seed)
+        self._seen: list[StepReply] = []
+
+    async def carry(self, *arguments: Any) -> StepReply | StepRefusal:
+        """Answer late, and now and then with another answer than asked for."""
+        step = arguments[1]
+        reply = await super().carry(*arguments)
+        for _ in range(self._random.randrange(4)):
+            await asyncio.sleep(0)
+        if isinstance(reply, StepReply):
+            self._seen.append(reply)
+        draw = self._random.random()
+        if draw < 0.04:
+            return self._random.choice(self._seen)
+        if draw < 0.06:
+            same = [
+                seen
+                for seen in self._seen[-2_000:]
+                if seen.stream_id == step.stream_id
+            ]
+            return self._random.choice(same or [reply])
+        if draw < 0.07:
+            return await super().carry(*arguments)
+        return reply
+
+
+class CrossingTest(DraftCase):
+    """Two hundred streams at once."""
+
+    async def test_two_hundred_streams(self) -> None:
+        """Each caller gets its own answer, whole."""
+        drafts = self.daemon(MixingCarrier(self.held, seed=5))
+        prompts = [f'{build.PROMPT} {number}' for number in range(_STREAMS)]
+        answers = await asyncio.gather(
+            *(
+                self.take(drafts, request_id=f'r{number}', prompt=prompt)
+                for number, prompt in enumerate(prompts)
+            ),
+        )
+        for prompt, items in zip(prompts, answers, strict=True):
+            self.assert_whole(items, prompt=prompt)
+        self.assert_nothing_left()
--- a/tests/builders_pipelines.py
+++ b/tests/builders_pipelines.py
@@ -113,6 +113,21 @@
     return refusal if refusal is not None else held[target].run(step)
 
 
+class TickingClock:
+    """A clock that goes on by a hundredth of a second at each look."""
+
+    present_s = 1000.0
+
+    def now_s(self) -> float:
+        """Return the next time."""
+        self.present_s += 0.01
+        return self.present_s
+
+    def wall_s(self) -> float:
+        """Return the same time."""
+        return self.present_s
+
+
 class FakeTargets:
     """A directory with the targets of some engines, and what it is told."""
 
