--- a/nutmegspoke/border/draft_runs.py
+++ b/nutmegspoke/border/draft_runs.py
@@ -112,6 +112,19 @@
             stages=stage_records(run.chain),
         )
 
+    def log_end(self) -> None:
+        """Log what the draft came to."""
+        logger.info(
+            'pipelines: draft ended request=%s stream=%s tokens=%d of=%d '
+            'attempt=%d receipts=%s',
+            self.request.request_id,
+            self.run.plan.stream_id,
+            self.run.answer.count,
+            self.request.max_tokens,
+            self.run.attempt,
+            self.run.receipts_digest,
+        )
+
     def give_up(
         self,
         reason: outcomes.UnknownReason,
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -110,6 +110,7 @@
                 yield item
         finally:
             self._leave(draft)
+            draft.log_end()
 
     async def _run(self, draft: DraftInProgress) -> AsyncIterator[DraftItem]:
         following: SendStep | None = draft.first_step()
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -20,6 +20,7 @@
 
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
+STREAMS_PATH = '/streams'
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -62,10 +63,12 @@
         model: str,
         version: str,
         activation_bytes: int,
+        cache_bytes: int = 0,
     ) -> None:
         """Create an engine.
 
         :param activation_bytes: bytes of one position between two stages.
+        :param cache_bytes: bytes of the KV cache of one position and layer.
         """
         self.board = faults.FaultBoard()
         self._caches = caches
@@ -73,6 +76,7 @@
         self._model = model
         self._version = version
         self._activation_bytes = activation_bytes
+        self._cache_bytes = cache_bytes
         self._in_flight = 0
         self._highest_fencing_number = 0
         self._shown_load: protocol.LoadReport | None = None
@@ -85,6 +89,9 @@
         )
         app.router.add_post(protocol.STEPS_PATH, self._step)
         app.router.add_post(protocol.CANCEL_PATH, self._cancel)
+        app.router.add_get(STREAMS_PATH, self._streams)
+        app.router.add_get(protocol.CACHES_PATH, self._export)
+        app.router.add_put(protocol.CACHES_PATH, self._import)
         app.router.add_post(protocol.ORDERS_PATH, self._order)
         app.router.add_get(protocol.LOAD_PATH, self._load)
         return app
@@ -116,6 +123,33 @@
         self._caches.cancel(order.stream_id, order.attempt)
         return web.Response(status=204)
 
+    async def _streams(self, request: web.Request) -> web.Response:
+        """Return the number of streams with a cache, for tests."""
+        return web.json_response(self._caches.stream_count())
+
+    async def _export(self, request: web.Request) -> web.Response:
+        """Return the KV cache of the stream that the query names."""
+        block = self._caches.export(
+            request.query['stream_id'],
+            int(request.query['first_layer']),
+            int(request.query['stop_layer']),
+        )
+        if block is None:
+            return web.Response(status=404)
+        positions = sum(len(digests) - 1 for digests in block.digests)
+        block.padding = bytes(positions * self._cache_bytes)
+        await self._pace.work(0, len(block.padding))
+        return web.Response(
+            body=_encode(block),
+            content_type=protocol.MEDIA_TYPE,
+        )
+
+    async def _import(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        await self._pace.work(0, len(body))
+        is_taken = self._caches.take(_decode(body, type=protocol.CacheBlock))
+        return web.Response(status=204 if is_taken else 409)
+
     async def _order(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(
             await request.read(),
@@ -184,6 +218,7 @@
     layer_tokens_per_s: float = 8_000.0,
     link_bytes_per_s: float = 0.0,
     activation_bytes: int = 16_384,
+    cache_bytes: int = 4_096,
 ) -> None:
     """Run the engine stand-in.
 
@@ -196,7 +231,14 @@
         raise typer.BadParameter('layers are START-STOP')
     caches = StreamCaches(name, held.start, held.stop, layer_count)
     pace = Pace(layer_tokens_per_s, link_bytes_per_s, time.monotonic)
-    engine = Engine(caches, pace, model, version, activation_bytes)
+    engine = Engine(
+        caches,
+        pace,
+        model,
+        version,
+        activation_bytes,
+        cache_bytes,
+    )
     ports = (
         (engine.app(), port),
         (faults.control_app(engine.board), control_port),
--- /dev/null
+++ b/tests/pipelines/test_processes.py
@@ -0,0 +1,202 @@
+"""Drafts through real processes that are killed, silenced or stopped."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import unittest
+from urllib import parse
+
+from nutmegspoke.bench import processes
+from nutmegspoke.bench.deployment import Daemon, Deployment
+from nutmegspoke.standins.arithmetic import token_text
+from tests import builders_pipelines as build
+from tests import deployments
+
+_TOKENS = 24
+_LAYERS = 12
+_TABLES = """\
+[route drafts]
+path = /v1/completions
+model = fanletter
+pool = drafting
+repeatable = yes
+progress_timeout_s = 0.5
+
+[pool drafting]
+kind = engine
+model = fanletter
+version = 1
+layer_count = 12
+selector = drafting
+"""
+_ENGINES = (
+    ('a1', '0-4'),
+    ('a2', '0-4'),
+    ('b1', '4-8'),
+    ('b2', '4-8'),
+    ('c1', '8-12'),
+    ('c2', '8-12'),
+)
+
+
+class Caller:
+    """A caller that reads a streamed answer event by event."""
+
+    def __init__(self, url: str, event_id: str = '') -> None:
+        """Send the request."""
+        address = parse.urlsplit(url)
+        self._connection = http.client.HTTPConnection(
+            address.hostname,
+            address.port,
+            timeout=30,
+        )
+        body = {
+            'model': 'fanletter',
+            'prompt': build.PROMPT,
+            'max_tokens': _TOKENS,
+            'seed': 7,
+            'stream': True,
+        }
+        headers = {'Last-Event-ID': event_id} if event_id else {}
+        self._connection.request(
+            'POST',
+            '/v1/completions',
+            json.dumps(body),
+            headers,
+        )
+        self._response = self._connection.getresponse()
+        self.event_id = event_id
+        self.texts: list[str] = []
+        self.is_done = False
+
+    def read(self, count: int = _TOKENS + 1) -> list[str]:
+        """Read events until some tokens have come or the answer ends."""
+        while count and not self.is_done:
+            line = self._response.readline().decode().strip()
+            if line.startswith('id: '):
+                self.event_id = line.removeprefix('id: ')
+            if line == 'data: [DONE]':
+                self.is_done = True
+            elif line.startswith('data: '):
+                event = json.loads(line.removeprefix('data: '))
+                self.texts.append(event['choices'][0]['text'])
+                count -= 1
+        return self.texts
+
+    def hang_up(self) -> None:
+        """Close the connection."""
+        self._response.close()
+        self._connection.close()
+
+
+class ProcessesTest(unittest.TestCase):
+    """Two daemons before two engines for each layer range."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start all processes."""
+        cls.deployment = cls.enterClassContext(Deployment())
+        for name, layers in _ENGINES:
+            cls.deployment.start_target(
+                name,
+                'engine',
+                'drafting',
+                'pnw-a',
+                '--layers',
+                layers,
+                '--layer-tokens-per-s',
+                '800',
+            )
+        cls.daemons = [
+            cls.deployment.start_daemon(name) for name in ('d1', 'd2', 'd3')
+        ]
+        deployments.apply(cls.deployment, _TABLES)
+        cls.deployment.wait_ready()
+        for daemon in cls.daemons:
+            cls.deployment.wait_targets(daemon, len(_ENGINES))
+        cls.right = [
+            token_text(token)
+            for token in build.right_answer(
+                count=_TOKENS,
+                layer_count=_LAYERS,
+            )
+        ]
+
+    def assert_ends(self) -> None:
+        """No engine keeps a stream."""
+        urls = [
+            target.url
+            for target in self.deployment.targets.values()
+            if target.is_running()
+        ]
+        processes.wait_until(
+            lambda: (
+                not any(processes.call_json(f'{url}/streams') for url in urls)
+            ),
+        )
+
+    def used(self, daemon: Daemon, layers: str) -> processes.Process:
+        """Return the engine of a layer range that a daemon uses now."""
+        targets = self.deployment.status(daemon)['targets']
+        name = next(
+            target['name']
+            for target in targets
+            if target['layers'] == layers and target['in_flight']
+        )
+        return self.deployment.targets[name]
+
+    def test_caller_hangs_up_and_comes_back(self) -> None:
+        """The engines' streams end; the answer goes on elsewhere."""
+        caller = Caller(self.daemons[0].url)
+        first = list(caller.read(5))
+        caller.hang_up()
+        self.assert_ends()
+        again = Caller(self.daemons[1].url, caller.event_id)
+        self.assertEqual(first + again.read(), self.right)
+        self.assert_ends()
+
+    def test_engine_goes_silent_on_open_connections(self) -> None:
+        """The answer is whole and the engine is not blamed."""
+        daemon = self.daemons[1]
+        caller = Caller(daemon.url)
+        caller.read(5)
+        silent = self.used(daemon, '4-8')
+        silent.order_fault('silence')
+        self.assertEqual(caller.read(), self.right)
+        state = {
+            target['name']: target['state']
+            for target in self.deployment.status(daemon)['targets']
+        }
+        self.assertEqual(state[silent.name], 'live')
+
+    def test_daemon_frozen_while_its_stream_goes_on_elsewhere(self) -> None:
+        """The one that wakes changes nothing."""
+        frozen = self.daemons[1]
+        caller = Caller(frozen.url)
+        first = list(caller.read(5))
+        frozen.process.popen.send_signal(signal.SIGSTOP)
+        try:
+            again = Caller(self.daemons[0].url, caller.event_id)
+            middle = list(again.read(5))
+        finally:
+            frozen.process.popen.send_signal(signal.SIGCONT)
+        late = caller.read()
+        self.assertEqual(late, self.right[: len(late)])
+        self.assertEqual(first + again.read(), self.right)
+        self.assertEqual(middle, self.right[5:10])
+        self.assert_ends()
+
+    def test_killed_daemon_then_killed_engine(self) -> None:
+        """Resumed elsewhere, and whole after an engine's death too."""
+        killed = self.daemons[2]
+        caller = Caller(killed.url)
+        first = list(caller.read(5))
+        killed.process.kill()
+        again = Caller(self.daemons[0].url, caller.event_id)
+        again.read(5)
+        self.used(self.daemons[0], '4-8').kill()
+        self.assertEqual(first + again.read(), self.right)
+        self.assertTrue(again.is_done)
+        self.assert_ends()
