--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         """Create a store without rows."""
         self.rows: dict[str, platform.StoredRow] = {}
+        self.last_versions: dict[str, int] = {}
         self.commit_count = 0
 
     def row(self, key: str) -> platform.StoredRow:
@@ -55,12 +56,22 @@
         if failed:
             return platform.Conflict(failed)
         for write in transaction.writes:
-            version = self.row(write.key).version + 1
-            row = platform.StoredRow(write.key, version, write.body)
-            self.rows[write.key] = row
+            self._write(write)
         keys = [write.key for write in transaction.writes]
         return platform.Committed(tuple(map(self.row, keys)))
 
+    def _write(self, write: platform.Write) -> None:
+        version = self.last_versions.get(write.key, 0) + 1
+        self.last_versions[write.key] = version
+        if write.body is None:
+            self.rows.pop(write.key, None)
+            return
+        self.rows[write.key] = platform.StoredRow(
+            write.key,
+            version,
+            write.body,
+        )
+
 
 class FakeTables:
     """A table service whose next commits show the faults of a script.
--- /dev/null
+++ b/tests/claims/test_machine.py
@@ -0,0 +1,374 @@
+"""Random interleavings of daemons, a faulty store and dying targets.
+
+The journal of the service is the judge: at most one run for each key, and
+what each caller is told is true.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import unittest
+from typing import TYPE_CHECKING
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from nutmegspoke import outcomes, platform
+from nutmegspoke.claims import steps
+from nutmegspoke.claims.decider import ClaimDecider, ClaimLimits
+from nutmegspoke.claims.settlement import Verdict, settle
+from tests import builders_claims as build
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_Reason = outcomes.RefusalReason
+_KEYS = tuple(f'claim/press/send/{name}' for name in 'abcd')
+_SOME_KEY = st.sampled_from(_KEYS)
+_SOME_DAEMON = st.integers(0, 2)
+_SOME_CALLER = st.integers(0, 3)
+_FAULTS = st.sampled_from(('', '', '', '', 'lost', 'dropped', 'late', 'down'))
+_FATES = st.sampled_from(('ok', 'ok', 'error', 'refused', 'broken', 'died'))
+
+
+@dataclasses.dataclass
+class Daemon:
+    """A daemon; one that is killed is replaced by one of a new name."""
+
+    name: str
+    decider: ClaimDecider
+    is_killed: bool = False
+
+
+@dataclasses.dataclass
+class Caller:
+    """A request on its way through a daemon."""
+
+    daemon: Daemon
+    claim: steps.ClaimRequest
+    step: steps.Step
+    may_run: bool = False
+
+
+@dataclasses.dataclass
+class Run:
+    """An entry of the service's journal."""
+
+    request_id: str
+    body: str
+
+
+class World(RuleBasedStateMachine):
+    """Three daemons, one store, one service."""
+
+    def __init__(self) -> None:
+        """Start the daemons."""
+        super().__init__()
+        self.now_s = 1000.0
+        self.number = 0
+        self.store = build.RowStore()
+        self.late: list[platform.Transaction] = []
+        self.is_down = False
+        self.journal = collections.defaultdict(list)
+        self.told: list[tuple[Caller, outcomes.Outcome]] = []
+        self.sent: list[Caller] = []
+        self.open: list[Caller] = []
+        self.daemons = [self._daemon() for _ in range(3)]
+
+    def _next(self) -> int:
+        self.number += 1
+        return self.number
+
+    def _daemon(self) -> Daemon:
+        name = f'd{self._next()}'
+        limits = ClaimLimits()
+        decider = ClaimDecider(name, steps.UnknownHolders(), limits)
+        return Daemon(name, decider)
+
+    def _commit(
+        self,
+        transaction: platform.Transaction,
+        fault: str,
+    ) -> platform.CommitResult:
+        if self.is_down or fault == 'down':
+            return platform.Unavailable('down')
+        if fault == 'late':
+            self.late.append(transaction)
+        if fault in {'late', 'dropped'}:
+            return platform.InDoubt(fault)
+        result = self.store.apply(transaction)
+        return platform.InDoubt(fault) if fault == 'lost' else result
+
+    def _tell(self, caller: Caller, outcome: outcomes.Outcome) -> None:
+        self.told.append((caller, outcome))
+        if caller in self.open:
+            self.open.remove(caller)
+        self._check_truth(caller, outcome)
+
+    def _check_truth(self, caller: Caller, outcome: outcomes.Outcome) -> None:
+        runs = self.journal[caller.claim.key]
+        if isinstance(outcome, outcomes.Completed | outcomes.Failed):
+            assert len(runs) == 1
+            assert outcome.body == runs[0].request_id.encode()
+            assert runs[0].body == caller.claim.fingerprint
+            own = runs[0].request_id == caller.claim.request_id
+            assert outcome.replayed != own
+        if isinstance(outcome, outcomes.NotRun):
+            assert caller.claim.request_id not in [r.request_id for r in runs]
+        if isinstance(outcome, outcomes.Unknown):
+            assert caller.may_run or self._is_explained(caller), outcome
+
+    def _is_explained(self, caller: Caller) -> bool:
+        """Tell whether another request may have run under the key."""
+        key = caller.claim.key
+        refused = [
+            each.claim.request_id
+            for each, outcome in self.told
+            if isinstance(outcome, outcomes.NotRun)
+        ]
+        return any(
+            each.claim.key == key
+            and each is not caller
+            and (
+                each.claim.request_id not in refused
+                or each.daemon.is_killed
+                or each.daemon.decider.open_count
+            )
+            for each in self.sent
+        )
+
+    def _advance(self, caller: Caller, fault: str) -> None:
+        """Carry out one step of a caller's claim."""
+        if caller not in self.open:
+            return
+        decider = caller.daemon.decider
+        match caller.step:
+            case steps.CommitClaim(key, transaction):
+                commit = self._commit(transaction, fault)
+                caller.step = decider.committed(key, commit, self.now_s)
+            case steps.ReadClaim(key):
+                found = self.store.row(key)
+                if self.is_down or fault == 'down':
+                    found = platform.Unavailable(fault)
+                caller.step = decider.read(key, found, self.now_s)
+            case steps.Proceed():
+                self._check_dispatch(caller)
+        if isinstance(caller.step, steps.Answer):
+            self._tell(caller, caller.step.outcome)
+
+    def _check_dispatch(self, caller: Caller) -> None:
+        if caller.may_run:
+            return
+        decider = caller.daemon.decider
+        step = decider.dispatch(caller.claim.key, self.now_s)
+        if isinstance(step, steps.Proceed):
+            caller.may_run = True
+            return
+        decider.finish(caller.claim.key, step.outcome, self.now_s)
+        caller.step = step
+
+    def _run(self, caller: Caller, fate: str) -> None:
+        """Let a call that may leave reach the service or not."""
+        key = caller.claim.key
+        body = caller.claim.request_id.encode()
+        if fate in {'ok', 'error', 'broken'}:
+            self._journal(caller)
+        outcome = {
+            'ok': outcomes.Completed(200, body),
+            'error': outcomes.Failed(500, body),
+            'refused': outcomes.NotRun(_Reason.TARGET_REFUSED, 1.0),
+            'broken': outcomes.Unknown(outcomes.UnknownReason.ANSWER_LOST),
+            'died': outcomes.Unknown(outcomes.UnknownReason.ANSWER_LOST),
+        }[fate]
+        caller.daemon.decider.finish(key, outcome, self.now_s)
+        self._tell(caller, outcome)
+
+    @rule(
+        daemon=_SOME_DAEMON,
+        key=_SOME_KEY,
+        body=st.sampled_from(('x', 'x', 'x', 'y')),
+    )
+    def send(self, daemon: int, key: str, body: str) -> None:
+        """A caller sends a key to a daemon."""
+        claim = build.claim_request(
+            str(self._next()),
+            key=key,
+            fingerprint=body,
+            started_s=self.now_s,
+        )
+        chosen = self.daemons[daemon]
+        step = chosen.decider.begin(claim, self.now_s)
+        caller = Caller(chosen, claim, step)
+        self.sent.append(caller)
+        self.open.append(caller)
+        if isinstance(step, steps.Answer):
+            self._tell(caller, step.outcome)
+
+    @precondition(lambda self: self.open)
+    @rule(number=_SOME_CALLER, fault=_FAULTS, fate=_FATES)
+    def step(self, number: int, fault: str, fate: str) -> None:
+        """A daemon takes one step for a caller; its call may run."""
+        caller = self.open[number % len(self.open)]
+        if caller.may_run:
+            self._run(caller, fate)
+        else:
+            self._advance(caller, fault)
+
+    @precondition(lambda self: self.open)
+    @rule(number=_SOME_CALLER, fate=_FATES)
+    def stride(self, number: int, fate: str) -> None:
+        """A daemon takes a caller to its outcome; the store does not fail."""
+        caller = self.open[number % len(self.open)]
+        while caller in self.open and not caller.may_run:
+            self._advance(caller, '')
+        if caller in self.open:
+            self._run(caller, fate)
+
+    @rule(daemon=_SOME_DAEMON, fault=_FAULTS)
+    def write_outcomes(self, daemon: int, fault: str) -> None:
+        """A daemon sends the outcome writes and releases that are due."""
+        self._write_outcomes(daemon, fault)
+
+    def _write_outcomes(self, daemon: int, fault: str) -> None:
+        decider = self.daemons[daemon].decider
+        for write in decider.due(self.now_s):
+            commit = self._commit(write.transaction, fault)
+            decider.settled(write.key, commit)
+
+    @rule(
+        kind=st.sampled_from(
+            ('land', 'land', 'wait', 'store', 'kill', 'settle')
+        ),
+        daemon=_SOME_DAEMON,
+        key=_SOME_KEY,
+        wait_s=st.sampled_from((0.3, 6.0, 70.0)),
+        runs=st.booleans(),
+    )
+    def disturb(
+        self,
+        kind: str,
+        daemon: int,
+        key: str,
+        wait_s: float,
+        runs: bool,
+    ) -> None:
+        """Something happens to daemons, store or time.
+
+        Daemons that take no step while time passes were frozen.
+        """
+        match kind:
+            case 'land' if self.late:
+                self.store.apply(self.late.pop(0))
+            case 'wait':
+                self.now_s += wait_s
+            case 'store':
+                self.is_down = not self.is_down
+            case 'kill':
+                self._kill(daemon, runs=runs)
+            case 'settle':
+                self._settle(key)
+
+    def _kill(self, daemon: int, *, runs: bool) -> None:
+        """A daemon dies, its calls may run, its callers are told nothing."""
+        gone = self.daemons[daemon]
+        gone.is_killed = True
+        for caller in list(self.open):
+            if caller.daemon is not gone:
+                continue
+            self.open.remove(caller)
+            if caller.may_run and runs:
+                self._journal(caller)
+        self.daemons[daemon] = self._daemon()
+
+    def _journal(self, caller: Caller) -> None:
+        run = Run(caller.claim.request_id, caller.claim.fingerprint)
+        self.journal[caller.claim.key].append(run)
+
+    def _settle(self, key: str) -> None:
+        """An operator says what the journal says, once the holder is gone."""
+        live = {daemon.name for daemon in self.daemons}
+        verdict = Verdict.RAN if self.journal[key] else Verdict.NOT_RUN
+        found = self.store.row(key)
+        write = settle(found, verdict, 'operator', live)
+        if isinstance(write, platform.Transaction):
+            self.store.apply(write)
+
+    @invariant()
+    def at_most_one_run(self) -> None:
+        """No key runs twice."""
+        for key, runs in self.journal.items():
+            assert len(runs) <= 1, (key, runs)
+
+    @invariant()
+    def refusals_stay_true(self) -> None:
+        """What was refused never runs later."""
+        for caller, outcome in self.told:
+            if isinstance(outcome, outcomes.NotRun):
+                self._check_truth(caller, outcome)
+
+    def teardown(self) -> None:
+        """Once faults end, each key replays, runs, or stays unknown."""
+        self.is_down = False
+        for transaction in self.late:
+            self.store.apply(transaction)
+        for caller in list(self.open):
+            self._finish(caller)
+        self.now_s += 60.0
+        for number in range(3):
+            self._until(lambda number=number: self._drained(number))
+        for key in _KEYS:
+            self._check_repeat(key)
+
+    def _finish(self, caller: Caller) -> None:
+        while caller in self.open:
+            if caller.may_run:
+                self._run(caller, 'ok')
+            else:
+                self._advance(caller, '')
+
+    def _drained(self, number: int) -> bool:
+        self.now_s += 60.0
+        self._write_outcomes(number, '')
+        return self.daemons[number].decider.open_count == 0
+
+    def _until(self, is_over: Callable[[], bool]) -> None:
+        assert any(is_over() for _ in range(5))
+
+    def _check_repeat(self, key: str) -> None:
+        ran = list(self.journal[key])
+        body = ran[0].body if ran else 'x'
+        outcome = self._ask(key, body)
+        if isinstance(outcome, outcomes.NotRun):
+            assert outcome.reason in {_Reason.KEY_RUNNING, _Reason.KEY_REUSED}
+            self.now_s += 70.0
+            outcome = self._ask(key, body)
+        if isinstance(outcome, outcomes.NotRun):
+            assert outcome.reason is _Reason.KEY_REUSED
+            assert not ran
+
+    def _ask(self, key: str, body: str) -> outcomes.Outcome:
+        self.send(0, key, body)
+        caller = self.sent[-1]
+        self._finish(caller)
+        assert self.told[-1][0] is caller
+        return self.told[-1][1]
+
+
+World.TestCase.settings = settings(
+    max_examples=500,
+    stateful_step_count=50,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.explicit, Phase.generate),
+)
+
+
+class ClaimMachineTest(World.TestCase, unittest.TestCase):
+    """The machine as a test."""
