--- /dev/null
+++ b/nutmegspoke/border/group_commit.py
@@ -0,0 +1,64 @@
+"""Commits claim writes in groups, a few groups at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from nutmegspoke.claims.grouping import CommitGroups, Group
+
+if TYPE_CHECKING:
+    from nutmegspoke import platform
+
+_MAX_MEMBERS = 64
+_MAX_GROUPS_IN_FLIGHT = 4
+
+
+class GroupCommitter:
+    """Takes single transactions and sends them in groups.
+
+    A transaction that comes while no group is in flight is sent at once, so
+    that a daemon with little to do does not wait.
+    """
+
+    def __init__(self, tables: platform.TableService) -> None:
+        """Create a committer.
+
+        :param tables: the platform's table service.
+        """
+        self._tables = tables
+        self._groups = CommitGroups(_MAX_MEMBERS)
+        self._results: dict[int, asyncio.Future[platform.CommitResult]] = {}
+        self._in_flight: set[asyncio.Task[None]] = set()
+
+    async def commit(
+        self,
+        transaction: platform.Transaction,
+    ) -> platform.CommitResult:
+        """Carry out a transaction as part of a group."""
+        number = self._groups.add(transaction)
+        result = asyncio.get_running_loop().create_future()
+        self._results[number] = result
+        self._send_groups()
+        return await result
+
+    def _send_groups(self) -> None:
+        while len(self._in_flight) < _MAX_GROUPS_IN_FLIGHT:
+            group = self._groups.take()
+            if group is None:
+                return
+            task = asyncio.create_task(self._send(group))
+            self._in_flight.add(task)
+            task.add_done_callback(self._sent)
+
+    async def _send(self, group: Group) -> None:
+        commit = await self._tables.commit(group.transaction())
+        for part in self._groups.resolve(group, commit):
+            future = self._results.pop(part.number)
+            if not future.done():
+                future.set_result(part.commit)
+
+    def _sent(self, task: asyncio.Task[None]) -> None:
+        self._in_flight.discard(task)
+        task.result()
+        self._send_groups()
--- /dev/null
+++ b/nutmegspoke/claims/grouping.py
@@ -0,0 +1,175 @@
+"""Joins claim writes into transactions and takes their results apart."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke import platform
+from nutmegspoke.errors import BrokenInvariantError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A transaction that waits for its result.
+
+    :param number: tells members apart.
+    :param transaction: what it wants.
+    """
+
+    number: int
+    transaction: platform.Transaction
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """The result of one member.
+
+    :param number: number of the member.
+    :param commit: what became of its transaction.
+    """
+
+    number: int
+    commit: platform.CommitResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Group:
+    """Members that are committed together."""
+
+    members: tuple[Member, ...]
+
+    def transaction(self) -> platform.Transaction:
+        """Return the transaction of all members."""
+        return platform.Transaction(
+            conditions=tuple(
+                condition
+                for member in self.members
+                for condition in member.transaction.conditions
+            ),
+            writes=tuple(
+                write
+                for member in self.members
+                for write in member.transaction.writes
+            ),
+        )
+
+
+class CommitGroups:
+    """Forms groups in which no row stands twice.
+
+    A transaction is carried out whole or not at all. A group whose condition
+    fails for some members leaves the others without a result; they go first
+    into the next group. A group in doubt is in doubt for each member: each
+    finds out by its own row.
+    """
+
+    def __init__(self, max_members: int) -> None:
+        """Create without members.
+
+        :param max_members: members of a group at most.
+        """
+        self._max_members = max_members
+        self._waiting: list[Member] = []
+        self._sent_keys: set[str] = set()
+        self._last_number = 0
+
+    def add(self, transaction: platform.Transaction) -> int:
+        """Let a transaction wait for the next group; returns its number."""
+        self._last_number += 1
+        self._waiting.append(Member(self._last_number, transaction))
+        return self._last_number
+
+    def take(self) -> Group | None:
+        """Return the next group to commit; ``None`` if there is none."""
+        chosen: list[Member] = []
+        left: list[Member] = []
+        for member in self._waiting:
+            keys = _keys(member.transaction)
+            is_full = len(chosen) >= self._max_members
+            if is_full or keys & self._sent_keys:
+                left.append(member)
+                continue
+            self._sent_keys |= keys
+            chosen.append(member)
+        self._waiting = left
+        return Group(tuple(chosen)) if chosen else None
+
+    def resolve(
+        self,
+        group: Group,
+        commit: platform.CommitResult,
+    ) -> tuple[Result, ...]:
+        """Return the results of members; the rest wait for another group.
+
+        :param group: a group that :meth:`take` returned.
+        :param commit: what the table service answered.
+        """
+        for member in group.members:
+            self._sent_keys -= _keys(member.transaction)
+        if isinstance(commit, platform.Conflict):
+            return self._split(group, commit)
+        return tuple(
+            Result(member.number, _part(member, commit))
+            for member in group.members
+        )
+
+    def _split(
+        self,
+        group: Group,
+        conflict: platform.Conflict,
+    ) -> tuple[Result, ...]:
+        parts = {
+            member: _conflict_part(member, conflict.rows)
+            for member in group.members
+        }
+        failed = {member: part for member, part in parts.items() if part.rows}
+        if not failed:
+            raise BrokenInvariantError('a conflict that names no member')
+        others = [member for member in group.members if member not in failed]
+        self._waiting[:0] = others
+        return tuple(
+            Result(member.number, part) for member, part in failed.items()
+        )
+
+
+def _keys(transaction: platform.Transaction) -> set[str]:
+    conditions = {condition.key for condition in transaction.conditions}
+    return conditions | {write.key for write in transaction.writes}
+
+
+def _part(
+    member: Member,
+    commit: platform.CommitResult,
+) -> platform.CommitResult:
+    if isinstance(commit, platform.Committed):
+        return platform.Committed(_rows_of(member, commit.rows))
+    return commit
+
+
+def _conflict_part(
+    member: Member,
+    rows: Iterable[platform.StoredRow],
+) -> platform.Conflict:
+    versions = {
+        condition.key: condition.version
+        for condition in member.transaction.conditions
+    }
+    return platform.Conflict(
+        tuple(
+            row
+            for row in rows
+            if row.key in versions and row.version != versions[row.key]
+        ),
+    )
+
+
+def _rows_of(
+    member: Member,
+    rows: Iterable[platform.StoredRow],
+) -> tuple[platform.StoredRow, ...]:
+    keys = _keys(member.transaction)
+    return tuple(row for row in rows if row.key in keys)
