Add metrics, bounded bodies and the reasons of the callers' port

Cause: a body over the limit was answered while the caller still sent it, and the reset ate the answer; broken JSON was told as an unknown model. Bodies are now read by the router itself, the rest of a large one is drained, and each refusal has its own reason. tests/border/test_callers.py failed first.

--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -13,6 +13,7 @@
 
 BUILTIN_EXTENSIONS = (
     'nutmegspoke.border.inflight',
+    'nutmegspoke.border.metrics',
     'nutmegspoke.border.http_sessions',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
--- a/nutmegspoke/border/answers.py
+++ b/nutmegspoke/border/answers.py
@@ -42,22 +42,33 @@
         self._write_timeout_s = write_timeout_s
         self._response: HTTPResponse | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the head of the answer is sent."""
+        return self._response is not None
+
     async def write(
         self,
         stream: AsyncIterator[DraftItem],
-    ) -> outcomes.Outcome | None:
-        """Send all tokens; a refusal before the first one is returned."""
+    ) -> outcomes.Outcome:
+        """Send all tokens and return the outcome.
+
+        A refusal before the first token is not sent but returned.
+        """
+        outcome: outcomes.Outcome = outcomes.Unknown(
+            outcomes.UnknownReason.STREAM_LOST,
+        )
         try:
             async for item in stream:
                 if isinstance(item, DraftToken):
                     await self._send_token(item)
-                elif self._response is None:
-                    return item
                 else:
-                    await self._finish(item)
+                    outcome = item
         finally:
             await stream.aclose()
-        return None
+        if self.has_begun:
+            await self._finish(outcome)
+        return outcome
 
     async def _send_token(self, token: DraftToken) -> None:
         if self._response is None:
--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
-import zlib
 from typing import TYPE_CHECKING
 
 from sanic import HTTPResponse, Request, Sanic, exceptions
@@ -17,27 +17,33 @@
 from nutmegspoke.border.drafts import DraftService
 from nutmegspoke.border.inflight import NAME as INFLIGHT
 from nutmegspoke.border.inflight import InFlight
+from nutmegspoke.border.matching import Matched, read_and_match
+from nutmegspoke.border.metrics import NAME as METRICS
+from nutmegspoke.border.metrics import Metrics
 from nutmegspoke.border.request_ids import new_request_id
 from nutmegspoke.border.sanic_server import SanicServer, new_app
 from nutmegspoke.border.tables_watch import NAME as TABLES
 from nutmegspoke.border.tables_watch import TablesWatch
-from nutmegspoke.requests import CallRequest, DraftRequest
-from nutmegspoke.tables.matching import match_route, path_is_routed
 from nutmegspoke.tables.rows import PoolKind
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
-    from nutmegspoke.tables.rows import PoolRow, RouteRow
 
 logger = logging.getLogger(__name__)
 NAME = 'callers'
-TEAM_HEADER = 'Nutmegspoke-Team'
-KEY_HEADER = 'Idempotency-Key'
-RESUME_HEADER = 'Last-Event-ID'
 READY_PATH = '/.nutmegspoke/ready'
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
-_DRAFT_PATHS = frozenset((completions.COMPLETIONS_PATH, completions.CHAT_PATH))
 _NOT_READY_RETRY_AFTER_S = 2.0
+_DRAINED_BODY_BYTES = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Served:
+    """What became of a request, and whether its answer is already sent."""
+
+    outcome: outcomes.Outcome
+    route: str = ''
+    is_sent: bool = False
 
 
 class CallersPort:
@@ -52,10 +58,11 @@
         self._drafts = kernel.find(DRAFTS, DraftService)
         self._calls = kernel.find(CALLS, CallService)
         self._in_flight = kernel.find(INFLIGHT, InFlight)
+        self._metrics = kernel.find(METRICS, Metrics)
         limits = app.settings.limits
         self._sanic = new_app(
             'nutmegspoke-callers',
-            REQUEST_MAX_SIZE=limits.max_body_bytes,
+            REQUEST_MAX_SIZE=_DRAINED_BODY_BYTES,
             REQUEST_MAX_HEADER_SIZE=limits.max_header_bytes,
             KEEP_ALIVE_TIMEOUT=limits.connection_idle_s,
             RESPONSE_TIMEOUT=app.settings.stop.finish_limit_s,
@@ -82,29 +89,63 @@
 
     async def handle(self, request: Request) -> HTTPResponse | None:
         """Route one request."""
-        request_id = new_request_id(
-            self._settings.daemon.name,
-            self._clock.wall_s(),
-        )
+        request_id = self._new_request_id()
         request.ctx.request_id = request_id
+        received_s = self._clock.now_s()
         with self._in_flight.counted(request_id):
-            outcome = await self._serve(request, request_id)
-        if outcome is None:
+            served = await self._serve(request, request_id)
+        self._metrics.request_ended(
+            served.route,
+            served.outcome,
+            self._clock.now_s() - received_s,
+        )
+        if served.is_sent:
             return None
+        return _response(served.outcome, request_id)
+
+    def refuse(
+        self,
+        request: Request,
+        error: exceptions.SanicException,
+    ) -> HTTPResponse:
+        """Answer a request that the library can't read."""
+        reason = _library_reason(error)
+        request_id = self._new_request_id()
+        logger.info(
+            'callers: refused request=%s reason=%s error=%s',
+            request_id,
+            reason,
+            error,
+        )
+        outcome = outcomes.NotRun(reason, detail=str(error))
         return _response(outcome, request_id)
 
+    def _new_request_id(self) -> str:
+        return new_request_id(
+            self._settings.daemon.name,
+            self._clock.wall_s(),
+        )
+
     async def _serve(
         self,
         request: Request,
         request_id: str,
-    ) -> outcomes.Outcome | None:
+    ) -> _Served:
         if not self._tables.is_ready:
-            return outcomes.NotRun(
-                outcomes.RefusalReason.NOT_READY,
-                _NOT_READY_RETRY_AFTER_S,
-                'no tables known yet',
+            return _Served(
+                outcomes.NotRun(
+                    outcomes.RefusalReason.NOT_READY,
+                    _NOT_READY_RETRY_AFTER_S,
+                    'no tables known yet',
+                ),
             )
-        matched = self._match(request)
+        matched = await read_and_match(
+            request,
+            request_id,
+            self._tables.current,
+            self._settings.limits.max_body_bytes,
+            self._clock.now_s(),
+        )
         if isinstance(matched, outcomes.NotRun):
             logger.info(
                 'callers: refused request=%s reason=%s path=%s',
@@ -112,119 +153,47 @@
                 matched.reason,
                 request.path,
             )
-            return matched
-        route, pool = matched
+            return _Served(matched)
+        return await self._serve_matched(matched)
+
+    async def _serve_matched(self, matched: Matched) -> _Served:
+        route = matched.route
         logger.info(
             'callers: route matched request=%s route=%s pool=%s team=%s',
-            request_id,
+            matched.request_id,
             route.name,
-            pool.name,
-            _team(request),
+            matched.pool.name,
+            matched.team,
         )
-        if pool.kind is PoolKind.SERVICE:
-            call = self._call_request(request, request_id, route, pool)
-            return await self._calls.call(call)
-        return await self._draft(request, request_id, route, pool)
-
-    def _match(
-        self,
-        request: Request,
-    ) -> tuple[RouteRow, PoolRow] | outcomes.NotRun:
-        tables = self._tables.current
-        model = ''
-        if request.path in _DRAFT_PATHS:
-            model = completions.read_model(request.body)
-        team = _team(request)
-        route = match_route(tables, request.path, model, team)
-        if route is None:
-            reason = outcomes.RefusalReason.NO_ROUTE
-            if path_is_routed(tables, request.path):
-                reason = outcomes.RefusalReason.UNKNOWN_MODEL
-            return outcomes.NotRun(
-                reason,
-                detail=f'no route for path {request.path} model {model!r}',
-            )
-        if route.teams and team not in {share.team for share in route.teams}:
-            return outcomes.NotRun(
-                outcomes.RefusalReason.UNKNOWN_TEAM,
-                detail=f'team {team!r} has no share of route {route.name}',
-            )
-        if len(request.body) > route.max_body_bytes:
-            return outcomes.NotRun(outcomes.RefusalReason.BODY_TOO_LARGE)
-        pool = tables.pool(route.pool)
-        if pool is None:
-            return outcomes.NotRun(
-                outcomes.RefusalReason.NO_TARGET,
-                _NOT_READY_RETRY_AFTER_S,
-                f'route {route.name} names no known pool',
-            )
-        return route, pool
-
-    def _call_request(
-        self,
-        request: Request,
-        request_id: str,
-        route: RouteRow,
-        pool: PoolRow,
-    ) -> CallRequest:
-        now_s = self._clock.now_s()
-        path = request.path
-        if request.query_string:
-            path = f'{path}?{request.query_string}'
-        return CallRequest(
-            request_id=request_id,
-            team=_team(request),
-            route=route,
-            pool=pool,
-            revision=self._tables.current.revision,
-            method=request.method,
-            path=path,
-            body=request.body,
-            content_type=request.headers.get('Content-Type', ''),
-            idempotency_key=request.headers.get(KEY_HEADER, ''),
-            received_s=now_s,
-            deadline_s=now_s + route.timeout_s,
+        if matched.pool.kind is PoolKind.SERVICE:
+            outcome = await self._calls.call(matched.call_request())
+            return _Served(outcome, route.name)
+        call = completions.read_call(
+            matched.request.body,
+            is_chat=matched.request.path == completions.CHAT_PATH,
         )
+        if isinstance(call, outcomes.NotRun):
+            return _Served(call, route.name)
+        return await self._draft(matched, call)
 
     async def _draft(
         self,
-        request: Request,
-        request_id: str,
-        route: RouteRow,
-        pool: PoolRow,
-    ) -> outcomes.Outcome | None:
-        if request.method != 'POST':
-            return outcomes.NotRun(outcomes.RefusalReason.METHOD_NOT_ALLOWED)
-        call = completions.read_call(
-            request.body,
-            is_chat=request.path == completions.CHAT_PATH,
+        matched: Matched,
+        call: completions.CompletionCall,
+    ) -> _Served:
+        route = matched.route
+        stream = self._drafts.stream(matched.draft_request(call))
+        if not call.is_streamed:
+            outcome = await collect(stream, call, matched.request_id)
+            return _Served(outcome, route.name)
+        writer = StreamWriter(
+            matched.request,
+            call,
+            matched.request_id,
+            self._settings.limits.caller_write_timeout_s,
         )
-        if isinstance(call, outcomes.NotRun):
-            return call
-        now_s = self._clock.now_s()
-        draft = DraftRequest(
-            request_id=request_id,
-            team=_team(request),
-            route=route,
-            pool=pool,
-            revision=self._tables.current.revision,
-            prompt=call.prompt,
-            max_tokens=call.max_tokens,
-            seed=_seed(call, request_id),
-            received_s=now_s,
-            deadline_s=now_s + route.timeout_s,
-            resume_from=request.headers.get(RESUME_HEADER, ''),
-        )
-        stream = self._drafts.stream(draft)
-        if call.is_streamed:
-            writer = StreamWriter(
-                request,
-                call,
-                request_id,
-                self._settings.limits.caller_write_timeout_s,
-            )
-            return await writer.write(stream)
-        return await collect(stream, call, request_id)
+        outcome = await writer.write(stream)
+        return _Served(outcome, route.name, is_sent=writer.has_begun)
 
 
 def _add_handlers(sanic: Sanic, port: CallersPort) -> None:
@@ -235,8 +204,9 @@
             path,
             methods=_METHODS,
             name=f'any{len(path)}',
+            stream=True,
         )
-    sanic.error_handler.add(exceptions.SanicException, _library_error)
+    sanic.error_handler.add(exceptions.SanicException, port.refuse)
 
 
 def _without_arguments(port: CallersPort):
@@ -246,17 +216,14 @@
     return handler
 
 
-def _library_error(
-    request: Request,
-    error: exceptions.SanicException,
-) -> HTTPResponse:
-    reason = outcomes.RefusalReason.BAD_REQUEST
-    if isinstance(error, exceptions.PayloadTooLarge):
-        reason = outcomes.RefusalReason.BODY_TOO_LARGE
-    if isinstance(error, exceptions.MethodNotAllowed):
-        reason = outcomes.RefusalReason.METHOD_NOT_ALLOWED
-    logger.info('callers: refused reason=%s error=%s', reason, error)
-    return _response(outcomes.NotRun(reason, detail=str(error)), '')
+def _library_reason(error: exceptions.SanicException) -> outcomes.RefusalReason:
+    match error:
+        case exceptions.PayloadTooLarge():
+            return outcomes.RefusalReason.HEADER_TOO_LARGE
+        case exceptions.MethodNotAllowed():
+            return outcomes.RefusalReason.METHOD_NOT_ALLOWED
+        case _:
+            return outcomes.RefusalReason.BAD_REQUEST
 
 
 def _response(outcome: outcomes.Outcome, request_id: str) -> HTTPResponse:
@@ -269,16 +236,6 @@
     )
 
 
-def _team(request: Request) -> str:
-    return request.headers.get(TEAM_HEADER, '')
-
-
-def _seed(call: completions.CompletionCall, request_id: str) -> int:
-    if call.seed is not None:
-        return call.seed
-    return zlib.crc32(request_id.encode())
-
-
 def setup(app: Application) -> None:
     """Register the callers' port."""
     app.kernel.register(NAME, CallersPort(app))
--- a/nutmegspoke/border/completions.py
+++ b/nutmegspoke/border/completions.py
@@ -53,12 +53,15 @@
     model: str = ''
 
 
-def read_model(body: bytes) -> str:
-    """Return the model that a body names; empty if it names none."""
+def read_model(body: bytes) -> str | NotRun:
+    """Return the model that a body names; empty if it names none.
+
+    :param body: JSON of the caller.
+    """
     try:
         return msgspec.json.decode(body, type=_Model).model
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return ''
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _bad(f'the body is no completion call: {error}')
 
 
 def read_call(body: bytes, *, is_chat: bool) -> CompletionCall | NotRun:
--- a/nutmegspoke/border/operators.py
+++ b/nutmegspoke/border/operators.py
@@ -11,6 +11,8 @@
 
 from nutmegspoke.border.inflight import NAME as INFLIGHT
 from nutmegspoke.border.inflight import InFlight
+from nutmegspoke.border.metrics import NAME as METRICS
+from nutmegspoke.border.metrics import Metrics
 from nutmegspoke.border.sanic_server import SanicServer, new_app
 from nutmegspoke.border.settings import read_secret
 from nutmegspoke.border.tables_watch import NAME as TABLES
@@ -22,12 +24,14 @@
     from collections.abc import Awaitable, Callable
 
     from nutmegspoke.application import Application
+    from nutmegspoke.targets import Target
 
     _Handler = Callable[[Request], Awaitable[HTTPResponse]]
 
 logger = logging.getLogger(__name__)
 NAME = 'operators'
 _JSON = 'application/json'
+_METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
 
 class TargetStatus(msgspec.Struct):
@@ -62,10 +66,16 @@
         self._tables = app.kernel.find(TABLES, TablesWatch)
         self._targets = app.kernel.find(TARGETS, TargetWatch)
         self._in_flight = app.kernel.find(INFLIGHT, InFlight)
+        self._metrics = app.kernel.find(METRICS, Metrics)
         self._token = read_secret(app.settings.secrets.operators_token)
         sanic = new_app('nutmegspoke-operators')
         sanic.add_route(self._health, '/health')
         sanic.add_route(self._guarded(self._status), '/status', name='status')
+        sanic.add_route(
+            self._guarded(self._show_metrics),
+            '/metrics',
+            name='metrics',
+        )
         self._server = SanicServer(
             sanic,
             str(app.settings.daemon.host_address),
@@ -98,8 +108,23 @@
     async def _health(self, request: Request) -> HTTPResponse:
         return HTTPResponse(status=200)
 
-    async def _status(self, request: Request) -> HTTPResponse:
+    async def _show_metrics(self, request: Request) -> HTTPResponse:
+        text = self._metrics.show(
+            self._tables.current.revision,
+            len(self._in_flight.request_ids),
+            len(self._usable_targets()),
+        )
+        return HTTPResponse(text, content_type=_METRICS_TYPE)
+
+    def _usable_targets(self) -> list[Target]:
         now_s = self._app.clock.now_s()
+        return [
+            target
+            for pool in self._tables.current.pools
+            for target in self._targets.usable(pool.name, now_s)
+        ]
+
+    async def _status(self, request: Request) -> HTTPResponse:
         targets = tuple(
             TargetStatus(
                 target.name,
@@ -109,8 +134,7 @@
                 str(target.layers or ''),
                 target.own_in_flight,
             )
-            for pool in self._tables.current.pools
-            for target in self._targets.usable(pool.name, now_s)
+            for target in self._usable_targets()
         )
         daemon = self._app.settings.daemon
         status = Status(
--- a/nutmegspoke/border/responses.py
+++ b/nutmegspoke/border/responses.py
@@ -21,6 +21,7 @@
     {
         outcomes.RefusalReason.BAD_REQUEST: 400,
         outcomes.RefusalReason.BODY_TOO_LARGE: 413,
+        outcomes.RefusalReason.HEADER_TOO_LARGE: 431,
         outcomes.RefusalReason.NO_ROUTE: 404,
         outcomes.RefusalReason.UNKNOWN_MODEL: 404,
         outcomes.RefusalReason.METHOD_NOT_ALLOWED: 405,
--- a/nutmegspoke/border/settings.py
+++ b/nutmegspoke/border/settings.py
@@ -17,6 +17,7 @@
 _ENV_PREFIX = 'env:'
 _FILE_PREFIX = 'file:'
 _MIN_SECRET_CHARS = 16
+_PORT_COUNT = 3
 
 
 class _Section(pydantic.BaseModel):
@@ -33,6 +34,13 @@
     operators_port: _Port
     peers_port: _Port
 
+    @pydantic.model_validator(mode='after')
+    def _check_ports(self) -> Self:
+        ports = {self.callers_port, self.operators_port, self.peers_port}
+        if len(ports) < _PORT_COUNT:
+            raise ValueError('the three ports must differ')
+        return self
+
 
 class PlatformSection(_Section):
     """Where the platform's services are."""
@@ -154,4 +162,6 @@
         return f'{place}: unknown {"key" if keys else "section"}'
     if details['type'] == 'missing':
         return f'{place}: missing {"key" if keys else "section"}'
+    if not keys:
+        return f'{place}: {details["msg"]}'
     return f'{place}: {details["msg"]}, not {details["input"]!r}'
--- a/nutmegspoke/outcomes.py
+++ b/nutmegspoke/outcomes.py
@@ -19,6 +19,7 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    HEADER_TOO_LARGE = 'header_too_large'
     NO_ROUTE = 'no_route'
     UNKNOWN_MODEL = 'unknown_model'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -87,6 +87,7 @@
         app.router.add_post(protocol.CANCEL_PATH, self._cancel)
         app.router.add_post(protocol.ORDERS_PATH, self._order)
         app.router.add_get(protocol.LOAD_PATH, self._load)
+        app.router.add_get('/v1/streams', self._streams)
         return app
 
     async def _step(self, request: web.Request) -> web.Response:
@@ -142,6 +143,9 @@
             content_type='application/json',
         )
 
+    async def _streams(self, request: web.Request) -> web.Response:
+        return web.json_response({'streams': self._caches.stream_count()})
+
     def _report(self) -> protocol.LoadReport:
         return protocol.LoadReport(
             target=self._caches.target,
