--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,15 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m nutmegspoke.bench.demo
+
+prove: $(STAMP)
+	$(BIN)/python -m tests.prove
+
+mutations: $(STAMP)
+	$(BIN)/python -m tests.mutations
+
+measure: $(STAMP)
+	$(BIN)/python -m nutmegspoke.bench.measure
+
+measure-quick: $(STAMP)
+	$(BIN)/python -m nutmegspoke.bench.measure --quick
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of failures in a small language, run with real processes."""
