--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -24,6 +24,7 @@
             for command in scenario.commands:
                 stage.carry_out(command)
 
+    test.__name__ = f'test_{scenario.name}'
     test.__doc__ = f'{scenario.proves}: {scenario.name}.'
     return test
 
