--- /dev/null
+++ b/nutmegspoke/admission/returns.py
@@ -0,0 +1,133 @@
+"""Tells refused callers when to come back, and knows them when they do."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from nutmegspoke.admission.tickets import Ticket
+
+_EARLY_S = 0.05
+_GRACE_S = 15.0
+_LATE_S = 2.0
+_MAX_PROMISES = 20_000
+_LEAST_RETRY_AFTER_S = 0.05
+_LEAST_COST_PER_S = 1e-6
+
+
+class RandomSource(Protocol):
+    """A seeded source of random numbers, such as ``random.Random``."""
+
+    def random(self) -> float:
+        """Return a number in ``[0, 1)``."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Promise:
+    return_key: str
+    slot_s: float
+    due_s: float
+    cost: float
+
+
+class ReturnBook:
+    """Slots of the drain rate that are promised to refused callers.
+
+    Each team has its own row of slots, so that one that is refused often
+    doesn't push back the others.
+    """
+
+    def __init__(self, source: RandomSource) -> None:
+        """Create an empty book.
+
+        :param source: seeded source of the jitter.
+        """
+        self._source = source
+        self._last_slot_s: dict[str, float] = {}
+        self._promises: dict[str, dict[str, _Promise]] = (
+            collections.defaultdict(dict)
+        )
+        self._count = 0
+
+    def promise(
+        self,
+        ticket: Ticket,
+        ready_s: float,
+        cost_per_s: float,
+        now_s: float,
+    ) -> float:
+        """Give a refused caller the next free slot of its team.
+
+        :param ticket: the refused ticket.
+        :param ready_s: when the team's present backlog is drained.
+        :param cost_per_s: the team's share of the drain rate.
+        :param now_s: present time.
+        :returns: seconds to wait, with jitter of up to one slot.
+        """
+        self._expire(ticket.team, now_s)
+        length_s = ticket.cost / max(cost_per_s, _LEAST_COST_PER_S)
+        start_s = max(ready_s, self._last_slot_s.get(ticket.team, 0.0))
+        slot_s = start_s + length_s
+        self._last_slot_s[ticket.team] = slot_s
+        due_s = slot_s + self._source.random() * length_s
+        due_s = max(due_s, now_s + _LEAST_RETRY_AFTER_S)
+        self._remember(
+            ticket.team,
+            _Promise(ticket.return_key, slot_s, due_s, ticket.cost),
+        )
+        return due_s - now_s
+
+    def redeem(self, ticket: Ticket, now_s: float) -> bool:
+        """Tell whether a caller comes back as told, and take its slot."""
+        self._expire(ticket.team, now_s)
+        promises = self._promises[ticket.team]
+        promise = promises.get(ticket.return_key)
+        if promise is None or now_s < promise.due_s - _EARLY_S:
+            return False
+        promises.pop(ticket.return_key)
+        self._count -= 1
+        return True
+
+    def cost_with_due(
+        self,
+        team: str,
+        cost: float,
+        cost_per_s: float,
+        now_s: float,
+    ) -> float:
+        """Add the work that is promised before some other work is drained.
+
+        :param team: the team of the work.
+        :param cost: work to drain without the promises.
+        :param cost_per_s: the team's share of the drain rate.
+        :param now_s: present time.
+        """
+        for promise in self._promises[team].values():
+            if promise.slot_s > now_s + cost / cost_per_s:
+                break
+            if promise.due_s + _LATE_S > now_s:
+                cost += promise.cost
+        return cost
+
+    def _remember(self, team: str, promise: _Promise) -> None:
+        """Keep a promise behind the older ones of its team."""
+        promises = self._promises[team]
+        if promises.pop(promise.return_key, None) is not None:
+            self._count -= 1
+        if not promise.return_key or self._count >= _MAX_PROMISES:
+            return
+        promises[promise.return_key] = promise
+        self._count += 1
+
+    def _expire(self, team: str, now_s: float) -> None:
+        """Drop the promises of callers who did not come back."""
+        late: list[str] = []
+        for key, promise in self._promises[team].items():
+            if promise.slot_s + _GRACE_S >= now_s:
+                break
+            late.append(key)
+        for expired in late:
+            self._promises[team].pop(expired)
+        self._count -= len(late)
--- a/nutmegspoke/admission/tickets.py
+++ b/nutmegspoke/admission/tickets.py
@@ -18,7 +18,7 @@
     :param deadline_s: when it must be answered, on the daemon's clock.
     :param weight: share of the team under contention.
     :param max_in_flight: requests of the team in flight on this daemon;
-        0 for no limit.
+        ``None`` for no limit.
     :param priority: a higher one of the same team is served first.
     :param cost: work of the request, such as tokens; at least 1.
     :param return_key: digest by which a caller who comes back is known.
@@ -28,7 +28,7 @@
     team: str
     deadline_s: float
     weight: float = 1.0
-    max_in_flight: int = 0
+    max_in_flight: int | None = None
     priority: int = 0
     cost: float = 1.0
     return_key: str = ''
--- /dev/null
+++ b/nutmegspoke/admission/waits.py
@@ -0,0 +1,98 @@
+"""Expected waits, latest starts and refusals with an honest time to return."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke.outcomes import NotRun, RefusalReason
+
+if TYPE_CHECKING:
+    from nutmegspoke.admission.drain import DrainMeter
+    from nutmegspoke.admission.fair_order import Entry, FairOrder, TeamState
+    from nutmegspoke.admission.returns import ReturnBook
+
+logger = logging.getLogger(__name__)
+
+
+class WaitEstimator:
+    """Works out waits from the drain rate, the backlog and the promises."""
+
+    def __init__(
+        self,
+        order: FairOrder,
+        meter: DrainMeter,
+        returns: ReturnBook,
+    ) -> None:
+        """Create an estimator.
+
+        :param order: the waiting tickets.
+        :param meter: the measured rate.
+        :param returns: the slots promised to refused callers.
+        """
+        self._order = order
+        self._meter = meter
+        self._returns = returns
+
+    def latest_start_s(self, entry: Entry) -> float:
+        """Return when a ticket must start to meet its deadline."""
+        ticket = entry.ticket
+        return ticket.deadline_s - self._meter.service_s(ticket.cost)
+
+    def wait_s(self, entry: Entry, capacity: int, now_s: float) -> float:
+        """Return the wait behind the team's backlog and promised returns."""
+        team = self._order.team_of(entry.ticket)
+        rate = self._team_rate(team, capacity, now_s)
+        cost = team.cost_before(entry) + entry.ticket.cost
+        if not entry.is_due:
+            cost = self._returns.cost_with_due(team.name, cost, rate, now_s)
+        return cost / rate
+
+    def refusal(
+        self,
+        entry: Entry,
+        reason: RefusalReason,
+        capacity: int,
+        now_s: float,
+    ) -> NotRun:
+        """Refuse a ticket and promise it a slot to come back at."""
+        ticket = entry.ticket
+        team = self._order.team_of(ticket)
+        retry_after_s = self._returns.promise(
+            ticket,
+            now_s + self.wait_s(entry, capacity, now_s),
+            self._team_rate(team, capacity, now_s),
+            now_s,
+        )
+        logger.info(
+            'admission: refused request=%s team=%s reason=%s retry_after_s=%.2f',
+            ticket.request_id,
+            ticket.team,
+            reason.value,
+            retry_after_s,
+        )
+        return NotRun(reason, retry_after_s, _detail(reason))
+
+    def _team_rate(
+        self,
+        team: TeamState,
+        capacity: int,
+        now_s: float,
+    ) -> float:
+        """Return the work a second that a team gets under contention."""
+        rate = self._meter.cost_per_s(now_s, capacity)
+        rate *= self._order.share_of(team)
+        if team.max_in_flight is None:
+            return rate
+        by_limit = max(1, team.max_in_flight) / self._meter.service_s(1)
+        return min(rate, by_limit)
+
+
+def _detail(reason: RefusalReason) -> str:
+    match reason:
+        case RefusalReason.QUEUE_FULL:
+            return 'too many requests wait for this pool'
+        case RefusalReason.TEAM_LIMIT:
+            return 'the limit of the team is reached'
+        case _:
+            return 'the request would not be done by its deadline'
