Route drafts and calls by policy, behind the admission queues

The policy of the settings (flow, random, round_robin, least_in_flight) chooses chains and targets, with a log line for each choice; both go through the pool's admission queue. Engines report the bytes of a position, which the flow needs to turn link rates into tokens.

--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -16,6 +16,8 @@
     'nutmegspoke.border.http_sessions',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
+    'nutmegspoke.border.router',
+    'nutmegspoke.border.admission_gate',
     'nutmegspoke.border.drafts',
     'nutmegspoke.border.calls',
     'nutmegspoke.border.operators',
--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -10,11 +10,13 @@
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
 from nutmegspoke.claims import steps
+from nutmegspoke.routing.choices import TargetChoice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.border.router import Router
     from nutmegspoke.requests import CallRequest
     from nutmegspoke.targets import Target, TargetDirectory
 
@@ -51,16 +53,19 @@
         clock: Clock,
         targets: TargetDirectory,
         client: service_client.ServiceClient,
+        router: Router,
     ) -> None:
         """Create the sender.
 
         :param clock: the process's clock.
         :param targets: knows the targets of each pool.
         :param client: sends one call.
+        :param router: chooses the targets.
         """
         self._clock = clock
         self._targets = targets
         self._client = client
+        self._router = router
         self._in_flight: collections.Counter[str] = collections.Counter()
 
     async def run_once(
@@ -137,12 +142,15 @@
 
     def _pick(self, run: _Run, now_s: float) -> Target | None:
         usable = self._targets.usable(run.request.pool.name, now_s)
-        untried = [target for target in usable if target.name not in run.tried]
-        return min(
-            untried,
-            key=lambda target: self._in_flight[target.name],
-            default=None,
+        counted = tuple(
+            dataclasses.replace(
+                target,
+                own_in_flight=self._in_flight[target.name],
+            )
+            for target in usable
         )
+        choice = self._router.choose_target(run.request, counted, run.tried)
+        return choice.target if isinstance(choice, TargetChoice) else None
 
 
 class _Gate:
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -9,10 +9,14 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
+from nutmegspoke.border.admission_gate import NAME as ADMISSION
+from nutmegspoke.border.admission_gate import AdmissionGate
 from nutmegspoke.border.call_attempts import CallAttempts
 from nutmegspoke.border.claim_keeper import ClaimKeeper
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.router import NAME as ROUTER
+from nutmegspoke.border.router import Router, RouterOptions
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.claims import steps
@@ -44,6 +48,8 @@
         daemon: str,
         holders: steps.Holders | None = None,
         limits: ClaimLimits | None = None,
+        router: Router | None = None,
+        gate: AdmissionGate | None = None,
     ) -> None:
         """Create the service.
 
@@ -53,7 +59,11 @@
         :param daemon: name of this process, not used by any earlier one.
         :param holders: knows which daemons live.
         :param limits: bounds of the claims.
+        :param router: chooses the targets; a new one by default.
+        :param gate: lets calls into their pool; a new one by default.
         """
+        router = router or Router(clock, targets, RouterOptions())
+        self._gate = gate or AdmissionGate(clock, router, seed=0)
         decider = ClaimDecider(
             daemon,
             holders or steps.UnknownHolders(),
@@ -61,7 +71,7 @@
         )
         self._claims = ClaimKeeper(clock, tables, decider)
         self._client = service_client.ServiceClient()
-        self._attempts = CallAttempts(clock, targets, self._client)
+        self._attempts = CallAttempts(clock, targets, self._client, router)
         self._running: set[asyncio.Task[outcomes.Outcome]] = set()
 
     async def start(self) -> None:
@@ -90,13 +100,25 @@
         return await asyncio.shield(task)
 
     async def _run(self, request: CallRequest) -> outcomes.Outcome:
-        if request.route.repeatable:
-            return await self._attempts.run_repeatable(request)
-        if not request.idempotency_key:
+        if not (request.route.repeatable or request.idempotency_key):
             return outcomes.NotRun(
                 outcomes.RefusalReason.KEY_REQUIRED,
                 detail='the route needs an Idempotency-Key header',
             )
+        refusal = await self._gate.enter(request)
+        if refusal is not None:
+            return refusal
+        is_served = False
+        try:
+            outcome = await self._run_admitted(request)
+            is_served = isinstance(outcome, outcomes.Completed)
+        finally:
+            self._gate.leave(request, is_served=is_served)
+        return outcome
+
+    async def _run_admitted(self, request: CallRequest) -> outcomes.Outcome:
+        if request.route.repeatable:
+            return await self._attempts.run_repeatable(request)
         claim = await self._claims.acquire(request)
         if not isinstance(claim, str):
             return claim
@@ -123,5 +145,7 @@
         tables=app.kernel.find(SESSIONS, HttpSessions).platform.tables,
         targets=app.kernel.find(TARGETS, TargetWatch),
         daemon=f'{app.settings.daemon.name}.{start_id}',
+        router=app.kernel.find(ROUTER, Router),
+        gate=app.kernel.find(ADMISSION, AdmissionGate),
     )
     app.kernel.register(NAME, service)
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -8,10 +8,13 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
+from nutmegspoke.border.admission_gate import NAME as ADMISSION
+from nutmegspoke.border.admission_gate import AdmissionGate
 from nutmegspoke.border.engine_client import RelayCarrier
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
-from nutmegspoke.border.simple_chain import choose_chain
+from nutmegspoke.border.router import NAME as ROUTER
+from nutmegspoke.border.router import Router
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.engine_protocol import StepRefusal, StepReply
@@ -23,13 +26,13 @@
     SendStep,
     TokenReady,
 )
+from nutmegspoke.routing.choices import ChainChoice, NoChain, NoChoiceReason
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.layers import Chain
     from nutmegspoke.pipelines.carrier import StepCarrier
     from nutmegspoke.requests import DraftRequest
 
@@ -64,11 +67,19 @@
         clock: Clock,
         targets: TargetWatch,
         carrier: StepCarrier,
+        router: Router,
+        gate: AdmissionGate,
     ) -> None:
-        """Use a carrier towards the targets."""
+        """Use a carrier towards the targets.
+
+        :param router: chooses the chains.
+        :param gate: lets drafts into their pool.
+        """
         self._clock = clock
         self._targets = targets
         self._carrier = carrier
+        self._router = router
+        self._gate = gate
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -84,17 +95,49 @@
 
         :returns: the tokens in order, then one outcome.
         """
-        chain = self._choose(request, frozenset())
-        if chain is None:
-            yield _no_target(request)
+        refusal = await self._gate.enter(request)
+        if refusal is not None:
+            yield refusal
+            return
+        is_served = False
+        try:
+            async for item in self._stream_admitted(request):
+                is_served = isinstance(item, outcomes.Completed)
+                yield item
+        finally:
+            self._gate.leave(request, is_served=is_served)
+
+    async def _stream_admitted(
+        self,
+        request: DraftRequest,
+    ) -> AsyncIterator[DraftItem]:
+        choice = await self._choose_first(request)
+        if isinstance(choice, outcomes.NotRun):
+            yield choice
             return
-        draft = _Draft(request, chain, self._carrier, self._targets)
+        draft = _Draft(request, choice, self._carrier, self._targets)
         try:
             async for item in self._run(draft):
                 yield item
         finally:
+            self._router.finish_chain(request.pool, draft.choice)
             self._cancel(draft)
 
+    async def _choose_first(
+        self,
+        request: DraftRequest,
+    ) -> ChainChoice | outcomes.NotRun:
+        """Choose a chain, and wait while all targets are at their limits."""
+        while True:
+            choice = self._router.choose_chain(request, frozenset())
+            if isinstance(choice, ChainChoice):
+                return choice
+            if choice.reason is not NoChoiceReason.IN_FLIGHT_LIMIT:
+                return _no_target(request)
+            refusal = await self._gate.wait_again(request)
+            if refusal is not None:
+                return refusal
+
     async def _run(self, draft: _Draft) -> AsyncIterator[DraftItem]:
         following: SendStep | None = draft.run.begin()
         while following is not None:
@@ -122,27 +165,11 @@
         draft.note_loss(lost)
         if draft.run.attempt >= _MAX_ATTEMPTS:
             return None
-        chain = self._choose(draft.request, draft.avoided)
-        if chain is None:
+        choice = self._router.choose_chain(draft.request, draft.avoided)
+        if isinstance(choice, NoChain):
             return None
-        return draft.restart(chain)
-
-    def _choose(
-        self,
-        request: DraftRequest,
-        avoided: frozenset[str],
-    ) -> Chain | None:
-        now_s = self._clock.now_s()
-        usable = self._targets.usable(request.pool.name, now_s)
-        chain = choose_chain(usable, request.pool.layer_count, avoided)
-        logger.info(
-            'routing: chain chosen request=%s pool=%s chain=%s avoided=%s',
-            request.request_id,
-            request.pool.name,
-            _chain_text(chain),
-            ','.join(sorted(avoided)),
-        )
-        return chain
+        self._router.finish_chain(draft.request.pool, draft.choice)
+        return draft.restart(choice)
 
     def _cancel(self, draft: _Draft) -> None:
         for stage in draft.run.chain:
@@ -163,11 +190,12 @@
     def __init__(
         self,
         request: DraftRequest,
-        chain: Chain,
+        choice: ChainChoice,
         carrier: StepCarrier,
         targets: TargetWatch,
     ) -> None:
         self.request = request
+        self.choice = choice
         self.avoided: frozenset[str] = frozenset()
         self.has_run = False
         self._carrier = carrier
@@ -180,9 +208,9 @@
             max_tokens=request.max_tokens,
             priority=request.route.priority,
         )
-        self.run = DraftRun(plan, chain, attempt=1)
+        self.run = DraftRun(plan, choice.chain, attempt=1)
         self._last_sent: SendStep | None = None
-        self._note_started(chain)
+        self._note_started()
 
     async def carry(
         self,
@@ -219,12 +247,13 @@
         if not _is_connection_only(lost):
             self.avoided = self.avoided | {target}
 
-    def restart(self, chain: Chain) -> SendStep:
+    def restart(self, choice: ChainChoice) -> SendStep:
         """Begin a new attempt over another chain."""
         for stage in self.run.chain:
             self._targets.finished(stage.address)
-        self._note_started(chain)
-        return self.run.restart(chain)
+        self.choice = choice
+        self._note_started()
+        return self.run.restart(choice.chain)
 
     def give_up(self) -> outcomes.NotRun | outcomes.Unknown:
         """Return the final answer of a draft that found no way on."""
@@ -235,8 +264,8 @@
             _NO_TARGET_RETRY_AFTER_S,
         )
 
-    def _note_started(self, chain: Chain) -> None:
-        for stage in chain:
+    def _note_started(self) -> None:
+        for stage in self.choice.chain:
             self._targets.started(stage.address)
 
 
@@ -245,7 +274,10 @@
     sessions = app.kernel.find(SESSIONS, HttpSessions)
     carrier = RelayCarrier(sessions.targets, sessions.fresh)
     targets = app.kernel.find(TARGETS, TargetWatch)
-    app.kernel.register(NAME, DraftService(app.clock, targets, carrier))
+    router = app.kernel.find(ROUTER, Router)
+    gate = app.kernel.find(ADMISSION, AdmissionGate)
+    service = DraftService(app.clock, targets, carrier, router, gate)
+    app.kernel.register(NAME, service)
 
 
 def _is_connection_only(lost: StepLost | StepRefusal | ReplyDropped) -> bool:
@@ -269,9 +301,3 @@
 
 def _given_up(reason: outcomes.UnknownReason) -> outcomes.Unknown:
     return outcomes.Unknown(reason, _NO_TARGET_RETRY_AFTER_S)
-
-
-def _chain_text(chain: Chain | None) -> str:
-    if chain is None:
-        return 'none'
-    return ','.join(f'{stage.target}:{stage.layers}' for stage in chain)
--- a/nutmegspoke/engine_protocol.py
+++ b/nutmegspoke/engine_protocol.py
@@ -98,6 +98,7 @@
     :param stop_layer: layer after the last one that the engine holds.
     :param layer_tokens_per_s: layers times tokens that it runs in a second.
     :param link_bytes_per_s: rate of its link.
+    :param activation_bytes: bytes of a position between two stages.
     :param prefixes: digests of cached prompt prefixes.
     :param start_id: differs after each start of the target; may be empty.
     """
@@ -112,6 +113,7 @@
     stop_layer: int = 0
     layer_tokens_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
+    activation_bytes: int = 0
     prefixes: tuple[str, ...] = ()
     start_id: str = ''
 
--- a/nutmegspoke/membership/records.py
+++ b/nutmegspoke/membership/records.py
@@ -151,6 +151,7 @@
             version=self.report.version,
             layer_tokens_per_s=self.report.layer_tokens_per_s,
             link_bytes_per_s=self.report.link_bytes_per_s,
+            activation_bytes=self.report.activation_bytes,
             reported_in_flight=self.report.in_flight,
             reported_at_s=self.reported_s,
         )
--- a/nutmegspoke/routing/flow.py
+++ b/nutmegspoke/routing/flow.py
@@ -87,13 +87,9 @@
     two requests, so that affinity is bounded.
     """
 
-    def __init__(self, activation_bytes: int = 0) -> None:
-        """Create a policy without a plan.
-
-        :param activation_bytes: bytes of a token between two stages; 0 if
-            links don't limit.
-        """
-        self._planner = Planner(activation_bytes)
+    def __init__(self) -> None:
+        """Create a policy without a plan."""
+        self._planner = Planner()
         self._credits: list[float] = []
         self._weights: list[float] = []
         self._changes_by_origin: dict[str, list[int]] = {}
--- a/nutmegspoke/routing/plan.py
+++ b/nutmegspoke/routing/plan.py
@@ -54,11 +54,10 @@
         cls,
         targets: Sequence[Target],
         layer_count: int,
-        activation_bytes: int,
     ) -> PoolPlan:
         """Work the plan out from the engines' present speeds."""
         groups = group_engines(targets, SpeedMemory().update(targets))
-        return cls.from_groups(groups, layer_count, activation_bytes)
+        return cls.from_groups(groups, layer_count, _activation_bytes(targets))
 
     def zone_changes(self, chain: WeightedChain, origin: str) -> int:
         """Count how often a chain changes the availability zone.
@@ -77,13 +76,9 @@
 class Planner:
     """Renews a plan when membership or speeds change materially."""
 
-    def __init__(self, activation_bytes: int) -> None:
-        """Create a planner without a plan.
-
-        :param activation_bytes: bytes of a token between two stages.
-        """
+    def __init__(self) -> None:
+        """Create a planner without a plan."""
         self.plan = PoolPlan((), 0.0, ())
-        self._activation_bytes = activation_bytes
         self._speeds = SpeedMemory()
         self._layer_count = 0
         self._names: frozenset[str] = frozenset()
@@ -114,6 +109,10 @@
         self.plan = PoolPlan.from_groups(
             groups,
             layer_count,
-            self._activation_bytes,
+            _activation_bytes(targets),
         )
         return True
+
+
+def _activation_bytes(targets: Sequence[Target]) -> int:
+    return max((target.activation_bytes for target in targets), default=0)
--- a/nutmegspoke/routing/room.py
+++ b/nutmegspoke/routing/room.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 from nutmegspoke.routing.choices import NoChain, NoChoiceReason
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from nutmegspoke.routing.choices import ChainQuery
     from nutmegspoke.targets import Target
@@ -34,6 +35,29 @@
     return target.own_in_flight < limit_of(query, target.name)
 
 
+def chain_capacity(
+    targets: Sequence[Target],
+    layer_count: int,
+    limits: Mapping[str, int],
+) -> int:
+    """Return how many chains may run at once by the in-flight limits.
+
+    It is the number of free places at the scarcest layer; engines that serve
+    two stages of a chain may make the true number smaller.
+
+    :param targets: targets that may get new work.
+    :param layer_count: layers of the model.
+    :param limits: in-flight limits by target.
+    """
+    steps = [0 for _ in range(layer_count + 1)]
+    for target in targets:
+        if target.layers is not None:
+            steps[min(target.layers.start, layer_count)] += limits[target.name]
+            steps[min(target.layers.stop, layer_count)] -= limits[target.name]
+    places = itertools.accumulate(steps[:layer_count])
+    return min(places, default=0)
+
+
 def first_gap(targets: Sequence[Target], layer_count: int) -> int:
     """Return the first layer that no target holds; -1 if there is none."""
     layers = sorted(
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -154,6 +154,7 @@
             stop_layer=self._caches.stop_layer,
             layer_tokens_per_s=self._pace.layer_tokens_per_s,
             link_bytes_per_s=self._pace.link_bytes_per_s,
+            activation_bytes=self._activation_bytes,
         )
 
     def _is_leaving(self) -> bool:
--- a/nutmegspoke/targets.py
+++ b/nutmegspoke/targets.py
@@ -33,6 +33,7 @@
     :param version: version of the model.
     :param layer_tokens_per_s: layers times tokens that it runs in a second.
     :param link_bytes_per_s: rate of its link; 0 if not known.
+    :param activation_bytes: bytes of a position between two stages.
     :param reported_in_flight: work in flight by its last report.
     :param reported_at_s: when the daemon got that report.
     :param sent_since_report: work sent by this daemon after that report.
@@ -49,6 +50,7 @@
     version: str = ''
     layer_tokens_per_s: float = 0.0
     link_bytes_per_s: float = 0.0
+    activation_bytes: int = 0
     reported_in_flight: int = 0
     reported_at_s: float = 0.0
     sent_since_report: int = 0
--- a/tests/routing/test_plan.py
+++ b/tests/routing/test_plan.py
@@ -45,6 +45,7 @@
             layer_tokens_per_s=speed,
             link_bytes_per_s=link,
             availability_zone=zone,
+            activation_bytes=_ACTIVATION_BYTES if link else 0,
         )
         for number, (layers, speed, link, zone) in enumerate(specs)
     ]
@@ -87,7 +88,6 @@
         plan = PoolPlan.from_targets(
             _targets(specs),
             _LAYERS,
-            _ACTIVATION_BYTES,
         )
         bound = _brute_force_bound(plan)
         self.assertAlmostEqual(plan.bound_tokens_per_s, bound, places=4)
@@ -116,7 +116,6 @@
                 ],
             ),
             _LAYERS,
-            _ACTIVATION_BYTES,
         )
         rates = sorted(chain.tokens_per_s for chain in plan.chains)
         self.assertEqual([round(rate, 6) for rate in rates], [10, 100])
@@ -132,7 +131,6 @@
                 ],
             ),
             _LAYERS,
-            0,
         )
         rates = sorted(chain.tokens_per_s for chain in plan.chains)
         self.assertAlmostEqual(plan.bound_tokens_per_s, 100)
@@ -146,7 +144,7 @@
     def setUp(self) -> None:
         """Plan for a pool of mixed engines."""
         self.targets = build.mixed_engines(30)
-        self.planner = Planner(0)
+        self.planner = Planner()
         self.assertTrue(self.planner.renew(self.targets, 80, 0))
 
     def test_small_changes_of_speed_keep_the_plan(self) -> None:
