Guard the platform with a deadline, a limit and a circuit breaker

Cause: a slow store would hold a call for each request, and daemons that see it come back would probe together. Each service has its own breaker; probes are spread by a seeded jitter, one at a time.

--- a/nutmegspoke/border/http_sessions.py
+++ b/nutmegspoke/border/http_sessions.py
@@ -7,9 +7,11 @@
 import aiohttp
 
 from nutmegspoke.border.platform_client import PlatformClient
+from nutmegspoke.border.platform_guard import guarded
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
+    from nutmegspoke.border.clock import Clock
     from nutmegspoke.border.settings import Settings
 
 NAME = 'http_sessions'
@@ -20,17 +22,19 @@
     """Sessions towards the platform and the targets.
 
     :param settings: the daemon's settings.
+    :param clock: the process's clock.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, clock: Clock) -> None:
         """Open the sessions; the event loop must be running."""
         self.platform_session = _session(force_close=False)
         self.targets = _session(force_close=False)
         self.fresh = _session(force_close=True)
-        self.platform = PlatformClient.from_settings(
+        client = PlatformClient.from_settings(
             settings.platform,
             self.platform_session,
         )
+        self.platform = guarded(client, clock, settings.daemon.name)
 
     async def start(self) -> None:
         """Do nothing; the sessions are open."""
@@ -44,7 +48,7 @@
 
 def setup(app: Application) -> None:
     """Register the sessions."""
-    app.kernel.register(NAME, HttpSessions(app.settings))
+    app.kernel.register(NAME, HttpSessions(app.settings, app.clock))
 
 
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
--- /dev/null
+++ b/nutmegspoke/border/platform_guard.py
@@ -0,0 +1,181 @@
+"""Puts a deadline, a limit and a circuit breaker before the platform."""
+
+from __future__ import annotations
+
+import logging
+import random
+from typing import TYPE_CHECKING, TypeVar
+
+from nutmegspoke import platform
+from nutmegspoke.border.platform_client import PlatformClient
+from nutmegspoke.retries.breaker import BreakerSettings, CircuitBreaker
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from nutmegspoke.border.clock import Clock
+
+logger = logging.getLogger(__name__)
+_AnswerT = TypeVar('_AnswerT')
+_FAILURES = (platform.Unavailable, platform.InDoubt)
+
+
+class Guard:
+    """Lets calls to one service of the platform through, or not.
+
+    :param name: name of the service for the log.
+    """
+
+    def __init__(self, name: str, clock: Clock, seed: str) -> None:
+        """Create a guard whose breaker is closed."""
+        self._name = name
+        self._clock = clock
+        self._breaker = CircuitBreaker(
+            BreakerSettings(),
+            random.Random(f'{name}:{seed}'),
+        )
+
+    async def call(
+        self,
+        make: Callable[[], Awaitable[_AnswerT]],
+    ) -> _AnswerT | platform.Unavailable:
+        """Make a call if the breaker lets it through.
+
+        :param make: makes the call.
+        """
+        refusal = self._breaker.refusal(self._clock.now_s())
+        if refusal:
+            return platform.Unavailable(f'{self._name}: {refusal}')
+        before = self._breaker.state
+        try:
+            answer = await make()
+        except BaseException:
+            self._breaker.abandoned(self._clock.now_s())
+            raise
+        is_success = not isinstance(answer, _FAILURES)
+        after = self._breaker.ended(
+            self._clock.now_s(),
+            is_success=is_success,
+        )
+        if after is not before:
+            logger.warning(
+                'platform: circuit changed service=%s state=%s',
+                self._name,
+                after.value,
+            )
+        return answer
+
+
+class GuardedTables:
+    """The table service behind guards for reads and for writes."""
+
+    def __init__(
+        self,
+        tables: platform.TableService,
+        reads: Guard,
+        writes: Guard,
+    ) -> None:
+        """Guard a table service."""
+        self._tables = tables
+        self._reads = reads
+        self._writes = writes
+
+    async def read(
+        self,
+        key: str,
+    ) -> platform.StoredRow | platform.Unavailable:
+        """Return a row; version 0 if it is absent."""
+        return await self._reads.call(lambda: self._tables.read(key))
+
+    async def scan(
+        self,
+        prefix: str,
+    ) -> tuple[platform.StoredRow, ...] | platform.Unavailable:
+        """Return the rows whose keys begin with the prefix, in order."""
+        return await self._reads.call(lambda: self._tables.scan(prefix))
+
+    async def commit(
+        self,
+        transaction: platform.Transaction,
+    ) -> platform.CommitResult:
+        """Carry out a transaction."""
+        return await self._writes.call(
+            lambda: self._tables.commit(transaction),
+        )
+
+
+class GuardedObjects:
+    """The object store behind a guard."""
+
+    def __init__(self, objects: platform.ObjectStore, guard: Guard) -> None:
+        """Guard an object store."""
+        self._objects = objects
+        self._guard = guard
+
+    async def put(self, name: str, body: bytes) -> platform.Unavailable | None:
+        """Store an object; ``None`` if it is kept."""
+        return await self._guard.call(lambda: self._objects.put(name, body))
+
+    async def get(self, name: str) -> bytes | platform.Unavailable | None:
+        """Return an object; ``None`` if there is none."""
+        return await self._guard.call(lambda: self._objects.get(name))
+
+    async def names(
+        self,
+        prefix: str,
+    ) -> tuple[str, ...] | platform.Unavailable:
+        """Return the names that begin with the prefix, in order."""
+        return await self._guard.call(lambda: self._objects.names(prefix))
+
+
+class GuardedHosts:
+    """The host list behind a guard."""
+
+    def __init__(self, hosts: platform.HostList, guard: Guard) -> None:
+        """Guard a host list."""
+        self._hosts = hosts
+        self._guard = guard
+
+    async def entries(
+        self,
+    ) -> tuple[platform.HostEntry, ...] | platform.Unavailable:
+        """Return all entries."""
+        return await self._guard.call(self._hosts.entries)
+
+
+class GuardedWeights:
+    """The weight store behind a guard."""
+
+    def __init__(self, weights: platform.WeightStore, guard: Guard) -> None:
+        """Guard a weight store."""
+        self._weights = weights
+        self._guard = guard
+
+    async def reserve(
+        self,
+        model: str,
+        layers: str,
+    ) -> float | platform.Unavailable:
+        """Ask to load layers; the seconds to wait before it may start."""
+        return await self._guard.call(
+            lambda: self._weights.reserve(model, layers),
+        )
+
+
+def guarded(client: PlatformClient, clock: Clock, seed: str) -> PlatformClient:
+    """Return the platform's services behind guards of their own.
+
+    :param client: the services.
+    :param clock: the process's clock.
+    :param seed: differs between daemons, so that their probes spread.
+    """
+    return PlatformClient(
+        GuardedTables(
+            client.tables,
+            Guard('table_reads', clock, seed),
+            Guard('table_writes', clock, seed),
+        ),
+        GuardedObjects(client.objects, Guard('objects', clock, seed)),
+        GuardedHosts(client.hosts, Guard('hosts', clock, seed)),
+        GuardedWeights(client.weights, Guard('weights', clock, seed)),
+    )
