--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -13,7 +13,7 @@
 
 from nutmegspoke.border import apply as border_apply
 from nutmegspoke.border import table_files, table_reads
-from nutmegspoke.cmd import cli_platform
+from nutmegspoke.cmd import cli_load, cli_platform
 from nutmegspoke.cmd.cli_output import ExitCode, Printer
 from nutmegspoke.tables import apply
 from nutmegspoke.tables.rows import Tables
@@ -122,6 +122,9 @@
     return tables
 
 
+app.command(name='load')(cli_load.load_command)
+
+
 def main() -> None:
     """Run the tool."""
     app()
