--- /dev/null
+++ b/nutmegspoke/bench/changes_cost.py
@@ -0,0 +1,74 @@
+"""Measures how long a change of the tables takes until it is in force."""
+
+from __future__ import annotations
+
+import time
+
+from nutmegspoke.bench.deployment import DaemonOptions, Deployment
+from nutmegspoke.bench.load_tool import Times, TimesReport
+from nutmegspoke.bench.results import Result, Section
+
+_DAEMONS = 9
+_QUICK_DAEMONS = 3
+_CHANGES = 20
+_QUICK_CHANGES = 4
+_POLL_INTERVAL_S = 1.0
+_TARGET_P99_S = 2.0
+_POLL_S = 0.02
+_LIMIT_S = 15.0
+_TABLES = """\
+[route roster]
+path = /roster/{number}
+pool = records
+repeatable = yes
+
+[pool records]
+kind = service
+selector = records
+"""
+
+
+def measure(*, is_quick: bool) -> Section:
+    """Return the time from an accepted change to the last daemon's.
+
+    :param is_quick: fewer daemons and changes.
+    """
+    daemons = _QUICK_DAEMONS if is_quick else _DAEMONS
+    changes = _QUICK_CHANGES if is_quick else _CHANGES
+    times = Times()
+    options = DaemonOptions(poll_interval_s=_POLL_INTERVAL_S)
+    with Deployment() as deployment:
+        deployment.apply_tables(_TABLES.format(number=0))
+        for number in range(daemons):
+            deployment.start_daemon(f'daemon-{number}', options)
+        deployment.wait_ready()
+        for number in range(1, changes + 1):
+            deployment.apply_tables(_TABLES.format(number=number))
+            times.record(_seconds_until(deployment, number + 1))
+    report = TimesReport.from_times(times)
+    return Section(
+        'change in force',
+        [
+            Result('change_in_force_p50_s', report.p50_s),
+            Result.at_most(
+                f'change_in_force_on_{daemons}_daemons_p99_s',
+                report.p99_s,
+                _TARGET_P99_S,
+            ),
+        ],
+    )
+
+
+def _seconds_until(deployment: Deployment, revision: int) -> float:
+    began_s = time.monotonic()
+    waiting = set(deployment.daemons.values())
+    while waiting:
+        waiting = {
+            daemon
+            for daemon in waiting
+            if deployment.status(daemon)['revision'] < revision
+        }
+        if time.monotonic() - began_s > _LIMIT_S:
+            raise TimeoutError(f'revision {revision} is not in force')
+        time.sleep(_POLL_S)
+    return time.monotonic() - began_s
--- a/nutmegspoke/bench/demo.py
+++ b/nutmegspoke/bench/demo.py
@@ -112,9 +112,7 @@
     deployment.start_target('records-1', 'service', 'records', 'pnw-a')
     for name, zone in (('daemon-a', 'pnw-a'), ('daemon-b', 'pnw-b')):
         deployment.start_daemon(name, DaemonOptions(availability_zone=zone))
-    tables = deployment.path / 'tables.ini'
-    tables.write_text(_TABLES, 'utf-8')
-    _tool(deployment, 'apply', str(tables), '--operator', 'demo')
+    deployment.apply_tables(_TABLES)
     deployment.wait_ready()
     for daemon in deployment.daemons.values():
         deployment.wait_targets(daemon, _TARGET_COUNT)
--- a/nutmegspoke/bench/deployment.py
+++ b/nutmegspoke/bench/deployment.py
@@ -59,7 +59,7 @@
     finish_limit_s: float = 30.0
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Daemon:
     """A daemon of a local deployment.
 
@@ -139,6 +139,30 @@
         self.enter_host(name, selector, availability_zone)
         return target
 
+    def start_other(self, name: str, module: str, *arguments: str) -> None:
+        """Start another module that is ended with the block."""
+        process = processes.start_python(
+            name,
+            module,
+            arguments,
+            self.path / f'{name}.log',
+            (0, 0),
+        )
+        self._all.append(process)
+
+    def apply_tables(self, text: str) -> None:
+        """Apply tables with the command-line tool."""
+        path = self.path / 'tables.ini'
+        path.write_text(text, 'utf-8')
+        processes.run_tool(
+            'apply',
+            str(path),
+            '--operator',
+            'bench',
+            '--platform',
+            self.platform.url,
+        )
+
     def enter_host(
         self,
         name: str,
--- a/nutmegspoke/bench/load_tool.py
+++ b/nutmegspoke/bench/load_tool.py
@@ -233,6 +233,10 @@
             progress.cancel()
         return self.tally.report(time.monotonic() - began_s)
 
+    async def send_one(self, session: aiohttp.ClientSession) -> None:
+        """Draw one draft, send it and count what became of it."""
+        await self._send(session, self._draw())
+
     async def _open_loop(self, session: aiohttp.ClientSession) -> None:
         times_s = arrival_times_s(
             self._plan.pattern,
@@ -253,7 +257,7 @@
 
         async def caller() -> None:
             while time.monotonic() < end_s:
-                await self._send(session, self._draw())
+                await self.send_one(session)
 
         callers = [caller() for _ in range(self._plan.concurrency)]
         await asyncio.gather(*callers)
--- /dev/null
+++ b/nutmegspoke/bench/measure.py
@@ -0,0 +1,67 @@
+"""Runs all measurements and prints one JSON document and a table."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING, Annotated, Protocol
+
+import msgspec
+import typer
+
+from nutmegspoke.bench import changes_cost, idle_cost, request_cost
+
+if TYPE_CHECKING:
+    from nutmegspoke.bench.results import Section
+
+_MEASUREMENTS = (request_cost, changes_cost, idle_cost)
+
+
+class Measurement(Protocol):
+    """A module that measures something."""
+
+    def measure(self, *, is_quick: bool) -> Section:
+        """Measure; a quick run is smaller."""
+
+
+def main(
+    quick: Annotated[
+        bool,
+        typer.Option(help='Smaller runs, under a minute in all.'),
+    ] = False,
+    output: Annotated[
+        pathlib.Path | None,
+        typer.Option(help='Write the JSON document here as well.'),
+    ] = None,
+    only: Annotated[
+        list[str] | None,
+        typer.Option(help='Name of a measurement; may be repeated.'),
+    ] = None,
+) -> None:
+    """Measure against the targets; the JSON document goes to stdout."""
+    sections = [
+        _run(measurement, is_quick=quick)
+        for measurement in _MEASUREMENTS
+        if not only or _name(measurement) in only
+    ]
+    document = msgspec.json.format(msgspec.json.encode(sections), indent=1)
+    sys.stdout.buffer.write(document)
+    sys.stdout.write('\n')
+    if output is not None:
+        output.write_bytes(document)
+
+
+def _run(measurement: Measurement, *, is_quick: bool) -> Section:
+    section = measurement.measure(is_quick=is_quick)
+    typer.echo(f'{section.name}:', err=True)
+    for result in section.results:
+        typer.echo(f'  {result.line()}', err=True)
+    return section
+
+
+def _name(measurement: Measurement) -> str:
+    return measurement.__name__.rpartition('.')[2]
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -107,16 +107,7 @@
 
 def apply(deployment: Deployment, tables: str) -> None:
     """Apply tables with the command-line tool."""
-    path = deployment.path / 'tables.ini'
-    path.write_text(tables, 'utf-8')
-    processes.run_tool(
-        'apply',
-        str(path),
-        '--operator',
-        'test',
-        '--platform',
-        deployment.platform.url,
-    )
+    deployment.apply_tables(tables)
 
 
 def call(
