--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -12,9 +12,13 @@
     from nutmegspoke.border.settings import Settings
 
 BUILTIN_EXTENSIONS = (
+    'nutmegspoke.border.inflight',
+    'nutmegspoke.border.metrics',
     'nutmegspoke.border.http_sessions',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
+    'nutmegspoke.border.router',
+    'nutmegspoke.border.admission_gate',
     'nutmegspoke.border.drafts',
     'nutmegspoke.border.calls',
     'nutmegspoke.border.operators',
