Add the exchange between daemons and its messages

Entries, demand and notices spread by rounds to a random view, bounded by a token bucket of bytes. News is passed on least often sent first, a number of times that grows with the logarithm of the number of daemons; heartbeats grow rarer with their number, and a daemon that does not answer is named by those that have it in view and may contradict.

Tables travel as differences of the stored bytes with a digest, so that an older release passes on fields it does not know.

--- /dev/null
+++ b/nutmegspoke/membership/messages.py
@@ -0,0 +1,168 @@
+"""Messages between daemons.
+
+All are arrays on the wire: a field is only ever added at the end and has a
+default, so that releases next to each other read each other's messages.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+PROTOCOL_VERSION = 1
+
+
+class MessageKind(enum.IntEnum):
+    """Kinds of messages; a release counts and drops those unknown to it."""
+
+    HELLO = 1
+    DIGEST = 2
+    TABLES_REQUEST = 3
+    TABLES_REPLY = 4
+    NOTHING = 5
+
+
+class NoticeKind(enum.IntEnum):
+    """Kinds of notices; a release counts and drops those unknown to it."""
+
+    LEAVING_TARGET = 1
+    QUARANTINE = 2
+    SUSPECTED_DAEMON = 3
+
+
+class DaemonEntry(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon says of itself.
+
+    :param name: name of the daemon.
+    :param start: number that the daemon drew at its start.
+    :param sequence: raised with each new entry of this start.
+    :param address: ``IP:PORT`` of its peer port.
+    :param availability_zone: where it is.
+    :param revision: highest revision of the tables that it has seen.
+    :param is_store_reachable: whether the table service answers it.
+    :param is_stopping: it takes no new callers.
+    """
+
+    name: str
+    start: int
+    sequence: int
+    address: str
+    availability_zone: str = ''
+    revision: int = 0
+    is_store_reachable: bool = False
+    is_stopping: bool = False
+
+
+class TeamDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of a team at one daemon.
+
+    :param route: name of the route.
+    :param team: name of the team.
+    :param in_flight: requests running or queued there.
+    """
+
+    route: str
+    team: str
+    in_flight: int
+
+
+class DemandEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Demand at one daemon.
+
+    :param name: name of the daemon.
+    :param start: start of the daemon.
+    :param sequence: raised with each new entry of this start.
+    :param teams: the largest demands, largest first.
+    """
+
+    name: str
+    start: int
+    sequence: int
+    teams: tuple[TeamDemand, ...] = ()
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True):
+    """News that every daemon should hear once.
+
+    :param kind: one of :class:`NoticeKind`.
+    :param subject: address, fingerprint or daemon that it is about.
+    :param detail: start of the subject, if that matters; may be empty.
+    :param age_s: time since it was first said.
+    :param number: sequence of a suspected daemon; else 0.
+    """
+
+    kind: int
+    subject: str
+    detail: str
+    age_s: float
+    number: int = 0
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True):
+    """One message of the exchange, and its answer.
+
+    :param entries: news of daemons, the sender's own first.
+    :param demands: news of demand.
+    :param notices: other news.
+    :param confirmed_age_s: time since the table service itself last confirmed
+        the sender's revision; ``None`` if it never did.
+    """
+
+    entries: tuple[DaemonEntry, ...] = ()
+    demands: tuple[DemandEntry, ...] = ()
+    notices: tuple[Notice, ...] = ()
+    confirmed_age_s: float | None = None
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """First message to a peer whose start is not known.
+
+    :param entry: entry of the sender.
+    """
+
+    entry: DaemonEntry
+
+
+class TablesRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the tables of a higher revision.
+
+    :param revision: revision that the sender has.
+    """
+
+    revision: int
+
+
+class RowBody(msgspec.Struct, frozen=True, array_like=True):
+    """A row as the table service holds it.
+
+    :param key: key of the row.
+    :param body: encoded content.
+    """
+
+    key: str
+    body: bytes
+
+
+class TablesReply(msgspec.Struct, frozen=True, array_like=True):
+    """Rows that lead from one revision to a higher one.
+
+    :param base_revision: revision that they build on; 0 for nothing.
+    :param revision: revision that they lead to.
+    :param digest: digest of all rows at that revision.
+    :param changed: rows that are new or changed.
+    :param removed: keys of rows that are gone.
+    """
+
+    base_revision: int
+    revision: int
+    digest: bytes
+    changed: tuple[RowBody, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class Nothing(msgspec.Struct, frozen=True, array_like=True):
+    """Answer when there is nothing to say, as to a message not understood."""
+
+
+Message = Hello | Digest | TablesRequest | TablesReply | Nothing
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,180 @@
+"""Tests of the exchange between daemons."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.membership.gossip_types import OwnState
+from nutmegspoke.membership.messages import (
+    Digest,
+    Notice,
+    NoticeKind,
+    TeamDemand,
+)
+from tests import builders_peers as build
+
+_LAST = '10.0.0.9:7000'
+_LEAVING = Notice(NoticeKind.LEAVING_TARGET, '10.1.0.1:8000', '', 0.0)
+
+
+class NetworkTest(unittest.TestCase):
+    """Nine daemons together."""
+
+    def setUp(self) -> None:
+        """Start nine daemons that know one address."""
+        self.network = build.Network(9)
+        self.network.run(4.0)
+
+    def test_all_daemons_learn_of_each_other(self) -> None:
+        """One seed is enough."""
+        for daemon in self.network.daemons.values():
+            self.assertEqual(len(daemon.live(4.0)), 8)
+            self.assertFalse(daemon.is_cut_off(4.0))
+
+    def test_a_leaving_target_is_known_to_all_within_two_seconds(self) -> None:
+        """The notice reaches each daemon once and grows older."""
+        first = next(iter(self.network.daemons.values()))
+        first.announce(_LEAVING, 4.0)
+        self.network.run(2.0)
+        for address, notices in self.network.heard.items():
+            expected = int(address != first.own.entry.address)
+            self.assertEqual(len(notices), expected, address)
+            self.assertTrue(all(notice.age_s <= 2 for notice in notices))
+
+    def test_a_daemon_that_ended_counts_no_more_within_five_seconds(
+        self,
+    ) -> None:
+        """Peers that have it in view tell the others."""
+        self.network.daemons.pop(_LAST)
+        self.network.run(5.0)
+        for daemon in self.network.daemons.values():
+            names = {member.entry.name for member in daemon.live(9.0)}
+            self.assertNotIn('daemon-9', names)
+            self.assertEqual(len(names), 7)
+
+    def test_a_daemon_cut_off_knows_it_and_comes_back(self) -> None:
+        """It counts for neither side while it is cut off."""
+        self.network.cut_off.add(_LAST)
+        self.network.run(6.0)
+        cut_off = self.network.daemons[_LAST]
+        self.assertTrue(cut_off.is_cut_off(10.0))
+        self.assertEqual(cut_off.live(10.0), ())
+        for daemon in self.network.others(_LAST):
+            self.assertEqual(len(daemon.live(10.0)), 7)
+        self.network.cut_off.clear()
+        self.network.run(5.0)
+        self.assertFalse(cut_off.is_cut_off(15.0))
+        for daemon in self.network.daemons.values():
+            self.assertEqual(len(daemon.live(15.0)), 8)
+
+    def test_a_restarted_daemon_is_another_member(self) -> None:
+        """The earlier start counts no more, though the address answers."""
+        self.network.daemons[_LAST] = build.gossip(9, start=2)
+        self.network.run(6.0)
+        for daemon in self.network.others(_LAST):
+            starts = {
+                member.entry.start
+                for member in daemon.live(10.0)
+                if member.entry.name == 'daemon-9'
+            }
+            self.assertEqual(starts, {2})
+
+    def test_a_frozen_daemon_takes_nobody_for_live(self) -> None:
+        """What it knew before the freeze is too old."""
+        daemon = self.network.daemons[_LAST]
+        self.assertEqual(daemon.live(60.0), ())
+        self.assertTrue(daemon.is_cut_off(60.0))
+
+    def test_demand_reaches_everyone(self) -> None:
+        """Shares of limits are split by it."""
+        demand = (TeamDemand('drafts', 'desk', 3),)
+        self.network.run(4.0, OwnState(demands=demand))
+        for daemon in self.network.daemons.values():
+            found = [member.demand.teams for member in daemon.live(8.0)]
+            self.assertEqual(found, [demand] * 8)
+
+    def test_bytes_stay_within_the_bound(self) -> None:
+        """More news than fits waits for its turn."""
+        before = dict(self.network.sent_bytes)
+        daemons = tuple(self.network.daemons.values())
+        demands = tuple(
+            TeamDemand('drafts', f'team-{number}', number)
+            for number in range(40)
+        )
+        for number in range(400):
+            daemons[number % 9].announce(
+                Notice(NoticeKind.QUARANTINE, f'{number:064}', '', 0.0),
+                4.0,
+            )
+        self.network.run(20.0, OwnState(demands=demands))
+        for address, sent_bytes in self.network.sent_bytes.items():
+            per_s = (sent_bytes - before[address]) / 20.0
+            self.assertLess(per_s, 8_000 * 1.25)
+        for notices in self.network.heard.values():
+            self.assertGreater(len(notices), 300)
+
+
+class MergeTest(unittest.TestCase):
+    """What one daemon takes from messages."""
+
+    def setUp(self) -> None:
+        """Create one daemon."""
+        self.daemon = build.gossip()
+
+    def _hear(self, sequence: int, now_s: float, revision: int = 0) -> None:
+        entry = build.entry(2, 1, sequence, revision)
+        self.daemon.receive(Digest((entry,)), now_s)
+
+    def test_old_entries_change_nothing(self) -> None:
+        """A late copy neither undoes news nor shows that a daemon lives."""
+        self.daemon.due(0.0)
+        self._hear(5, 0.0, revision=7)
+        self._hear(4, 6.0, revision=3)
+        self.assertEqual(self.daemon.live(6.0), ())
+        (member,) = self.daemon.live(1.0)
+        self.assertEqual(member.entry.revision, 7)
+
+    def test_a_suspected_daemon_contradicts_with_a_new_entry(self) -> None:
+        """It makes one at once; an entry made before does not count."""
+        self._hear(5, 0.0)
+        self.daemon.due(0.0)
+        accusation = Notice(
+            NoticeKind.SUSPECTED_DAEMON,
+            'daemon-2',
+            '1',
+            0.0,
+            5,
+        )
+        self.daemon.receive(Digest(notices=(accusation,)), 0.1)
+        self.assertEqual(len(self.daemon.live(0.2)), 1)
+        self.assertEqual(self.daemon.live(3.0), ())
+        self._hear(5, 3.0)
+        self.assertEqual(self.daemon.live(3.0), ())
+        self._hear(6, 3.0)
+        self.assertEqual(len(self.daemon.live(3.0)), 1)
+        sequence = self.daemon.own.entry.sequence
+        accused = Notice(NoticeKind.SUSPECTED_DAEMON, 'daemon-1', '1', 0.0, 9)
+        self.daemon.receive(Digest(notices=(accused,)), 3.1)
+        self.assertGreater(self.daemon.own.entry.sequence, sequence)
+
+    def test_the_peer_ahead_is_asked_for_tables(self) -> None:
+        """The live peer with the highest revision is named."""
+        self.daemon.due(0.0)
+        self._hear(1, 0.0, revision=7)
+        self.assertIsNone(self.daemon.ahead(7, 0.0))
+        self.assertEqual(self.daemon.ahead(6, 0.0).name, 'daemon-2')
+        self.assertIsNone(self.daemon.ahead(6, 60.0))
+
+    def test_unknown_and_expired_notices_are_dropped(self) -> None:
+        """Unknown kinds are counted."""
+        unknown = Notice(99, 'subject', '', 0.0)
+        expired = Notice(NoticeKind.LEAVING_TARGET, 'target', '', 11.0)
+        heard = self.daemon.receive(Digest(notices=(unknown, expired)), 0.0)
+        self.assertEqual(heard.notices, ())
+        self.assertEqual(self.daemon.news.notices.unknown_count, 1)
+
+    def test_the_age_of_the_stores_word_goes_along(self) -> None:
+        """It is counted on the daemon's own clock."""
+        self.assertIsNone(self.daemon.answer(5.0).confirmed_age_s)
+        self.daemon.renew(OwnState(confirmed_s=2.0), 3.0)
+        self.assertEqual(self.daemon.answer(5.0).confirmed_age_s, 3.0)
