--- a/nutmegspoke/placement/__init__.py
+++ b/nutmegspoke/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Placement decisions: leases, orders and spare engines."""
+"""Placement decisions: leases of pools, orders to engines, spare engines."""
--- /dev/null
+++ b/nutmegspoke/placement/orders.py
@@ -0,0 +1,291 @@
+"""Orders to engines of one pool: recorded, then sent, then seen to be done.
+
+An order is recorded in a transaction that also requires the lease row to be
+unchanged, so that a holder that lost its lease records nothing. The record's
+key is the layer range, so that two daemons can't both replace the same range.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.platform import (
+    Committed,
+    Condition,
+    Conflict,
+    StoredRow,
+    Transaction,
+    Unavailable,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from nutmegspoke.placement.lease import LeaseKeeper
+    from nutmegspoke.platform import CommitResult
+
+ORDER_PREFIX = 'order/'
+
+
+class OrderRow(msgspec.Struct, frozen=True):
+    """Body of an order's record.
+
+    :param order_id: id of the order.
+    :param pool: pool that it is for.
+    :param fencing_number: number of the lease under which it was recorded.
+    :param target: name of the engine.
+    :param address: ``IP:PORT`` of the engine.
+    :param model: model to load.
+    :param version: version to load.
+    :param first_layer: first layer to hold.
+    :param stop_layer: layer after the last one to hold.
+    :param holder: name and start of the daemon that recorded it.
+    """
+
+    order_id: str
+    pool: str
+    fencing_number: int
+    target: str
+    address: str
+    model: str
+    version: str
+    first_layer: int
+    stop_layer: int
+    holder: str
+
+    @property
+    def layers(self) -> LayerRange:
+        """Return the layers to hold."""
+        return LayerRange(self.first_layer, self.stop_layer)
+
+    @property
+    def key(self) -> str:
+        """Return the key of the record."""
+        return f'{ORDER_PREFIX}{self.pool}/{self.layers}'
+
+
+class OrderState(enum.StrEnum):
+    """How far an order has come."""
+
+    NEW = 'new'
+    RECORDING = 'recording'
+    IN_DOUBT = 'in_doubt'
+    RECORDED = 'recorded'
+    SENDING = 'sending'
+    SENT = 'sent'
+    DONE = 'done'
+    DROPPED = 'dropped'
+
+
+class DropReason(enum.StrEnum):
+    """Why an order is not carried out."""
+
+    NONE = 'none'
+    LEASE_LOST = 'lease_lost'
+    OTHER_ORDER = 'other_order'
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+    TIMEOUT = 'timeout'
+
+
+class SendResult(enum.StrEnum):
+    """What became of an order that was sent."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+    IN_DOUBT = 'in_doubt'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitOrder:
+    """Commit this transaction and report its result."""
+
+    transaction: Transaction
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadOrder:
+    """Read the record and report it."""
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Send the order to its engine, and report what became of it.
+
+    :param row: the order.
+    :param timeout_s: longest time that it may be under way.
+    """
+
+    row: OrderRow
+    timeout_s: float
+
+
+OrderStep = CommitOrder | ReadOrder | SendOrder
+
+
+@dataclasses.dataclass(slots=True)
+class Order:
+    """One order on its way.
+
+    :param row: the order; its fencing number is set when it is recorded.
+    :param checks_fencing: whether the engine refuses an old number.
+    :param base_version: version of the record that it replaces; ``None``
+        before the record was read.
+    :param timeout_s: longest time that it may be under way.
+    :param done_limit_s: time for the engine to report the layers.
+    """
+
+    row: OrderRow
+    checks_fencing: bool
+    timeout_s: float
+    base_version: int | None = None
+    done_limit_s: float = 30.0
+    state: OrderState = OrderState.NEW
+    drop_reason: DropReason = DropReason.NONE
+    _sent_s: float = 0.0
+
+    def next_step(self, lease: LeaseKeeper, now_s: float) -> OrderStep | None:
+        """Return what to do now; ``None`` while something is under way."""
+        if self.state == OrderState.SENT:
+            if now_s - self._sent_s > self.done_limit_s:
+                self._drop(DropReason.TIMEOUT)
+            return None
+        if self.is_ended or self.state in _UNDER_WAY:
+            return None
+        number = lease.fencing_number(now_s, checks_fencing=self.checks_fencing)
+        if number is None:
+            self._check_lease(lease, now_s)
+            return None
+        if self.state == OrderState.NEW and self.base_version is not None:
+            return self._record(lease, number, self.base_version)
+        if self.state != OrderState.RECORDED:
+            return ReadOrder(self.row.key)
+        return self._send(number, now_s)
+
+    def commit_answered(self, result: CommitResult) -> None:
+        """Take the result of the write of the record."""
+        match result:
+            case Committed():
+                self.state = OrderState.RECORDED
+            case Conflict(rows):
+                self._conflicted(rows)
+            case Unavailable():
+                self.state = OrderState.NEW
+            case _:
+                self.state = OrderState.IN_DOUBT
+
+    def row_read(self, row: StoredRow) -> None:
+        """Take a reading of the record, at first or after a doubt.
+
+        A write that has not taken effect may still do so. The next attempt
+        writes the same order, so that either of the two records it.
+        """
+        if self.state == OrderState.NEW:
+            self.base_version = row.version
+        if self.state != OrderState.IN_DOUBT:
+            return
+        if row.version == self.base_version:
+            self.state = OrderState.NEW
+            return
+        self._compare(row)
+
+    def send_answered(self, result: SendResult, now_s: float) -> None:
+        """Take what became of the order.
+
+        An order in doubt is not sent again: loading twice would throw away
+        caches. The engine's load report shows whether it was carried out.
+        """
+        if self.state != OrderState.SENDING:
+            return
+        if result == SendResult.REFUSED:
+            self._drop(DropReason.REFUSED)
+        elif result == SendResult.UNREACHABLE:
+            self._drop(DropReason.UNREACHABLE)
+        else:
+            self.state = OrderState.SENT
+            self._sent_s = now_s
+
+    def layers_reported(self, address: str, layers: LayerRange | None) -> None:
+        """Take what an engine reports to hold."""
+        is_engine = address == self.row.address
+        if is_engine and layers == self.row.layers and self._may_be_done():
+            self.state = OrderState.DONE
+
+    @property
+    def is_ended(self) -> bool:
+        """Tell whether nothing more is to be done."""
+        return self.state in {OrderState.DONE, OrderState.DROPPED}
+
+    def _may_be_done(self) -> bool:
+        return self.state in {OrderState.SENDING, OrderState.SENT}
+
+    def _record(
+        self,
+        lease: LeaseKeeper,
+        number: int,
+        base_version: int,
+    ) -> CommitOrder:
+        self.row = msgspec.structs.replace(self.row, fencing_number=number)
+        self.state = OrderState.RECORDING
+        return CommitOrder(
+            Transaction(
+                (
+                    Condition(lease.key, lease.version),
+                    Condition(self.row.key, base_version),
+                ),
+                (Write(self.row.key, msgspec.msgpack.encode(self.row)),),
+            ),
+        )
+
+    def _send(self, number: int, now_s: float) -> SendOrder | None:
+        if number != self.row.fencing_number:
+            self._drop(DropReason.LEASE_LOST)
+            return None
+        self.state = OrderState.SENDING
+        self._sent_s = now_s
+        return SendOrder(self.row, self.timeout_s)
+
+    def _conflicted(self, rows: tuple[StoredRow, ...]) -> None:
+        """Find out which condition failed.
+
+        Only the lease row's version has risen if this daemon renewed it
+        meanwhile; then the record is tried again.
+        """
+        self.state = OrderState.NEW
+        for row in rows:
+            if row.key == self.row.key:
+                self._compare(row)
+
+    def _compare(self, stored: StoredRow) -> None:
+        recorded = decode_order(stored)
+        if recorded is not None and recorded.order_id == self.row.order_id:
+            self.row = recorded
+            self.state = OrderState.RECORDED
+        else:
+            self._drop(DropReason.OTHER_ORDER)
+
+    def _check_lease(self, lease: LeaseKeeper, now_s: float) -> None:
+        if not lease.is_held(now_s):
+            self._drop(DropReason.LEASE_LOST)
+
+    def _drop(self, reason: DropReason) -> None:
+        self.state = OrderState.DROPPED
+        self.drop_reason = reason
+
+
+def decode_order(row: StoredRow) -> OrderRow | None:
+    """Return the order of a record; ``None`` if it can't be read."""
+    try:
+        return msgspec.msgpack.decode(row.body, type=OrderRow)
+    except msgspec.MsgspecError:
+        return None
+
+
+_UNDER_WAY = frozenset((OrderState.RECORDING, OrderState.SENDING))
--- /dev/null
+++ b/tests/placement/test_orders.py
@@ -0,0 +1,180 @@
+"""Tests of orders to engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.placement.lease import CommitLease, LeaseKeeper, LeaseSettings
+from nutmegspoke.placement.orders import (
+    CommitOrder,
+    DropReason,
+    Order,
+    OrderState,
+    ReadOrder,
+    SendOrder,
+    SendResult,
+)
+from nutmegspoke.platform import InDoubt, Unavailable
+from tests import builders_placement as build
+
+
+def _held(store: build.Store, name: str, now_s: float = 0.0) -> LeaseKeeper:
+    keeper = LeaseKeeper('drafting', name, LeaseSettings(9.0, 3.0, 2.0))
+    keeper.row_read(store.read(keeper.key), now_s)
+    _step_lease(store, keeper, now_s)
+    return keeper
+
+
+def _step_lease(
+    store: build.Store,
+    keeper: LeaseKeeper,
+    now_s: float,
+) -> None:
+    step = keeper.next_step(now_s)
+    if isinstance(step, CommitLease):
+        keeper.commit_answered(store.commit(step.transaction), now_s)
+    else:
+        keeper.row_read(store.read(keeper.key), now_s)
+
+
+class OrderTest(unittest.TestCase):
+    """One order of the holder of the lease."""
+
+    def setUp(self) -> None:
+        """Let a daemon hold the lease from second 0 to 9."""
+        self.store = build.Store()
+        self.lease = _held(self.store, 'daemon-1')
+        self.order = build.order()
+
+    def _read(self, order: Order | None = None) -> None:
+        order = order or self.order
+        step = order.next_step(self.lease, 0.0)
+        self.assertIsInstance(step, ReadOrder)
+        order.row_read(self.store.read(step.key))
+
+    def _record(self, now_s: float = 0.0) -> None:
+        step = self.order.next_step(self.lease, now_s)
+        self.assertIsInstance(step, CommitOrder)
+        self.order.commit_answered(self.store.commit(step.transaction))
+
+    def test_is_recorded_before_it_is_sent(self) -> None:
+        """It is done when the engine reports the layers."""
+        self._read()
+        self._record()
+        step = self.order.next_step(self.lease, 0.0)
+        self.assertIsInstance(step, SendOrder)
+        self.assertEqual(step.row.fencing_number, 1)
+        self.assertIsNone(self.order.next_step(self.lease, 0.0))
+        self.order.send_answered(SendResult.ACCEPTED, 1.0)
+        self.order.layers_reported(step.row.address, LayerRange(0, 4))
+        self.assertEqual(self.order.state, OrderState.SENT)
+        self.order.layers_reported(step.row.address, LayerRange(4, 8))
+        self.assertEqual(self.order.state, OrderState.DONE)
+
+    def test_a_lost_answer_to_the_record_is_read_back(self) -> None:
+        """The order is recorded once, whether or not the write took effect."""
+        for took_effect in (True, False):
+            with self.subTest(took_effect=took_effect):
+                self.setUp()
+                self._read()
+                step = self.order.next_step(self.lease, 0.0)
+                if took_effect:
+                    self.store.commit(step.transaction)
+                self.order.commit_answered(InDoubt('reset'))
+                self._read()
+                if not took_effect:
+                    self._record()
+                self.assertEqual(self.order.state, OrderState.RECORDED)
+                self.assertEqual(len(self.store.history[step_key(step)]), 1)
+
+    def test_a_late_record_meets_its_own_repetition(self) -> None:
+        """The conflict shows the order itself, and it goes on."""
+        self._read()
+        step = self.order.next_step(self.lease, 0.0)
+        self.order.commit_answered(InDoubt('timeout'))
+        self._read()
+        self.store.commit(step.transaction)
+        self._record()
+        self.assertEqual(self.order.state, OrderState.RECORDED)
+
+    def test_a_renewed_lease_is_no_obstacle(self) -> None:
+        """The record is tried again with the new version of the lease row."""
+        self._read()
+        step = self.order.next_step(self.lease, 2.0)
+        _step_lease(self.store, self.lease, 3.0)
+        self.order.commit_answered(self.store.commit(step.transaction))
+        self.assertEqual(self.order.state, OrderState.NEW)
+        self._record(3.0)
+        self.assertEqual(self.order.state, OrderState.RECORDED)
+
+    def test_two_daemons_replace_a_range_once(self) -> None:
+        """The earlier holder records nothing after it lost the lease."""
+        self._read()
+        step = self.order.next_step(self.lease, 8.0)
+        other = LeaseKeeper('drafting', 'daemon-2', LeaseSettings())
+        other.row_read(self.store.read(other.key), 1.0)
+        _step_lease(self.store, other, 10.0)
+        self.assertTrue(other.is_held(10.0))
+        self.order.commit_answered(self.store.commit(step.transaction))
+        self.assertIsNone(self.order.next_step(self.lease, 10.0))
+        self.assertEqual(self.order.drop_reason, DropReason.LEASE_LOST)
+        self.assertNotIn(self.order.row.key, self.store.history)
+
+    def test_another_order_for_the_range_goes_first(self) -> None:
+        """The record's key is the layer range."""
+        second = build.order('order-2')
+        self._read()
+        self._read(second)
+        self._record()
+        step = second.next_step(self.lease, 0.0)
+        second.commit_answered(self.store.commit(step.transaction))
+        self.assertEqual(second.drop_reason, DropReason.OTHER_ORDER)
+
+    def test_is_not_sent_under_another_number(self) -> None:
+        """A lease lost and taken again is another lease."""
+        self._read()
+        self._record()
+        _step_lease(self.store, self.lease, 20.0)
+        self.assertEqual(self.lease.seen.fencing_number, 2)
+        self.assertIsNone(self.order.next_step(self.lease, 20.0))
+        self.assertEqual(self.order.drop_reason, DropReason.LEASE_LOST)
+
+    def test_an_order_in_doubt_is_not_sent_twice(self) -> None:
+        """Loading twice would throw away caches; it is given up in time."""
+        self._read()
+        self._record()
+        self.order.next_step(self.lease, 0.0)
+        self.order.send_answered(SendResult.IN_DOUBT, 2.0)
+        for now_s in (2.0, 4.9):
+            self.assertIsNone(self.order.next_step(self.lease, now_s))
+            self.assertFalse(self.order.is_ended)
+        self.order.next_step(self.lease, 5.1)
+        self.assertEqual(self.order.drop_reason, DropReason.TIMEOUT)
+
+    def test_what_an_engine_did_not_take_ends_the_order(self) -> None:
+        """Refused or unreachable: another spare is looked for."""
+        for result, reason in (
+            (SendResult.REFUSED, DropReason.REFUSED),
+            (SendResult.UNREACHABLE, DropReason.UNREACHABLE),
+        ):
+            self.setUp()
+            self._read()
+            self._record()
+            self.order.next_step(self.lease, 0.0)
+            self.order.send_answered(result, 0.1)
+            self.assertEqual(self.order.drop_reason, reason)
+
+    def test_a_store_that_is_down_delays_the_order(self) -> None:
+        """Nothing is sent that is not recorded."""
+        self._read()
+        step = self.order.next_step(self.lease, 0.0)
+        self.order.commit_answered(Unavailable('refused'))
+        self.assertEqual(self.order.state, OrderState.NEW)
+        self._record()
+        self.assertEqual(len(self.store.history[step_key(step)]), 1)
+
+
+def step_key(step: CommitOrder) -> str:
+    """Return the key that a step writes."""
+    return step.transaction.writes[0].key
