--- a/nutmegspoke/border/table_files.py
+++ b/nutmegspoke/border/table_files.py
@@ -11,13 +11,8 @@
 from pydantic import ValidationError
 
 from nutmegspoke.border import table_models
-from nutmegspoke.tables.rows import (
-    PoolRow,
-    RouteRow,
-    Row,
-    Tables,
-    TeamShare,
-)
+from nutmegspoke.tables.faults import TableFault, TableFaults
+from nutmegspoke.tables.rows import PoolRow, RouteRow, Row, Tables
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -33,43 +28,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TableFault:
-    """Something wrong in a tables file.
-
-    :param source: name of the file.
-    :param section: title of the section; empty if outside of any.
-    :param key: key in the section; empty if the section itself is wrong.
-    :param problem: what is wrong.
-    :param allowed: what is allowed instead.
-    """
-
-    source: str
-    section: str
-    key: str
-    problem: str
-    allowed: str
-
-    def __str__(self) -> str:
-        """Return the fault as one sentence."""
-        section = f' [{self.section}]' if self.section else ''
-        key = f' {self.key}' if self.key else ''
-        return (
-            f'{self.source}:{section}{key} {self.problem}; '
-            f'allowed: {self.allowed}'
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TableFaults:
-    """All faults of a tables file.
-
-    :param faults: the faults in the order of the file.
-    """
-
-    faults: tuple[TableFault, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Chunk:
     """Text of one section."""
@@ -102,42 +60,6 @@
     return _tables(rows)
 
 
-def write_tables(tables: Tables) -> str:
-    """Return the tables as text that ``read_tables`` understands."""
-    sections = [_section_text(row) for row in (*tables.routes, *tables.pools)]
-    return '\n'.join((f'# revision {tables.revision}\n', *sections))
-
-
-def _setting_text(setting: object) -> str:
-    """Return a field of a row as the tables file writes it."""
-    match setting:
-        case bool():
-            return ' yes' if setting else ' no'
-        case tuple():
-            return ''.join(f'\n    {_entry_text(entry)}' for entry in setting)
-        case _:
-            return f' {setting}'
-
-
-def _section_text(row: Row) -> str:
-    kind = 'route' if isinstance(row, RouteRow) else 'pool'
-    lines = [f'[{kind} {row.name}]']
-    for field in dataclasses.fields(row):
-        setting = getattr(row, field.name)
-        if field.name != 'name' and setting != field.default:
-            lines.append(f'{field.name} ={_setting_text(setting)}')
-    return ''.join(f'{line}\n' for line in lines)
-
-
-def _entry_text(entry: object) -> str:
-    if not isinstance(entry, TeamShare):
-        return str(entry)
-    return (
-        f'{entry.team} weight={entry.weight:g} '
-        f'max_in_flight={entry.max_in_flight}'
-    )
-
-
 def _tables(rows: list[Row]) -> Tables:
     ordered = sorted(rows, key=lambda row: row.name)
     return Tables(
--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -16,6 +16,8 @@
 from nutmegspoke.cmd import cli_platform
 from nutmegspoke.cmd.cli_output import ExitCode, Printer
 from nutmegspoke.tables import apply
+from nutmegspoke.tables.checks import check_tables
+from nutmegspoke.tables.faults import TableFaults
 from nutmegspoke.tables.rows import Tables
 from nutmegspoke.tables.snapshot import TablesSnapshot
 
@@ -117,8 +119,11 @@
     except (OSError, UnicodeDecodeError) as error:
         printer.fail(ExitCode.FAULTS, f'{file}: can not be read: {error}')
     tables = table_files.read_tables(text, str(file))
-    if isinstance(tables, table_files.TableFaults):
+    if isinstance(tables, TableFaults):
         printer.faults(str(file), tables)
+    faults = check_tables(tables, str(file))
+    if faults is not None:
+        printer.faults(str(file), faults)
     return tables
 
 
--- a/nutmegspoke/cmd/cli_output.py
+++ b/nutmegspoke/cmd/cli_output.py
@@ -10,12 +10,13 @@
 import typer
 
 from nutmegspoke.border import apply as border_apply
-from nutmegspoke.border import table_files, table_reads
-from nutmegspoke.tables import apply
+from nutmegspoke.border import table_reads
+from nutmegspoke.tables import apply, text
 from nutmegspoke.tables.snapshot import UnreadableRow
 
 if TYPE_CHECKING:
     from nutmegspoke.platform import Unavailable
+    from nutmegspoke.tables.faults import TableFaults
     from nutmegspoke.tables.changes import ChangeRecord, RowChange
     from nutmegspoke.tables.rows import Tables
 
@@ -41,15 +42,15 @@
         """
         self._as_json = as_json
 
-    def fail(self, code: ExitCode, text: str, **fields: Any) -> NoReturn:
+    def fail(self, code: ExitCode, detail: str, **fields: Any) -> NoReturn:
         """Print an error and end the program."""
         if self._as_json:
-            self._json(result=code.name.lower(), detail=text, **fields)
+            self._json(result=code.name.lower(), detail=detail, **fields)
         else:
-            typer.echo(text, err=True)
+            typer.echo(detail, err=True)
         raise typer.Exit(code)
 
-    def faults(self, source: str, found: table_files.TableFaults) -> NoReturn:
+    def faults(self, source: str, found: TableFaults) -> NoReturn:
         """Print the faults of a file and end the program."""
         count = len(found.faults)
         lines = [*map(str, found.faults), f'{source}: {count} faults']
@@ -70,7 +71,7 @@
         if self._as_json:
             self._json(tables=tables)
         else:
-            typer.echo(table_files.write_tables(tables))
+            typer.echo(text.tables_text(tables))
 
     def unreadable(self, problem: Unavailable | UnreadableRow) -> NoReturn:
         """Print that the platform can't be read and end the program."""
--- /dev/null
+++ b/nutmegspoke/tables/layer_checks.py
@@ -0,0 +1,93 @@
+"""Checks that the layers held by the targets of a pool make up a model."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.tables.faults import TableFault
+from nutmegspoke.tables.text import section_title
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping
+
+    from nutmegspoke.tables.rows import PoolRow
+
+_ALLOWED_COVER = 'targets that hold every layer of the model'
+_ALLOWED_CHAIN = 'ranges that begin where others end, from 0 to layer_count'
+
+
+def check_layers(
+    pool: PoolRow,
+    held: Mapping[str, LayerRange],
+    source: str,
+) -> tuple[TableFault, ...]:
+    """Find layers that no target holds, and targets that fit no chain.
+
+    :param pool: a pool of engines.
+    :param held: the layers that each known target holds.
+    :param source: name of the file, for faults.
+    """
+    section = section_title(pool)
+    return tuple(
+        TableFault(source, section, 'layer_count', problem, allowed)
+        for problem, allowed in _problems(pool.layer_count, held)
+    )
+
+
+def _problems(
+    layer_count: int,
+    held: Mapping[str, LayerRange],
+) -> Iterator[tuple[str, str]]:
+    gaps = tuple(_gaps(layer_count, held.values()))
+    for gap in gaps:
+        yield f'has a gap: no target holds the layers {gap}', _ALLOWED_COVER
+    for name, layers in sorted(held.items()):
+        if layers.stop > layer_count:
+            yield (
+                f'is {layer_count}, but {name} holds {layers}',
+                _ALLOWED_CHAIN,
+            )
+    if gaps:
+        return
+    for name in sorted(_unusable(layer_count, held)):
+        yield (
+            f'has an overlap: {name} holds {held[name]}, which fits no chain',
+            _ALLOWED_CHAIN,
+        )
+
+
+def _gaps(
+    layer_count: int,
+    ranges: Iterable[LayerRange],
+) -> Iterator[LayerRange]:
+    position = 0
+    for layers in (*sorted(ranges), LayerRange(layer_count, layer_count)):
+        stop = min(layers.start, layer_count)
+        if stop > position:
+            yield LayerRange(position, stop)
+        position = max(position, layers.stop)
+
+
+def _unusable(
+    layer_count: int,
+    held: Mapping[str, LayerRange],
+) -> set[str]:
+    ordered = sorted(set(held.values()))
+    forward = {0}
+    for layers in ordered:
+        if layers.start in forward:
+            forward.add(layers.stop)
+    backward = {layer_count}
+    for layers in sorted(ordered, key=_stop, reverse=True):
+        if layers.stop in backward:
+            backward.add(layers.start)
+    return {
+        name
+        for name, layers in held.items()
+        if layers.start not in forward or layers.stop not in backward
+    }
+
+
+def _stop(layers: LayerRange) -> int:
+    return layers.stop
--- a/tests/border/test_table_files.py
+++ b/tests/border/test_table_files.py
@@ -4,11 +4,8 @@
 
 import unittest
 
-from nutmegspoke.border.table_files import (
-    TableFaults,
-    read_tables,
-    write_tables,
-)
+from nutmegspoke.border.table_files import read_tables
+from nutmegspoke.tables.faults import TableFaults
 from nutmegspoke.tables.rows import (
     PoolKind,
     PoolRow,
@@ -16,6 +13,7 @@
     Tables,
     TeamShare,
 )
+from nutmegspoke.tables.text import tables_text
 
 _TEXT = """
 # a comment
@@ -86,7 +84,7 @@
             leaving=('127.0.0.1:9001',),
         )
         self.assertEqual(tables, Tables(0, (route,), (pool,)))
-        self.assertEqual(read_tables(write_tables(tables), 'g'), tables)
+        self.assertEqual(read_tables(tables_text(tables), 'g'), tables)
 
     def test_names_every_fault_at_once(self) -> None:
         """Each fault has file, section, key and what is allowed."""
