--- a/nutmegspoke/bench/idle_cost.py
+++ b/nutmegspoke/bench/idle_cost.py
@@ -31,6 +31,7 @@
 [pool farm]
 kind = engine
 model = farm
+version = 1
 layer_count = 8
 selector = farm
 """
--- a/nutmegspoke/bench/request_cost.py
+++ b/nutmegspoke/bench/request_cost.py
@@ -48,6 +48,7 @@
 [pool drafting]
 kind = engine
 model = fanletter
+version = 1
 layer_count = 12
 selector = drafting
 
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -43,6 +43,7 @@
 [pool drafting]
 kind = engine
 model = fanletter
+version = 1
 layer_count = 6
 selector = drafting
 
