Use new connections to the platform after one has gone silent

Cause: each pooled connection that went silent cost a call its whole timeout, one after the other; a pool of 64 would have cost minutes behind the breaker's pauses. Ruled out: shorter keepalive (it pays a handshake a poll). Now one silent connection moves all calls to new ones for the keepalive time, and an idempotent call is sent again at once. Both mechanisms are mutations that the test catches.

--- a/nutmegspoke/border/http_sessions.py
+++ b/nutmegspoke/border/http_sessions.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from nutmegspoke.border.platform_client import PlatformClient
+from nutmegspoke.border.platform_client import Connections, PlatformClient
 from nutmegspoke.border.platform_guard import guarded
 
 if TYPE_CHECKING:
@@ -15,7 +15,7 @@
     from nutmegspoke.border.settings import Settings
 
 NAME = 'http_sessions'
-_KEEPALIVE_S = 30.0
+KEEPALIVE_S = 30.0
 
 
 class HttpSessions:
@@ -32,7 +32,7 @@
         self.fresh = _session(force_close=True)
         client = PlatformClient.from_settings(
             settings.platform,
-            self.platform_session,
+            Connections(self.platform_session, self.fresh, KEEPALIVE_S),
         )
         self.platform = guarded(client, clock, settings.daemon.name)
 
@@ -52,7 +52,7 @@
 
 
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
-    keepalive_s = None if force_close else _KEEPALIVE_S
+    keepalive_s = None if force_close else KEEPALIVE_S
     connector = aiohttp.TCPConnector(
         limit=0,
         force_close=force_close,
--- a/nutmegspoke/border/platform_client.py
+++ b/nutmegspoke/border/platform_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 from typing import TYPE_CHECKING, Any, Self
 
@@ -16,6 +17,7 @@
 _decode = msgspec.msgpack.decode
 _encode = msgspec.msgpack.encode
 _HTTP_OK = 200
+_IDEMPOTENT_METHODS = frozenset(('GET', 'PUT'))
 _HTTP_NOT_FOUND = 404
 _HTTP_STORED = frozenset((200, 201, 204))
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError,)
@@ -27,17 +29,53 @@
     committed: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class Connections:
+    """Kept connections, and new ones for when the kept ones go silent.
+
+    A silent connection tells that others of its time may be silent too, so
+    that only new connections are used until all kept ones are closed.
+
+    :param kept: session that keeps its connections open.
+    :param fresh: session that opens a connection for each call.
+    :param keepalive_s: how long the first one keeps an idle connection.
+    """
+
+    kept: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
+    keepalive_s: float = 30.0
+    _fresh_until_s: float = 0.0
+
+    def session(self, now_s: float) -> aiohttp.ClientSession:
+        """Return the session for the next call."""
+        return self.fresh if now_s < self._fresh_until_s else self.kept
+
+    def went_silent(
+        self,
+        session: aiohttp.ClientSession,
+        now_s: float,
+    ) -> bool:
+        """Note that a call over a session had no answer in its time.
+
+        :returns: whether a new connection may do better.
+        """
+        if session is self.fresh:
+            return False
+        self._fresh_until_s = now_s + self.keepalive_s
+        return True
+
+
 class _Endpoint:
     """One service of the platform."""
 
     def __init__(
         self,
         url: str,
-        session: aiohttp.ClientSession,
+        connections: Connections,
         timeout_s: float,
     ) -> None:
         self._url = url.rstrip('/')
-        self._session = session
+        self._connections = connections
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
 
     async def request(
@@ -47,8 +85,30 @@
         body: bytes | None = None,
         **query: str,
     ) -> tuple[int, bytes]:
-        """Return status and body; errors of the library pass through."""
-        async with self._session.request(
+        """Return status and body; errors of the library pass through.
+
+        An idempotent call over a silent connection is sent once more.
+        """
+        loop = asyncio.get_running_loop()
+        session = self._connections.session(loop.time())
+        try:
+            return await self._send(session, method, path, body, query)
+        except TimeoutError:
+            may_retry = self._connections.went_silent(session, loop.time())
+            if not may_retry or method not in _IDEMPOTENT_METHODS:
+                raise
+        fresh = self._connections.fresh
+        return await self._send(fresh, method, path, body, query)
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        body: bytes | None,
+        query: dict[str, str],
+    ) -> tuple[int, bytes]:
+        async with session.request(
             method,
             f'{self._url}{path}',
             data=body,
@@ -230,13 +290,13 @@
     def from_settings(
         cls,
         settings: PlatformSection,
-        session: aiohttp.ClientSession,
+        connections: Connections,
     ) -> Self:
         """Build the adapters that the settings name."""
         wait_s = settings.timeout_s
 
         def endpoint(url: object) -> _Endpoint:
-            return _Endpoint(str(url), session, wait_s)
+            return _Endpoint(str(url), connections, wait_s)
 
         return cls(
             HttpTableService(endpoint(settings.table_service_url)),
@@ -249,11 +309,11 @@
     def from_url(
         cls,
         url: str,
-        session: aiohttp.ClientSession,
+        connections: Connections,
         timeout_s: float = 2.0,
     ) -> Self:
         """Build adapters for four services behind one URL."""
-        endpoint = _Endpoint(url, session, timeout_s)
+        endpoint = _Endpoint(url, connections, timeout_s)
         return cls(
             HttpTableService(endpoint),
             HttpObjectStore(endpoint),
--- a/nutmegspoke/cmd/cli_platform.py
+++ b/nutmegspoke/cmd/cli_platform.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from nutmegspoke.border import loop
-from nutmegspoke.border.platform_client import PlatformClient
+from nutmegspoke.border.platform_client import Connections, PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -27,7 +27,9 @@
 
     async def connected() -> _ResultT:
         async with aiohttp.ClientSession() as session:
-            return await task(PlatformClient.from_url(url, session))
+            return await task(
+                PlatformClient.from_url(url, Connections(session, session))
+            )
 
     with loop.new_runner() as runner:
         return runner.run(connected())
--- /dev/null
+++ b/tests/border/test_platform_client.py
@@ -0,0 +1,58 @@
+"""Tests of the platform's adapters over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+from aiohttp import test_utils
+
+from nutmegspoke.border.platform_client import Connections, PlatformClient
+from nutmegspoke.platform import Committed, InDoubt, Transaction, Write
+from nutmegspoke.standins.faults import FaultOrder
+from nutmegspoke.standins.platform import Platform
+
+_TIMEOUT_S = 0.2
+_POOLED = 8
+
+
+class SilentPlatformTest(unittest.IsolatedAsyncioTestCase):
+    """Pooled connections go silent while new ones work."""
+
+    async def asyncSetUp(self) -> None:
+        """Fill the pool with connections, then silence them all."""
+        self.platform = Platform(lambda: 0.0)
+        server = test_utils.TestServer(self.platform.app())
+        await server.start_server()
+        self.addAsyncCleanup(server.close)
+        connections = Connections(
+            await self._session(force_close=False),
+            await self._session(force_close=True),
+        )
+        url = str(server.make_url('/'))
+        self.client = PlatformClient.from_url(url, connections, _TIMEOUT_S)
+        order = FaultOrder('stall', count=_POOLED, delay_s=0.05)
+        self.platform.board.give(order)
+        await asyncio.gather(*(self.client.tables.read('a') for _ in range(8)))
+        self.platform.board.give(FaultOrder('silence'))
+
+    async def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+        connector = aiohttp.TCPConnector(force_close=force_close)
+        session = aiohttp.ClientSession(connector=connector)
+        self.addAsyncCleanup(session.close)
+        return session
+
+    async def test_reads_go_on_over_new_connections(self) -> None:
+        """A read is sent again; the next ones don't try the old pool."""
+        for _ in range(_POOLED):
+            row = await self.client.tables.read('a')
+            self.assertEqual(row.version, 0)
+
+    async def test_a_write_is_in_doubt_once(self) -> None:
+        """A write isn't sent again, but the next one takes a new connection."""
+        transaction = Transaction((), (Write('a', b'b'),))
+        first = await self.client.tables.commit(transaction)
+        self.assertIsInstance(first, InDoubt)
+        second = await self.client.tables.commit(transaction)
+        self.assertIsInstance(second, Committed)
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -26,6 +26,20 @@
 
 
 MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'silent platform: new connections after a silent one',
+        'nutmegspoke/border/platform_client.py',
+        '        self._fresh_until_s = now_s + self.keepalive_s\n',
+        '',
+        ('tests.border.test_platform_client',),
+    ),
+    Mutation(
+        'silent platform: a read is sent again',
+        'nutmegspoke/border/platform_client.py',
+        'if not may_retry or method not in _IDEMPOTENT_METHODS:',
+        'if may_retry or method:',
+        ('tests.border.test_platform_client',),
+    ),
     Mutation(
         'promise-6 wait for requests in work',
         'nutmegspoke/cmd/daemon.py',
