--- a/nutmegspoke/border/admission_gate.py
+++ b/nutmegspoke/border/admission_gate.py
@@ -10,11 +10,13 @@
 
 import xxhash
 
+from nutmegspoke.admission.deadline_limit import DeadlineLimit
 from nutmegspoke.admission.queueing import AdmissionQueue, QueueSettings
 from nutmegspoke.admission.tickets import Queued, Ticket
 from nutmegspoke.border.router import NAME as ROUTER
 from nutmegspoke.border.router import Router, work_tokens
 from nutmegspoke.outcomes import NotRun, RefusalReason
+from nutmegspoke.tables.rows import PoolKind
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
@@ -125,7 +127,7 @@
         if line is None:
             queue = AdmissionQueue(
                 QueueSettings.from_row(pool),
-                self._capacities.capacity(pool),
+                0,
                 self._random,
             )
             line = _Line(queue, self._clock, self._capacities)
@@ -168,13 +170,15 @@
         self.queue = queue
         self._clock = clock
         self._capacities = capacities
+        self._limit = DeadlineLimit()
         self._tickets: dict[str, Ticket] = {}
+        self._started_s: dict[str, float] = {}
         self._waiters: dict[str, asyncio.Future[NotRun | None]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     async def enter(self, ticket: Ticket) -> NotRun | None:
         now_s = self._clock.now_s()
-        self.queue.resize(self._capacities.capacity(self.pool), now_s)
+        self.queue.resize(self._capacity(), now_s)
         answer = self.queue.offer(ticket, now_s)
         if isinstance(answer, NotRun):
             self._pump()
@@ -188,6 +192,7 @@
                 answer.expected_wait_s,
             )
             return await self._wait(ticket)
+        self._started_s[ticket.request_id] = now_s
         return None
 
     async def wait_again(self, request_id: str) -> NotRun | None:
@@ -200,16 +205,32 @@
         ticket = self._tickets.pop(request_id, None)
         if ticket is None:
             return
+        now_s = self._clock.now_s()
+        started_s = self._started_s.pop(request_id, now_s)
+        if is_served or now_s >= ticket.deadline_s:
+            self._limit.observe(
+                now_s - started_s,
+                ticket.cost,
+                ticket.deadline_s - started_s,
+                self.queue.running_count,
+            )
         if is_served:
-            self.queue.finish(ticket, self._clock.now_s())
+            self.queue.finish(ticket, now_s)
         else:
-            self.queue.cancel(ticket, self._clock.now_s())
+            self.queue.cancel(ticket, now_s)
         self._pump()
 
     def stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
 
+    def _capacity(self) -> int:
+        """Return how many requests of the pool may run at once."""
+        by_targets = self._capacities.capacity(self.pool)
+        if self.pool.kind is PoolKind.SERVICE:
+            return by_targets
+        return min(by_targets, self._limit.max_running)
+
     async def _wait(self, ticket: Ticket) -> NotRun | None:
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[NotRun | None] = loop.create_future()
@@ -220,6 +241,7 @@
         except asyncio.CancelledError:
             self._waiters.pop(ticket.request_id, None)
             self._tickets.pop(ticket.request_id, None)
+            self._started_s.pop(ticket.request_id, None)
             self.queue.cancel(ticket, self._clock.now_s())
             self._pump()
             raise
@@ -227,12 +249,14 @@
     def _pump(self) -> None:
         """Start and refuse what is due, and set the timer for the next."""
         now_s = self._clock.now_s()
-        self.queue.resize(self._capacities.capacity(self.pool), now_s)
+        self.queue.resize(self._capacity(), now_s)
         ready = self.queue.next_ready(now_s)
         for ticket in ready.started:
+            self._started_s[ticket.request_id] = now_s
             self._answer(ticket, None)
         for refused in ready.refused:
             self._tickets.pop(refused.ticket.request_id, None)
+            self._started_s.pop(refused.ticket.request_id, None)
             self._answer(refused.ticket, refused.outcome)
         self._set_timer(now_s)
 
--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -130,7 +130,7 @@
         )
         self._in_flight[target.name] += 1
         try:
-            return await self._client.send(
+            attempt = await self._client.send(
                 request,
                 target,
                 request.deadline_s - now_s,
@@ -139,6 +139,14 @@
             )
         finally:
             self._in_flight[target.name] -= 1
+        if _is_success(attempt):
+            self._router.observe(
+                target.name,
+                self._clock.now_s() - now_s,
+                self._in_flight[target.name] + 1,
+                request.pool.max_in_flight,
+            )
+        return attempt
 
     def _pick(self, run: _Run, now_s: float) -> Target | None:
         usable = self._targets.usable(run.request.pool.name, now_s)
@@ -171,6 +179,12 @@
 _NO_TARGET = outcomes.RefusalReason.NO_TARGET
 
 
+def _is_success(attempt: service_client.Attempt) -> bool:
+    if not isinstance(attempt, service_client.Answered):
+        return False
+    return attempt.status < _MIN_FAILURE_STATUS
+
+
 def _judge(
     run: _Run,
     attempt: service_client.Attempt,
--- a/nutmegspoke/border/router.py
+++ b/nutmegspoke/border/router.py
@@ -105,7 +105,6 @@
             prefix_key=prefix_key(request.prompt),
             availability_zone=self._options.availability_zone,
             avoided=avoided,
-            limits=self._adapted(usable),
         )
         choice = self._chain_policy(pool.name).choose(query, usable, now_s)
         _log_chain(request, choice, avoided)
@@ -132,6 +131,7 @@
             max_in_flight=request.pool.max_in_flight,
             availability_zone=self._options.availability_zone,
             avoided=frozenset(avoided),
+            limits=self._adapted(usable),
         )
         policy = self._target_policy(request.pool.name)
         choice = policy.choose(query, usable, self._clock.now_s())
@@ -158,7 +158,7 @@
         in_flight: int,
         highest: int,
     ) -> None:
-        """Take the latency of one layer of one position at a target.
+        """Take the latency of a call to a target of a plain service.
 
         :param target: name of the target.
         :param latency_s: latency, seen from here.
--- a/nutmegspoke/routing/allocation.py
+++ b/nutmegspoke/routing/allocation.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from typing import TYPE_CHECKING
@@ -68,6 +69,15 @@
     flows: dict[tuple[int, int], float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Path:
+    """Numbers of the edges from source over group and segment to sink."""
+
+    feed: int
+    middle: int
+    drain: int
+
+
 class _Problem:
     """Groups, segments and capacities that are left."""
 
@@ -84,10 +94,13 @@
 
     def arc_capacity(self, group: int, segment: int) -> float:
         """Return layer-tokens a second that a group's link allows."""
+        return self.link_rate(group) * len(self.segments[segment])
+
+    def link_rate(self, group: int) -> float:
+        """Return the tokens a second that a group's link allows."""
         if self._activation_bytes == 0:
             return math.inf
-        link = self._groups[group].link_bytes_per_s
-        return link / self._activation_bytes * len(self.segments[segment])
+        return self._groups[group].link_bytes_per_s / self._activation_bytes
 
     def holders(self, segment: int) -> list[int]:
         """Return the groups that hold a segment and have capacity left."""
@@ -117,38 +130,89 @@
         source = len(self._groups) + len(wanted)
         network = FlowNetwork(source + 2)
         edges = self._add_edges(network, wanted, rate)
+        self._preload_evenly(network, edges, rate)
         network.maximize(source, source + 1)
-        reached = network.reachable(source)
+        starved = self._starved(wanted, network.reachable(source))
+        return self._level(rate, starved, _flows(network, edges))
+
+    def _starved(
+        self,
+        wanted: Sequence[int],
+        reached: set[int],
+    ) -> frozenset[int]:
+        """Return the segments beyond the minimum cut."""
         first = len(self._groups)
-        starved = frozenset(
-            wanted[node - first]
-            for node in range(first, source)
-            if node not in reached
+        return frozenset(
+            wanted[offset]
+            for offset in range(len(wanted))
+            if first + offset not in reached
         )
-        flows = {pair: network.flow_on(edge) for pair, edge in edges.items()}
-        return self._level(rate, starved, flows)
 
     def _add_edges(
         self,
         network: FlowNetwork,
         wanted: Sequence[int],
         rate: float,
-    ) -> dict[tuple[int, int], int]:
+    ) -> dict[tuple[int, int], _Path]:
         source = len(self._groups) + len(wanted)
-        for index, left in enumerate(self.left):
+        feeds = [
             network.add_edge(source, index, left)
-        edges: dict[tuple[int, int], int] = {}
+            for index, left in enumerate(self.left)
+        ]
+        edges: dict[tuple[int, int], _Path] = {}
         for node, segment in enumerate(wanted, start=len(self._groups)):
-            demand = rate * len(self.segments[segment])
-            network.add_edge(node, source + 1, demand)
+            drain = network.add_edge(
+                node,
+                source + 1,
+                rate * len(self.segments[segment]),
+            )
             for group in self.holders(segment):
-                edges[group, segment] = network.add_edge(
-                    group,
-                    node,
-                    self.arc_capacity(group, segment),
+                edges[group, segment] = _Path(
+                    feeds[group],
+                    network.add_edge(
+                        group,
+                        node,
+                        self.arc_capacity(group, segment),
+                    ),
+                    drain,
                 )
         return edges
 
+    def _preload_evenly(
+        self,
+        network: FlowNetwork,
+        edges: dict[tuple[int, int], _Path],
+        rate: float,
+    ) -> None:
+        """Let each group run all its segments at one rate, as far as it can.
+
+        The maximum then changes only what it must, and chains stay long on
+        one group.
+        """
+        even = self._even_rates(edges)
+        totals: collections.Counter[int] = collections.Counter()
+        for group, segment in edges:
+            totals[segment] += even[group]
+        for (feeder, fed), path in edges.items():
+            share = min(1.0, rate / totals[fed]) if totals[fed] else 0.0
+            amount = even[feeder] * share * len(self.segments[fed])
+            network.preload((path.feed, path.middle, path.drain), amount)
+
+    def _even_rates(
+        self,
+        edges: dict[tuple[int, int], _Path],
+    ) -> dict[int, float]:
+        layer_counts: collections.Counter[int] = collections.Counter()
+        for group, segment in edges:
+            layer_counts[group] += len(self.segments[segment])
+        return {
+            group: min(
+                self.left[group] / layers,
+                self.link_rate(group),
+            )
+            for group, layers in layer_counts.items()
+        }
+
     def _level(
         self,
         rate: float,
@@ -162,6 +226,13 @@
         return _Level(min(rate, fed / layer_total), starved, flows)
 
 
+def _flows(
+    network: FlowNetwork,
+    edges: dict[tuple[int, int], _Path],
+) -> dict[tuple[int, int], float]:
+    return {pair: network.flow_on(path.middle) for pair, path in edges.items()}
+
+
 def cut_segments(
     groups: Sequence[EngineGroup],
     layer_count: int,
--- a/nutmegspoke/routing/choices.py
+++ b/nutmegspoke/routing/choices.py
@@ -95,12 +95,14 @@
     :param max_in_flight: calls in flight on one target at most.
     :param availability_zone: zone of the daemon; empty if not known.
     :param avoided: names of targets that must not be used.
+    :param limits: adapted in-flight limits by target, below the common one.
     """
 
     request_id: str
     max_in_flight: int
     availability_zone: str = ''
     avoided: frozenset[str] = frozenset()
+    limits: tuple[TargetLimit, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/routing/flow.py
+++ b/nutmegspoke/routing/flow.py
@@ -17,7 +17,6 @@
 
     from nutmegspoke.layers import Chain
     from nutmegspoke.routing.choices import ChainQuery
-    from nutmegspoke.routing.decomposition import WeightedChain
     from nutmegspoke.routing.plan import PoolPlan
     from nutmegspoke.targets import Target
 
@@ -36,22 +35,34 @@
         targets: Mapping[str, Target],
         ledger: WorkLedger,
     ) -> None:
-        self._query = query
+        self.query = query
         self._plan = plan
         self._targets = targets
         self._ledger = ledger
         self._picked: dict[int, Target | None] = {}
 
-    def stages_of(self, chain: WeightedChain) -> Chain | None:
+    def stages_of(self, chain: int) -> Chain | None:
         """Return the stages of a chain; ``None`` if a group has no room."""
         stages: list[Stage] = []
-        for hop in chain.hops:
+        for hop in self._plan.chains[chain].hops:
             target = self._pick(hop.group)
             if target is None:
                 return None
             stages.append(Stage(target.name, target.address, hop.layers))
         return tuple(stages)
 
+    def is_idle(self, chain: int) -> bool:
+        """Tell whether the stages have fewer streams than the chain stages.
+
+        A chain of that many streams can keep all its stages at work.
+        """
+        hops = self._plan.chains[chain].hops
+        targets = [self._pick(hop.group) for hop in hops]
+        return all(
+            target is not None and target.own_in_flight < len(hops)
+            for target in targets
+        )
+
     def with_room(self, chains: list[int]) -> list[int]:
         """Drop the chains of which a group is known to have no room."""
         full = {
@@ -69,7 +80,7 @@
         if group not in self._picked:
             names = self._plan.groups[group].members
             self._picked[group] = pick_member(
-                self._query,
+                self.query,
                 names,
                 self._targets,
                 self._ledger,
@@ -82,8 +93,8 @@
 
     Smooth weighted round robin is run over work, not over requests: each
     request adds credit to the chains with room, by weight, and takes its work
-    from the chosen one. Chains inside one zone come first while they have
-    room. Credit of a prefix's preferred chain may fall behind by the work of
+    from the chosen one. Chains inside one zone come first while they are
+    idle. Credit of a prefix's preferred chain may fall behind by the work of
     two requests, so that affinity is bounded.
     """
 
@@ -137,30 +148,62 @@
         query: ChainQuery,
         targets: Sequence[Target],
     ) -> ChainChoice | None:
-        plan = self._planner.plan
         by_name = {target.name: target for target in targets}
+        plan = self._planner.plan
         members = _Members(query, plan, by_name, self._ledger)
-        waiting = list(range(len(plan.chains)))
-        while waiting:
-            near = self._nearest(query.availability_zone, waiting)
-            index = self._best_chain(query, near)
-            stages = members.stages_of(plan.chains[index])
+        chains = list(range(len(plan.chains)))
+        if not chains:
+            return None
+        return self._choose_near(members, chains) or self._choose_any(
+            members,
+            chains,
+        )
+
+    def _choose_near(
+        self,
+        members: _Members,
+        chains: list[int],
+    ) -> ChainChoice | None:
+        """Choose among the chains with the fewest changes of zone.
+
+        Only an idle chain is taken, so that shares follow the flow as soon as
+        the zone has no room.
+        """
+        query = members.query
+        changes = self._zone_changes(query.availability_zone)
+        fewest = min(changes)
+        near = [index for index in chains if changes[index] == fewest]
+        if len(near) == len(chains):
+            return None
+        index = self._best_chain(query, near)
+        stages = members.stages_of(index)
+        if stages is None or not members.is_idle(index):
+            return None
+        self._take_credit(query, near, index)
+        return ChainChoice(stages, 'flow_zone', query.work_tokens)
+
+    def _choose_any(
+        self,
+        members: _Members,
+        chains: list[int],
+    ) -> ChainChoice | None:
+        query = members.query
+        while chains:
+            index = self._best_chain(query, chains)
+            stages = members.stages_of(index)
             if stages is not None:
-                self._take_credit(query, near, index)
+                self._take_credit(query, chains, index)
                 return ChainChoice(stages, 'flow', query.work_tokens)
-            waiting = members.with_room(waiting)
+            chains = members.with_room(chains)
         return None
 
-    def _nearest(self, origin: str, chains: list[int]) -> list[int]:
-        """Return the chains with the fewest changes of zone."""
+    def _zone_changes(self, origin: str) -> list[int]:
         if origin not in self._changes_by_origin:
             plan = self._planner.plan
             self._changes_by_origin[origin] = [
                 plan.zone_changes(chain, origin) for chain in plan.chains
             ]
-        changes = self._changes_by_origin[origin]
-        fewest = min(changes[index] for index in chains)
-        return [index for index in chains if changes[index] == fewest]
+        return self._changes_by_origin[origin]
 
     def _best_chain(self, query: ChainQuery, chains: list[int]) -> int:
         gain = query.work_tokens / sum(self._weights[each] for each in chains)
--- a/nutmegspoke/routing/maxflow.py
+++ b/nutmegspoke/routing/maxflow.py
@@ -4,6 +4,10 @@
 
 import collections
 import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 _RELATIVE_TOLERANCE = 1e-12
 
@@ -40,6 +44,19 @@
         self._edges[head].append(number + 1)
         return number
 
+    def preload(self, path: Sequence[int], amount: float) -> float:
+        """Send flow along added edges before the rest is maximized.
+
+        :param path: edges from the source to the sink.
+        :param amount: flow to send.
+        :returns: the flow sent, which the path's capacity may limit.
+        """
+        sent = min(amount, *(self._residuals[edge] for edge in path))
+        for edge in path:
+            self._residuals[edge] -= sent
+            self._residuals[edge ^ 1] += sent
+        return sent
+
     def maximize(self, source: int, sink: int) -> float:
         """Send as much flow as possible.
 
--- a/nutmegspoke/routing/room.py
+++ b/nutmegspoke/routing/room.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
-    from nutmegspoke.routing.choices import ChainQuery
+    from nutmegspoke.routing.choices import ChainQuery, TargetQuery
     from nutmegspoke.targets import Target
 
 
@@ -20,7 +20,7 @@
     return max(reported, target.own_in_flight)
 
 
-def limit_of(query: ChainQuery, name: str) -> int:
+def limit_of(query: ChainQuery | TargetQuery, name: str) -> int:
     """Return the in-flight limit of a target for a request."""
     for limit in query.limits:
         if limit.target == name:
@@ -28,7 +28,7 @@
     return query.max_in_flight
 
 
-def has_room(query: ChainQuery, target: Target) -> bool:
+def has_room(query: ChainQuery | TargetQuery, target: Target) -> bool:
     """Tell whether a target may take the request."""
     if target.name in query.avoided:
         return False
--- a/nutmegspoke/routing/single.py
+++ b/nutmegspoke/routing/single.py
@@ -125,9 +125,7 @@
     allowed = [each for each in targets if each.name not in query.avoided]
     if not allowed:
         return NoTarget(NoChoiceReason.AVOIDED)
-    roomy = [
-        each for each in allowed if each.own_in_flight < query.max_in_flight
-    ]
+    roomy = [each for each in allowed if room.has_room(query, each)]
     if not roomy:
         return NoTarget(NoChoiceReason.IN_FLIGHT_LIMIT)
     return TargetChoice(rule(roomy), reason)
