--- /dev/null
+++ b/nutmegspoke/tables/revisions.py
@@ -0,0 +1,233 @@
+"""Decides which revision of the tables a daemon has in force.
+
+A revision only rises. Whether it is still the highest one accepted is known
+up to a moment, the confirmation; its age is checked at each decision, so a
+daemon that was suspended finds out before it decides anything.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from nutmegspoke.tables.rows import Tables
+
+
+class Source(enum.StrEnum):
+    """Where tables come from."""
+
+    STORE = 'store'
+    PEER = 'peer'
+
+
+class IgnoredReason(enum.StrEnum):
+    """Why an offer changes nothing."""
+
+    SAME = 'same'
+    LOWER = 'lower'
+    DIFFERS = 'differs'
+
+
+class Standing(enum.StrEnum):
+    """What a daemon knows of the revision that it has in force."""
+
+    NEW = 'new'
+    CONFIRMED = 'confirmed'
+    OUTAGE = 'outage'
+    BEHIND = 'behind'
+    CUT_OFF = 'cut_off'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The offered tables are in force.
+
+    :param revision: their revision.
+    :param previous: the revision that they replace.
+    :param source: where they came from.
+    """
+
+    revision: int
+    previous: int
+    source: Source
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ignored:
+    """The offer changes nothing.
+
+    :param reason: why. ``differs`` means that two contents claim one revision.
+    :param offered: revision of the offer.
+    :param in_force: revision in force.
+    :param source: where the offer came from.
+    """
+
+    reason: IgnoredReason
+    offered: int
+    in_force: int
+    source: Source
+
+
+OfferResult = Accepted | Ignored
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReport:
+    """What a peer said of its revision.
+
+    :param peer: name of the peer.
+    :param revision: the highest revision that it knows.
+    :param asked_s: a time on our clock before which the peer can't have said
+        this, such as when we sent the message that it answers.
+    :param confirmed_age_s: age of the peer's own confirmation by the store;
+        ``None`` if it has none.
+    :param sees_store: whether its last read of the store was answered.
+    """
+
+    peer: str
+    revision: int
+    asked_s: float
+    confirmed_age_s: float | None
+    sees_store: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionLimits:
+    """Limits of the tracker.
+
+    :param confirmation_s: age at which a confirmation no longer counts.
+    """
+
+    confirmation_s: float = 8.0
+
+
+class RevisionTracker:
+    """Holds the tables in force and how far they are confirmed."""
+
+    def __init__(self, limits: RevisionLimits | None = None) -> None:
+        """Start from empty tables that nothing confirms."""
+        self.current = Tables()
+        self._limits = limits or RevisionLimits()
+        self._highest_heard = 0
+        self._confirmed_s: float | None = None
+        self._store_confirmed_s: float | None = None
+        self._reports: dict[str, PeerReport] = {}
+
+    @property
+    def highest_heard(self) -> int:
+        """Return the highest revision that the store or a peer has shown."""
+        return max(self._highest_heard, self.current.revision)
+
+    def offer(
+        self,
+        tables: Tables,
+        source: Source,
+        now_s: float,
+    ) -> OfferResult:
+        """Take tables into force if their revision is higher.
+
+        :param tables: both tables at one revision.
+        :param source: where they come from.
+        :param now_s: the present time.
+        """
+        previous = self.current.revision
+        if tables.revision > previous:
+            self.current = tables
+            return Accepted(tables.revision, previous, source)
+        reason = IgnoredReason.LOWER
+        if tables.revision == previous:
+            is_same = tables == self.current
+            reason = IgnoredReason.SAME if is_same else IgnoredReason.DIFFERS
+        return Ignored(reason, tables.revision, previous, source)
+
+    def confirm(self, revision: int, asked_s: float) -> Ignored | None:
+        """Take an answer of the store about the highest revision.
+
+        :param revision: revision that the store showed.
+        :param asked_s: when the read was sent.
+        :returns: the report of a lower read, which confirms nothing.
+        """
+        self._highest_heard = max(self._highest_heard, revision)
+        if revision < self.highest_heard:
+            return Ignored(
+                IgnoredReason.LOWER,
+                revision,
+                self.current.revision,
+                Source.STORE,
+            )
+        if revision == self.current.revision:
+            self._store_confirmed_s = _later(self._store_confirmed_s, asked_s)
+            self._confirmed_s = _later(self._confirmed_s, asked_s)
+        return None
+
+    def hear(self, report: PeerReport) -> None:
+        """Take what a peer says.
+
+        A peer confirms our revision only if it has the same one and the store
+        confirmed it to the peer itself, never by what a third one said.
+        """
+        self._highest_heard = max(self._highest_heard, report.revision)
+        known = self._reports.get(report.peer)
+        if known is None or known.asked_s <= report.asked_s:
+            self._reports[report.peer] = report
+        if report.confirmed_age_s is None:
+            return
+        if report.revision == self.highest_heard == self.current.revision:
+            self._confirmed_s = _later(
+                self._confirmed_s,
+                report.asked_s - report.confirmed_age_s,
+            )
+
+    def forget(self, peer: str) -> None:
+        """Drop a peer that has left."""
+        self._reports.pop(peer, None)
+
+    def confirmation_age_s(self, now_s: float) -> float | None:
+        """Return the age of the confirmation; ``None`` if there is none."""
+        return None if self._confirmed_s is None else now_s - self._confirmed_s
+
+    def store_confirmation_age_s(self, now_s: float) -> float | None:
+        """Return the age of the store's own confirmation, to tell peers."""
+        if self._store_confirmed_s is None:
+            return None
+        return now_s - self._store_confirmed_s
+
+    def standing(self, now_s: float, member_count: int = 1) -> Standing:
+        """Tell what is known of the revision in force.
+
+        :param now_s: the present time.
+        :param member_count: live daemons of the last known membership, this
+            one included.
+        """
+        age_s = self.confirmation_age_s(now_s)
+        if age_s is not None and age_s <= self._limits.confirmation_s:
+            return Standing.CONFIRMED
+        if self.highest_heard > self.current.revision:
+            return Standing.BEHIND
+        if self.current.revision and self._is_outage(now_s, member_count):
+            return Standing.OUTAGE
+        return Standing.CUT_OFF if self.current.revision else Standing.NEW
+
+    def is_confirmed(self, now_s: float, member_count: int = 1) -> bool:
+        """Tell whether a decision may lean on the revision in force.
+
+        During an outage of the store no change can be accepted, so the
+        highest revision known to a majority stays in force.
+        """
+        standing = self.standing(now_s, member_count)
+        return standing in {Standing.CONFIRMED, Standing.OUTAGE}
+
+    def _is_outage(self, now_s: float, member_count: int) -> bool:
+        since_s = now_s - self._limits.confirmation_s
+        fresh = [
+            report
+            for report in self._reports.values()
+            if report.asked_s >= since_s
+        ]
+        if any(report.sees_store for report in fresh):
+            return False
+        return bool(fresh) and 2 * (len(fresh) + 1) > member_count
+
+
+def _later(known_s: float | None, offered_s: float) -> float:
+    return offered_s if known_s is None else max(known_s, offered_s)
--- a/tests/builders_tables.py
+++ b/tests/builders_tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from nutmegspoke.platform import (
     CommitResult,
@@ -22,6 +23,9 @@
     TeamShare,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
 
 def build_route(name: str = 'drafts', **fields: object) -> RouteRow:
     """Build a route over the pool ``engines``."""
@@ -119,3 +123,58 @@
                 version = self.versions[write.key]
                 self.rows[write.key] = StoredRow(write.key, version, write.body)
         return Committed()
+
+
+@dataclasses.dataclass
+class _Turn:
+    """An awaitable that waits until the test says how the call goes."""
+
+    kind: str
+
+    def __await__(self) -> Generator[str, str, str]:
+        """Return what the test sends."""
+        return (yield self.kind)
+
+
+@dataclasses.dataclass
+class SteppedTableService:
+    """A table service whose every call waits for its turn.
+
+    What the test sends says how the call goes: ``ok``; ``down``; for a read
+    ``old``, the rows as they were; for a commit ``answer lost``, ``lost`` and
+    ``late``, which takes effect when the test says so.
+    """
+
+    now: FakeTableService = dataclasses.field(default_factory=FakeTableService)
+    old_rows: dict[str, StoredRow] = dataclasses.field(default_factory=dict)
+    late: list[Transaction] = dataclasses.field(default_factory=list)
+
+    async def read(self, key: str) -> StoredRow | Unavailable:
+        """Return a row."""
+        fault = await _Turn('read')
+        if fault == 'old':
+            return self.old_rows.get(key, StoredRow(key, 0))
+        return (
+            Unavailable('down') if fault == 'down' else await self.now.read(key)
+        )
+
+    async def scan(self, prefix: str) -> tuple[StoredRow, ...] | Unavailable:
+        """Return the rows with a prefix."""
+        fault = await _Turn('scan')
+        if fault == 'old':
+            return await FakeTableService(rows=self.old_rows).scan(prefix)
+        if fault == 'down':
+            return Unavailable('down')
+        return await self.now.scan(prefix)
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Carry out a transaction."""
+        fault = await _Turn('commit')
+        if fault == 'down':
+            return Unavailable('down')
+        if fault == 'late':
+            self.late.append(transaction)
+        if fault in {'late', 'lost'}:
+            return InDoubt(fault)
+        done = self.now.commit_now(transaction)
+        return InDoubt(fault) if fault == 'answer lost' else done
