--- a/nutmegspoke/outcomes.py
+++ b/nutmegspoke/outcomes.py
@@ -19,6 +19,7 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    HEADER_TOO_LARGE = 'header_too_large'
     NO_ROUTE = 'no_route'
     UNKNOWN_MODEL = 'unknown_model'
     METHOD_NOT_ALLOWED = 'method_not_allowed'
@@ -118,11 +119,16 @@
 def executed(outcome: Outcome) -> Executed:
     """Tell whether the call of this outcome ran.
 
+    A caller knows its call by its idempotency key. While the first request
+    with a key has no outcome, a repeat was not run, but the call may run.
+
     :param outcome: any outcome.
     """
     match outcome:
         case Completed() | Failed():
             return Executed.YES
+        case NotRun(reason=RefusalReason.KEY_RUNNING):
+            return Executed.UNKNOWN
         case NotRun():
             return Executed.NO
         case Unknown():
--- a/tests/border/__init__.py
+++ b/tests/border/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of nutmegspoke.border."""
+"""Tests of the border."""
