--- /dev/null
+++ b/nutmegspoke/border/evidence_log.py
@@ -0,0 +1,133 @@
+"""Writes evidence to the object store in batches."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.evidence.buffer import BufferLimits, EvidenceBuffer
+from nutmegspoke.evidence.records import AdoptionRecord
+from nutmegspoke.evidence.trails import Trails
+
+if TYPE_CHECKING:
+    from nutmegspoke.application import Application
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.evidence.records import Event
+    from nutmegspoke.outcomes import Outcome
+    from nutmegspoke.platform import ObjectStore
+
+logger = logging.getLogger(__name__)
+NAME = 'evidence'
+_FLUSH_INTERVAL_S = 2.0
+_START_ID_BYTES = 6
+
+
+class EvidenceLog:
+    """Takes evidence of requests and revisions and keeps it."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        objects: ObjectStore,
+        daemon: str,
+        limits: BufferLimits | None = None,
+        interval_s: float = _FLUSH_INTERVAL_S,
+    ) -> None:
+        """Start empty.
+
+        :param clock: the clock of the process.
+        :param objects: the object store.
+        :param daemon: name of the daemon.
+        :param limits: limits of the memory.
+        :param interval_s: pause between two writes.
+        """
+        self.buffer = EvidenceBuffer(
+            secrets.token_hex(_START_ID_BYTES),
+            limits or BufferLimits(),
+        )
+        self._clock = clock
+        self._objects = objects
+        self._daemon = daemon
+        self._trails = Trails(daemon)
+        self._periodic = Periodic(NAME, interval_s, self.flush)
+
+    async def start(self) -> None:
+        """Begin to write."""
+        self._periodic.start()
+
+    async def stop(self) -> None:
+        """Write what is left, once."""
+        await self._periodic.stop()
+        await self.flush()
+        if len(self.buffer):
+            logger.warning('evidence: not kept records=%d', len(self.buffer))
+
+    def begin(self, request_id: str) -> None:
+        """Open the trail of a request."""
+        self._trails.begin(
+            request_id,
+            self._clock.now_s(),
+            self._clock.wall_s(),
+        )
+
+    def note(self, request_id: str, event: Event) -> None:
+        """Add an event to the trail of a request."""
+        self._trails.note(request_id, event, self._clock.now_s())
+
+    def end(self, request_id: str, outcome: Outcome, status: int) -> None:
+        """Close the trail of a request."""
+        record = self._trails.end(
+            request_id,
+            outcome,
+            status,
+            self._clock.now_s(),
+        )
+        if record is not None:
+            self.buffer.add(record)
+
+    def adopted(self, revision: int, previous: int, source: str) -> None:
+        """Record that a revision is in force here."""
+        self.buffer.add(
+            AdoptionRecord(
+                self._daemon,
+                revision,
+                previous,
+                source,
+                self._clock.wall_s(),
+            ),
+        )
+
+    async def flush(self) -> None:
+        """Write all that waits, until the object store fails."""
+        batch = self.buffer.next_batch()
+        while batch is not None:
+            failure = await self._objects.put(batch.name, batch.body)
+            if failure is not None:
+                self._report(failure.reason)
+                return
+            self.buffer.stored()
+            batch = self.buffer.next_batch()
+
+    def _report(self, reason: str) -> None:
+        logger.warning(
+            'evidence: object store unreachable reason=%s waiting=%d '
+            'dropped=%s',
+            reason,
+            len(self.buffer),
+            dict(self.buffer.dropped),
+        )
+
+
+def setup(app: Application) -> None:
+    """Register the evidence log."""
+    sessions = app.kernel.find(SESSIONS, HttpSessions)
+    log = EvidenceLog(
+        app.clock,
+        sessions.platform.objects,
+        app.settings.daemon.name,
+    )
+    app.kernel.register(NAME, log)
--- /dev/null
+++ b/nutmegspoke/evidence/trails.py
@@ -0,0 +1,98 @@
+"""Collects what happens to each request until its end."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.evidence.records import Ending, RequestRecord, TimedEvent
+from nutmegspoke.outcomes import NotRun, Outcome, Unknown, executed
+
+if TYPE_CHECKING:
+    from nutmegspoke.evidence.records import Event
+
+MAX_EVENTS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Trail:
+    """A request that has not ended."""
+
+    received_s: float
+    received_wall_s: float
+    events: list[TimedEvent] = dataclasses.field(default_factory=list)
+    dropped_events: int = 0
+
+
+class Trails:
+    """The requests in work, each with its events."""
+
+    def __init__(self, daemon: str) -> None:
+        """Start without requests.
+
+        :param daemon: name of the daemon.
+        """
+        self._daemon = daemon
+        self._trails: dict[str, _Trail] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests in work."""
+        return len(self._trails)
+
+    def begin(self, request_id: str, now_s: float, wall_s: float) -> None:
+        """Open the trail of a request.
+
+        :param request_id: id of the request.
+        :param now_s: the present time.
+        :param wall_s: seconds since 1970, for people.
+        """
+        self._trails[request_id] = _Trail(now_s, wall_s)
+
+    def note(self, request_id: str, event: Event, now_s: float) -> None:
+        """Add an event; one of a request that has ended is ignored."""
+        trail = self._trails.get(request_id)
+        if trail is None:
+            return
+        if len(trail.events) >= MAX_EVENTS:
+            trail.dropped_events += 1
+            return
+        trail.events.append(TimedEvent(now_s - trail.received_s, event))
+
+    def end(
+        self,
+        request_id: str,
+        outcome: Outcome,
+        status: int,
+        now_s: float,
+    ) -> RequestRecord | None:
+        """Close the trail of a request and return its record.
+
+        :param request_id: id of the request.
+        :param outcome: its outcome.
+        :param status: HTTP status that the caller got.
+        :param now_s: the present time.
+        """
+        trail = self._trails.pop(request_id, None)
+        if trail is None:
+            return None
+        return RequestRecord(
+            request_id=request_id,
+            daemon=self._daemon,
+            received_wall_s=trail.received_wall_s,
+            duration_s=now_s - trail.received_s,
+            events=tuple(trail.events),
+            ending=_ending(outcome, status),
+            dropped_events=trail.dropped_events,
+        )
+
+
+def _ending(outcome: Outcome, status: int) -> Ending:
+    ran = executed(outcome).value
+    if isinstance(outcome, NotRun | Unknown):
+        return Ending(
+            ran,
+            outcome.reason.value,
+            status,
+            outcome.retry_after_s,
+        )
+    return Ending(ran, status=status, is_replayed=outcome.replayed)
