--- /dev/null
+++ b/nutmegspoke/border/claim_reads.py
@@ -0,0 +1,122 @@
+"""Reads and settles claims for operators."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.claims import rows, settlement
+from nutmegspoke.platform import Committed, Conflict, InDoubt, Unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from nutmegspoke.platform import TableService
+
+_SETTLE_TRIES = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenClaim:
+    """A claim whose outcome nobody knows.
+
+    :param key: key of the claim row.
+    :param row: the claim.
+    """
+
+    key: str
+    row: rows.ClaimRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settled:
+    """The claim is settled.
+
+    :param key: key of the claim row.
+    """
+
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSettled:
+    """The claim is as it was.
+
+    :param reason: why.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettleInDoubt:
+    """The claim may be settled.
+
+    :param reason: what went wrong.
+    """
+
+    reason: str
+
+
+SettleResult = Settled | NotSettled | SettleInDoubt | Unavailable
+
+
+async def open_claims(
+    tables: TableService,
+) -> tuple[OpenClaim, ...] | Unavailable:
+    """Return the claims whose outcome nobody knows."""
+    found = await tables.scan(rows.CLAIM_PREFIX)
+    if isinstance(found, Unavailable):
+        return found
+    claims = ((stored.key, rows.decode_claim(stored.body)) for stored in found)
+    return tuple(
+        OpenClaim(key, row)
+        for key, row in claims
+        if row is not None and settlement.is_unsettled(row)
+    )
+
+
+async def settle(
+    tables: TableService,
+    key: str,
+    operator: str,
+    verdict: settlement.Verdict,
+    live_daemons: Collection[str] = (),
+) -> SettleResult:
+    """Settle a claim by a conditional write.
+
+    :param tables: the table service.
+    :param key: key of the claim row.
+    :param operator: name of the operator, kept in the row.
+    :param verdict: whether the call ran.
+    :param live_daemons: names of the daemons that live.
+    """
+    found = await tables.read(key)
+    if isinstance(found, Unavailable):
+        return found
+    planned = settlement.settle(found, verdict, operator, live_daemons)
+    if isinstance(planned, settlement.SettleRefusal):
+        return NotSettled(planned.value.replace('_', ' '))
+    committed = await tables.commit(planned)
+    for _ in range(_SETTLE_TRIES):
+        match committed:
+            case Committed():
+                return Settled(key)
+            case Conflict(failed):
+                return _after_conflict(key, operator, failed[0].body)
+            case Unavailable():
+                return committed
+        committed = await tables.commit(planned)
+    reason = committed.reason if isinstance(committed, InDoubt) else ''
+    return SettleInDoubt(reason)
+
+
+def _after_conflict(
+    key: str,
+    operator: str,
+    body: bytes,
+) -> Settled | NotSettled:
+    row = rows.decode_claim(body)
+    if row is not None and row.settled_by == operator:
+        return Settled(key)
+    return NotSettled('the claim has changed; list the claims again')
--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from nutmegspoke.border import loop  # noqa: F401, I001 -- must come first
-import getpass
-import pathlib
+from nutmegspoke.border import loop  # isort: skip  # noqa: F401 -- sets it
+
 import secrets
 import time
 from typing import Annotated
@@ -12,55 +11,45 @@
 import typer
 
 from nutmegspoke.border import apply as border_apply
-from nutmegspoke.border import table_files, table_reads
-from nutmegspoke.cmd import cli_load, cli_platform
-from nutmegspoke.cmd.cli_output import ExitCode, Printer
+from nutmegspoke.border import table_reads
+from nutmegspoke.cmd import cli_changes, cli_claims, cli_explain, cli_wait
+from nutmegspoke.cmd.cli_options import (
+    DaemonsOption,
+    FileArgument,
+    JsonOption,
+    OperatorOption,
+    PlatformOption,
+    TokenOption,
+    read_file,
+)
+from nutmegspoke.cmd.cli_output import Printer
+from nutmegspoke.cmd.cli_platform import PlatformClient, run
 from nutmegspoke.tables import apply
-from nutmegspoke.tables.checks import check_tables
-from nutmegspoke.tables.faults import TableFaults
-from nutmegspoke.tables.rows import Tables
 from nutmegspoke.tables.snapshot import TablesSnapshot
 
+_HELP = """Checks, applies, shows and explains the tables of routes and pools.
+
+Exit codes: 0 done; 1 failed or not found; 2 the file or the command is
+wrong; 3 another operator changed the same row; 4 unknown whether accepted;
+5 the platform gives no answer; 6 accepted, but not yet in force at every
+daemon.
+"""
+_CHANGE_ID_BYTES = 8
+
 app = typer.Typer(
-    help='Checks, applies and shows the tables of routes and pools.',
+    help=_HELP,
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
 )
-
-_CHANGE_ID_BYTES = 8
-
-FileArgument = Annotated[
-    pathlib.Path,
-    typer.Argument(help='The tables file.', metavar='FILE'),
-]
-PlatformOption = Annotated[
-    str,
-    typer.Option(
-        envvar='NUTMEGSPOKE_PLATFORM',
-        help='URL of the platform.',
-        metavar='URL',
-    ),
-]
-JsonOption = Annotated[
-    bool,
-    typer.Option('--json', help='Print one JSON document.'),
-]
-OperatorOption = Annotated[
-    str,
-    typer.Option(
-        envvar='NUTMEGSPOKE_OPERATOR',
-        help='Your name, for the record of the change.',
-        default_factory=getpass.getuser,
-    ),
-]
+app.add_typer(cli_claims.app, name='claims')
 
 
 @app.command()
 def check(file: FileArgument, json: JsonOption = False) -> None:
     """Check a tables file and name every fault in it."""
     printer = Printer(json)
-    tables = _read_file(file, printer)
+    tables = read_file(file, printer)
     printer.checked(str(file), tables)
 
 
@@ -69,24 +58,38 @@
     file: FileArgument,
     platform: PlatformOption,
     operator: OperatorOption,
+    daemons: DaemonsOption,
+    token: TokenOption = '',
     base: Annotated[
         int | None,
-        typer.Option(help='Revision that the file was made from.', min=0),
+        typer.Option(
+            help='Revision that the file was made from. Rows that others '
+            'changed after it stay; the same row refuses yours.',
+            min=0,
+            metavar='REVISION',
+            show_default='the one in force',
+        ),
     ] = None,
+    wait: Annotated[
+        bool,
+        typer.Option('--wait', help='Wait until every --daemon has it.'),
+    ] = False,
+    wait_limit_s: Annotated[
+        float,
+        typer.Option(help='The longest wait, in seconds.', min=0),
+    ] = 30.0,
     json: JsonOption = False,
 ) -> None:
     """Bring a tables file into force, in one transaction."""
     printer = Printer(json)
-    wanted = _read_file(file, printer)
+    wanted = read_file(file, printer)
     author = apply.Author(
         operator=operator,
         change_id=secrets.token_hex(_CHANGE_ID_BYTES),
         at_wall_s=time.time(),
     )
 
-    async def carry_out(
-        client: cli_platform.PlatformClient,
-    ) -> border_apply.ApplyResult:
+    async def carry_out(client: PlatformClient) -> border_apply.ApplyResult:
         return await border_apply.apply_tables(
             client.tables,
             wanted,
@@ -94,7 +97,9 @@
             base,
         )
 
-    printer.applied(cli_platform.run(platform, carry_out), platform)
+    revision = printer.applied(run(platform, carry_out), platform)
+    if wait:
+        cli_wait.wait_in_force(printer, revision, daemons, token, wait_limit_s)
 
 
 @app.command()
@@ -102,32 +107,20 @@
     """Print the tables of the platform as a tables file."""
     printer = Printer(json)
 
-    async def read(
-        client: cli_platform.PlatformClient,
-    ) -> table_reads.SnapshotResult:
+    async def read(client: PlatformClient) -> table_reads.SnapshotResult:
         return await table_reads.read_snapshot(client.tables)
 
-    found = cli_platform.run(platform, read)
+    found = run(platform, read)
     if not isinstance(found, TablesSnapshot):
         printer.unreadable(found)
     printer.tables(found.tables)
 
 
-def _read_file(file: pathlib.Path, printer: Printer) -> Tables:
-    try:
-        text = file.read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        printer.fail(ExitCode.FAULTS, f'{file}: can not be read: {error}')
-    tables = table_files.read_tables(text, str(file))
-    if isinstance(tables, TableFaults):
-        printer.faults(str(file), tables)
-    faults = check_tables(tables, str(file))
-    if faults is not None:
-        printer.faults(str(file), faults)
-    return tables
-
-
-app.command(name='load')(cli_load.load_command)
+app.command()(cli_changes.diff)
+app.command()(cli_changes.history)
+app.command()(cli_changes.outcome)
+app.command()(cli_explain.status)
+app.command()(cli_explain.explain)
 
 
 def main() -> None:
--- a/nutmegspoke/cmd/cli_output.py
+++ b/nutmegspoke/cmd/cli_output.py
@@ -12,12 +12,13 @@
 from nutmegspoke.border import apply as border_apply
 from nutmegspoke.border import table_reads
 from nutmegspoke.tables import apply, text
+from nutmegspoke.tables.diff import section_changes
 from nutmegspoke.tables.snapshot import UnreadableRow
 
 if TYPE_CHECKING:
     from nutmegspoke.platform import Unavailable
     from nutmegspoke.tables.faults import TableFaults
-    from nutmegspoke.tables.changes import ChangeRecord, RowChange
+    from nutmegspoke.tables.changes import ChangeRecord
     from nutmegspoke.tables.rows import Tables
 
 
@@ -30,6 +31,7 @@
     CONFLICT = 3
     UNKNOWN = 4
     UNAVAILABLE = 5
+    NOT_IN_FORCE = 6
 
 
 class Printer:
@@ -61,17 +63,16 @@
         """Print that a file has no fault."""
         routes = len(tables.routes)
         pools = len(tables.pools)
-        if self._as_json:
-            self._json(result='ok', routes=routes, pools=pools)
-        else:
-            typer.echo(f'{source}: {routes} routes, {pools} pools, no fault')
+        self.say(
+            f'{source}: {routes} routes, {pools} pools, no fault',
+            result='ok',
+            routes=routes,
+            pools=pools,
+        )
 
     def tables(self, tables: Tables) -> None:
         """Print both tables."""
-        if self._as_json:
-            self._json(tables=tables)
-        else:
-            typer.echo(text.tables_text(tables))
+        self.say(text.tables_text(tables), tables=tables)
 
     def unreadable(self, problem: Unavailable | UnreadableRow) -> NoReturn:
         """Print that the platform can't be read and end the program."""
@@ -85,13 +86,25 @@
             f'the table service can not be read: {problem.reason}',
         )
 
-    def applied(self, told: border_apply.ApplyResult, platform: str) -> None:
-        """Print what became of a change; end the program if it failed."""
+    def say(self, shown: str, **fields: Any) -> None:
+        """Print text, or fields as JSON."""
+        if self._as_json:
+            self._json(**fields)
+        else:
+            typer.echo(shown)
+
+    def applied(self, told: border_apply.ApplyResult, platform: str) -> int:
+        """Print what became of a change; end the program if it failed.
+
+        :returns: the revision that has what the operator wants.
+        """
         match told:
             case table_reads.Accepted():
-                self._accepted(told.record)
+                self.accepted(told.record)
+                return told.record.revision
             case apply.NoChange():
                 self._unchanged(told.revision)
+                return told.revision
             case apply.RowConflict():
                 self._conflict(told)
             case border_apply.AcceptanceUnknown():
@@ -102,18 +115,20 @@
                     f'not accepted: {told.detail}',
                 )
 
-    def _accepted(self, record: ChangeRecord) -> None:
-        if self._as_json:
-            self._json(result='accepted', change=change_fields(record))
-        else:
-            typer.echo(change_text(record))
-            typer.echo(f'accepted: revision {record.revision}')
+    def accepted(self, record: ChangeRecord) -> None:
+        """Print an accepted change."""
+        self.say(
+            f'{change_text(record)}\naccepted: revision {record.revision}',
+            result='accepted',
+            change=change_fields(record),
+        )
 
     def _unchanged(self, revision: int) -> None:
-        if self._as_json:
-            self._json(result='unchanged', revision=revision)
-        else:
-            typer.echo(f'nothing to change: revision {revision} has it already')
+        self.say(
+            f'nothing to change: revision {revision} has it already',
+            result='unchanged',
+            revision=revision,
+        )
 
     def _conflict(self, told: apply.RowConflict) -> NoReturn:
         lines = [
@@ -156,9 +171,9 @@
     lines = [
         f'revision {record.revision} by {record.operator}, '
         f'change {record.change_id}, from revision {record.base_revision}',
-        *(f'  {row.kind} {row.key}' for row in record.rows),
+        *map(str, section_changes(record.rows)),
     ]
-    return '\n'.join(lines)
+    return '\n  '.join('\n'.join(lines).split('\n'))
 
 
 def change_fields(record: ChangeRecord) -> dict[str, Any]:
@@ -169,9 +184,5 @@
         'operator': record.operator,
         'at_wall_s': record.at_wall_s,
         'base_revision': record.base_revision,
-        'rows': [_row_fields(row) for row in record.rows],
+        'sections': section_changes(record.rows),
     }
-
-
-def _row_fields(row: RowChange) -> dict[str, str]:
-    return {'key': row.key, 'kind': row.kind}
--- a/nutmegspoke/tables/checks.py
+++ b/nutmegspoke/tables/checks.py
@@ -135,12 +135,12 @@
         'layer_count': pool.layer_count,
     }
     for key, setting in settings.items():
-        if is_engine and not setting and key != 'version':
+        if is_engine and not setting:
             yield _Found(
                 pool,
                 key,
                 'is missing',
-                'a pool of engines names model and layer_count',
+                'a pool of engines names model, version and layer_count',
             )
         if setting and not is_engine:
             yield _Found(
