--- a/nutmegspoke/border/draft_runs.py
+++ b/nutmegspoke/border/draft_runs.py
@@ -14,10 +14,11 @@
 
 if TYPE_CHECKING:
     from nutmegspoke.border.target_watch import TargetWatch
-    from nutmegspoke.layers import Chain, Stage
+    from nutmegspoke.layers import Stage
     from nutmegspoke.pipelines.carrier import Loss, StepCarrier
     from nutmegspoke.pipelines.decisions import RunDecision, SendStep
     from nutmegspoke.requests import DraftRequest
+    from nutmegspoke.routing.choices import ChainChoice
 
 logger = logging.getLogger(__name__)
 FIRST_ATTEMPT = 1
@@ -29,7 +30,7 @@
 
     :param request: the caller's request.
     :param fingerprint: digest of the request, for event ids.
-    :param chain: the first chain.
+    :param choice: the first chain.
     :param point: where the caller resumes; ``None`` for a new draft.
     """
 
@@ -37,15 +38,16 @@
         self,
         request: DraftRequest,
         fingerprint: str,
-        chain: Chain,
+        choice: ChainChoice,
         point: ResumePoint | None,
     ) -> None:
         """Prepare a run."""
         self.request = request
+        self.choice = choice
         self.avoided: frozenset[str] = frozenset()
         self.has_run = point is not None
         attempt = point.next_attempt if point else FIRST_ATTEMPT
-        self.run = DraftRun(_plan(request, point), chain, attempt)
+        self.run = DraftRun(_plan(request, point), choice.chain, attempt)
         self._fingerprint = fingerprint
         self._point = point
         self._judge = LossJudge(attempt)
@@ -56,6 +58,14 @@
             return self.run.begin()
         return self.run.resume(self._point)
 
+    def restart(self, choice: ChainChoice, above_attempt: int) -> SendStep:
+        """Go on over a chain.
+
+        :param above_attempt: an attempt that a stage has seen.
+        """
+        self.choice = choice
+        return self.run.restart(choice.chain, above_attempt)
+
     async def carry(
         self,
         carrier: StepCarrier,
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -3,21 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
-import logging
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
-from nutmegspoke.border.draft_runs import (
-    RETRY_AFTER_S,
-    DraftInProgress,
-    tell_directory,
-)
-from nutmegspoke.border.engine_client import RelayCarrier
-from nutmegspoke.border.http_sessions import KEEPALIVE_S, HttpSessions
-from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.draft_chains import DraftChains
+from nutmegspoke.border.draft_runs import DraftInProgress, tell_directory
+from nutmegspoke.border.engine_client import new_carrier
 from nutmegspoke.border.settings import read_secret
-from nutmegspoke.border.simple_chain import choose_chain
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.pipelines.decisions import AnswerDiffers, SendStep, TokenReady
@@ -33,10 +27,9 @@
     from nutmegspoke.pipelines.carrier import Loss, StepCarrier
     from nutmegspoke.pipelines.resume import ResumePoint
     from nutmegspoke.requests import DraftRequest
+    from nutmegspoke.routing.choices import ChainChoice
 
-logger = logging.getLogger(__name__)
 NAME = 'drafts'
-_CHAIN_PAUSE_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +56,7 @@
     :param targets: the targets, told of what happens to them.
     :param carrier: carries steps to them.
     :param signer: signs event ids.
+    :param chains: lets drafts in and chooses their chains.
     """
 
     def __init__(
@@ -71,12 +65,14 @@
         targets: TargetWatch,
         carrier: StepCarrier,
         signer: ResumeSigner,
+        chains: DraftChains,
     ) -> None:
         """Use a carrier towards the targets."""
         self._clock = clock
         self._targets = targets
         self._carrier = carrier
         self._signer = signer
+        self._chains = chains
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -99,12 +95,32 @@
         if point is not None and point.count >= request.max_tokens:
             yield outcomes.Completed(status=200)
             return
-        chain = self._choose_first(request, point)
-        if chain is None:
-            yield _no_target(request)
+        refusal = await self._chains.gate.enter(request)
+        if refusal is not None:
+            yield refusal
             return
-        draft = DraftInProgress(request, _fingerprint(request), chain, point)
-        self._note_started(chain)
+        is_served = False
+        admitted = self._stream_admitted(request, point)
+        try:
+            async with contextlib.aclosing(admitted):
+                async for item in admitted:
+                    is_served = isinstance(item, outcomes.Completed)
+                    yield item
+        finally:
+            self._chains.gate.leave(request, is_served=is_served)
+
+    async def _stream_admitted(
+        self,
+        request: DraftRequest,
+        point: ResumePoint | None,
+    ) -> AsyncIterator[DraftItem]:
+        choice = await self._chains.choose_first(request, point)
+        if isinstance(choice, outcomes.NotRun):
+            yield choice
+            return
+        mark = _fingerprint(request)
+        draft = DraftInProgress(request, mark, choice, point)
+        self._chains.started(choice)
         try:
             async for item in self._run(draft):
                 yield item
@@ -157,64 +173,15 @@
             return None
         if remedy is Remedy.RESEND:
             return draft.run.resend()
-        chain: Chain | None = draft.run.chain
+        choice: ChainChoice | None = draft.choice
         if remedy is Remedy.REPLACE:
-            chain = await self._await_chain(draft)
-        if chain is None:
+            choice = await self._chains.choose_again(draft)
+        if choice is None:
             return None
-        self._leave(draft, chain)
-        self._note_started(chain)
-        return draft.run.restart(chain, getattr(lost, 'attempt', 0))
-
-    async def _await_chain(self, draft: DraftInProgress) -> Chain | None:
-        """Wait for a chain, as long as a target may stay silent."""
-        request = draft.request
-        patience_s = request.route.progress_timeout_s
-        end_s = min(self._clock.now_s() + patience_s, request.deadline_s)
-        chain = self._choose(request, draft.avoided)
-        while chain is None and self._clock.now_s() < end_s:
-            await asyncio.sleep(_CHAIN_PAUSE_S)
-            chain = self._choose(request, frozenset())
-        return chain
-
-    def _choose(
-        self,
-        request: DraftRequest,
-        avoided: frozenset[str],
-    ) -> Chain | None:
-        now_s = self._clock.now_s()
-        usable = self._targets.usable(request.pool.name, now_s)
-        chain = choose_chain(usable, request.pool.layer_count, avoided)
-        logger.info(
-            'routing: chain chosen request=%s pool=%s chain=%s avoided=%s',
-            request.request_id,
-            request.pool.name,
-            _chain_text(chain),
-            ','.join(sorted(avoided)),
-        )
-        return chain
-
-    def _choose_first(
-        self,
-        request: DraftRequest,
-        point: ResumePoint | None,
-    ) -> Chain | None:
-        if point is not None and self._is_usable(request, point.chain):
-            logger.info(
-                'routing: chain resumed request=%s stream=%s count=%d chain=%s',
-                request.request_id,
-                point.stream_id,
-                point.count,
-                _chain_text(point.chain),
-            )
-            return point.chain
-        return self._choose(request, frozenset())
-
-    def _is_usable(self, request: DraftRequest, chain: Chain) -> bool:
-        now_s = self._clock.now_s()
-        usable = self._targets.usable(request.pool.name, now_s)
-        addresses = {target.address for target in usable}
-        return all(stage.address in addresses for stage in chain)
+        if choice is not draft.choice:
+            self._leave(draft, choice.chain)
+            self._chains.started(choice)
+        return draft.restart(choice, getattr(lost, 'attempt', 0))
 
     def _read_point(
         self,
@@ -233,14 +200,10 @@
         event_id = self._signer.sign(draft.resume_point())
         return DraftToken(ready.number, ready.text, event_id)
 
-    def _leave(
-        self,
-        draft: DraftInProgress,
-        following: Chain = (),
-    ) -> None:
+    def _leave(self, draft: DraftInProgress, following: Chain = ()) -> None:
         """Count the work as done and end it where it does not go on."""
+        self._chains.finished(draft.request, draft.choice)
         for stage in draft.run.chain:
-            self._targets.finished(stage.address)
             if stage in following:
                 continue
             cancel = self._carrier.cancel(
@@ -252,19 +215,17 @@
             self._cancels.add(task)
             task.add_done_callback(self._cancels.discard)
 
-    def _note_started(self, chain: Chain) -> None:
-        for stage in chain:
-            self._targets.started(stage.address)
-
 
 def setup(app: Application) -> None:
     """Register the draft service."""
-    sessions = app.kernel.find(SESSIONS, HttpSessions)
-    carrier = RelayCarrier(sessions.targets, sessions.fresh, KEEPALIVE_S)
-    targets = app.kernel.find(TARGETS, TargetWatch)
-    signer = ResumeSigner(read_secret(app.settings.secrets.peers_key))
-    drafts = DraftService(app.clock, targets, carrier, signer)
-    app.kernel.register(NAME, drafts)
+    service = DraftService(
+        app.clock,
+        app.kernel.find(TARGETS, TargetWatch),
+        new_carrier(app),
+        ResumeSigner(read_secret(app.settings.secrets.peers_key)),
+        DraftChains.from_application(app),
+    )
+    app.kernel.register(NAME, service)
 
 
 def _fingerprint(request: DraftRequest) -> str:
@@ -278,17 +239,3 @@
 
 def _bad_resume(detail: str) -> outcomes.NotRun:
     return outcomes.NotRun(outcomes.RefusalReason.BAD_REQUEST, detail=detail)
-
-
-def _no_target(request: DraftRequest) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        outcomes.RefusalReason.NO_TARGET,
-        RETRY_AFTER_S,
-        f'no chain of targets in pool {request.pool.name}',
-    )
-
-
-def _chain_text(chain: Chain | None) -> str:
-    if chain is None:
-        return 'none'
-    return ','.join(f'{stage.target}:{stage.layers}' for stage in chain)
--- a/nutmegspoke/border/engine_client.py
+++ b/nutmegspoke/border/engine_client.py
@@ -11,9 +11,12 @@
 import msgspec
 
 from nutmegspoke import engine_protocol as protocol
+from nutmegspoke.border.http_sessions import KEEPALIVE_S, HttpSessions
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.pipelines.carrier import CarryResult, LossKind, StepLost
 
 if TYPE_CHECKING:
+    from nutmegspoke.application import Application
     from nutmegspoke.layers import Stage
 
 logger = logging.getLogger(__name__)
@@ -42,7 +45,7 @@
         self,
         session: aiohttp.ClientSession,
         fresh_session: aiohttp.ClientSession,
-        keepalive_s: float,
+        keepalive_s: float = KEEPALIVE_S,
     ) -> None:
         """Use two sessions."""
         self._session = session
@@ -167,6 +170,12 @@
         self.is_answered = True
 
 
+def new_carrier(app: Application) -> RelayCarrier:
+    """Return the carrier of an application."""
+    sessions = app.kernel.find(SESSIONS, HttpSessions)
+    return RelayCarrier(sessions.targets, sessions.fresh)
+
+
 def _exact_timeout(total_s: float) -> aiohttp.ClientTimeout:
     """Return a timeout that is not rounded up to whole seconds."""
     return aiohttp.ClientTimeout(total=total_s, ceil_threshold=total_s)
--- a/tests/builders_pipelines.py
+++ b/tests/builders_pipelines.py
@@ -179,6 +179,22 @@
             self.hidden.add(address)
 
 
+class FakeGate:
+    """Lets every request in."""
+
+    def __init__(self) -> None:
+        """Count those inside."""
+        self.inside = 0
+
+    async def enter(self, request: DraftRequest) -> None:
+        """Let it in."""
+        self.inside += 1
+
+    def leave(self, request: DraftRequest, *, is_served: bool) -> None:
+        """Let it out."""
+        self.inside -= 1
+
+
 class FakeCarrier:
     """Carries steps to engines in this process, with faults by a script.
 
