--- a/nutmegspoke/bench/deployment.py
+++ b/nutmegspoke/bench/deployment.py
@@ -41,6 +41,7 @@
 [routing]
 load_poll_interval_s = {poll_s}
 policy = {policy}
+carrier = {carrier}
 
 [stop]
 notice_s = {notice_s}
@@ -54,6 +55,7 @@
 
     availability_zone: str = 'pnw-a'
     policy: str = 'flow'
+    carrier: str = 'relay'
     poll_interval_s: float = 0.25
     notice_s: float = 0.2
     finish_limit_s: float = 30.0
@@ -202,6 +204,7 @@
             platform=self.platform.url,
             poll_s=chosen.poll_interval_s,
             policy=chosen.policy,
+            carrier=chosen.carrier,
             notice_s=chosen.notice_s,
             finish_limit_s=chosen.finish_limit_s,
             token_variable=OPERATORS_TOKEN_VARIABLE,
--- a/nutmegspoke/border/draft_runs.py
+++ b/nutmegspoke/border/draft_runs.py
@@ -7,7 +7,7 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.engine_protocol import RefusalKind, StepRefusal, StepReply
-from nutmegspoke.pipelines.carrier import LossKind, StepLost
+from nutmegspoke.pipelines.carrier import Ahead, LossKind, StepLost
 from nutmegspoke.pipelines.losses import LossJudge, Remedy, may_have_run
 from nutmegspoke.pipelines.resume import ResumePoint, stage_records
 from nutmegspoke.pipelines.run import DraftPlan, DraftRun
@@ -81,6 +81,7 @@
             order.stage,
             order.step,
             min(progress_timeout_s, limit_s),
+            self._ahead(),
         )
         if not isinstance(result, StepReply):
             return result
@@ -88,6 +89,10 @@
         self._judge.progressed()
         return self.run.accept(result)
 
+    def _ahead(self) -> Ahead:
+        left = self.request.max_tokens - self.run.answer.run_count
+        return Ahead(self.run.chain, left)
+
     def judge(self, lost: Loss) -> Remedy:
         """Log a loss and return how to go on."""
         self.has_run = self.has_run or may_have_run(lost)
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -10,7 +10,7 @@
 from nutmegspoke import outcomes
 from nutmegspoke.border.draft_chains import DraftChains
 from nutmegspoke.border.draft_runs import DraftInProgress, tell_directory
-from nutmegspoke.border.engine_client import new_carrier
+from nutmegspoke.border.carriers import new_carrier
 from nutmegspoke.border.settings import read_secret
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
--- a/nutmegspoke/border/settings.py
+++ b/nutmegspoke/border/settings.py
@@ -79,6 +79,7 @@
 class RoutingSection(_Section):
     """How targets are chosen."""
 
+    carrier: Literal['relay', 'pass_on'] = 'relay'
     policy: Literal['flow', 'random', 'round_robin', 'least_in_flight'] = 'flow'
     load_poll_interval_s: _PositiveSeconds = 1.0
 
--- a/nutmegspoke/engine_protocol.py
+++ b/nutmegspoke/engine_protocol.py
@@ -10,6 +10,7 @@
 LOAD_PATH = '/v1/load'
 CANCEL_PATH = '/v1/cancel'
 CACHES_PATH = '/v1/caches'
+PASSES_PATH = '/v1/passes'
 ORDERS_PATH = '/v1/orders'
 MEDIA_TYPE = 'application/msgpack'
 
@@ -63,6 +64,7 @@
     :param hidden: outputs of the last layer that ran, one for each position.
     :param token: the next token, if the last layer of the model ran.
     :param text: text of the token.
+    :param is_passed_on: the outputs went to the next stage, not to the router.
     """
 
     target: str
@@ -75,6 +77,7 @@
     hidden: tuple[int, ...] = ()
     token: int | None = None
     text: str = ''
+    is_passed_on: bool = False
 
 
 class StepRefusal(msgspec.Struct):
@@ -90,6 +93,46 @@
     attempt: int = 0
 
 
+class PassStage(msgspec.Struct):
+    """A stage of a chain that engines pass a stream along."""
+
+    target: str
+    address: str
+    first_layer: int
+    stop_layer: int
+
+
+class PassRequest(msgspec.Struct):
+    """A step that the stages pass on among themselves.
+
+    The first stage feeds each token back to itself and answers with one
+    :class:`PassReply` for each token, each after its length.
+
+    :param step: the step of the first stage of the chain.
+    :param chain: the stages, the receiver first.
+    :param token_count: tokens to generate.
+    :param timeout_s: how long a stage waits for the next one.
+    """
+
+    step: StepRequest
+    chain: tuple[PassStage, ...]
+    token_count: int
+    timeout_s: float
+
+
+class PassReply(msgspec.Struct):
+    """What became of one token.
+
+    :param replies: replies of the stages in order, up to a loss.
+    :param refusal: refusal of the stage after them, if it refused.
+    :param loss: how the step to the stage after them was lost, if it was.
+    """
+
+    replies: tuple[StepReply, ...] = ()
+    refusal: StepRefusal | None = None
+    loss: str = ''
+
+
 class CacheBlock(msgspec.Struct):
     """The exported KV cache of a stream.
 
--- a/nutmegspoke/pipelines/answer.py
+++ b/nutmegspoke/pipelines/answer.py
@@ -49,6 +49,11 @@
         """Return the tokens from the first on, as far as they are known."""
         return tuple(self._tokens or ())
 
+    @property
+    def run_count(self) -> int:
+        """Return the number of tokens that the present run has generated."""
+        return self.count if self._tokens is None else len(self._tokens)
+
     def begin_again(self) -> None:
         """Prepare to run from the prompt and the known tokens."""
         if self._tokens is None:
--- a/nutmegspoke/pipelines/carrier.py
+++ b/nutmegspoke/pipelines/carrier.py
@@ -10,7 +10,7 @@
 from nutmegspoke.pipelines.decisions import ReplyDropped
 
 if TYPE_CHECKING:
-    from nutmegspoke.layers import Stage
+    from nutmegspoke.layers import Chain, Stage
 
 
 class LossKind(enum.StrEnum):
@@ -39,6 +39,18 @@
 CarryResult = StepReply | StepRefusal | StepLost
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ahead:
+    """What follows a step if all goes well.
+
+    :param chain: the whole chain of the step.
+    :param token_count: tokens to generate from this step on.
+    """
+
+    chain: Chain
+    token_count: int
+
+
 class StepCarrier(Protocol):
     """Carries steps to stages."""
 
@@ -47,8 +59,12 @@
         stage: Stage,
         step: StepRequest,
         progress_timeout_s: float,
+        ahead: Ahead | None = None,
     ) -> CarryResult:
-        """Send a step and return what became of it."""
+        """Send a step and return what became of it.
+
+        :param ahead: what follows, for carriers that can send it along.
+        """
 
     async def cancel(self, stage: Stage, stream_id: str, attempt: int) -> None:
         """Tell a stage that a stream has ended; failures are ignored."""
--- a/nutmegspoke/pipelines/run.py
+++ b/nutmegspoke/pipelines/run.py
@@ -275,12 +275,14 @@
     layer_count: int,
 ) -> str:
     if reply.position != step.position:
-        return 'position'
+        return 'other position'
     sent_count = len(step.hidden) or len(step.tokens)
-    if reply.count != sent_count and not step.prompt:
+    if sent_count and reply.count != sent_count and not step.prompt:
         return 'count'
     if reply.stop_layer == layer_count:
         return '' if reply.token is not None else 'no token'
+    if reply.is_passed_on:
+        return 'passed on' if reply.hidden else ''
     return '' if len(reply.hidden) == reply.count else 'hidden count'
 
 
--- /dev/null
+++ b/nutmegspoke/standins/passing.py
@@ -0,0 +1,146 @@
+"""Engines of the stand-in pass steps on among themselves."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+from aiohttp import ClientConnectorError, ClientError, ClientSession, web
+
+from nutmegspoke import engine_protocol as protocol
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from nutmegspoke.standins.faults import FaultBoard
+
+_encode = msgspec.msgpack.encode
+_decode = msgspec.msgpack.decode
+_LENGTH_BYTES = 4
+_WAIT_SHARE = 0.8
+StepResult = protocol.StepReply | protocol.StepRefusal
+
+
+@dataclasses.dataclass(slots=True)
+class PassingEngine:
+    """Handler of passes.
+
+    :param run_step: runs a step at this engine.
+    :param board: faults in force.
+    """
+
+    run_step: Callable[[protocol.StepRequest], Awaitable[StepResult]]
+    board: FaultBoard
+    _session: ClientSession | None = None
+
+    def add_to(self, app: web.Application) -> None:
+        """Serve passes in an application."""
+        app.router.add_post(protocol.PASSES_PATH, self.handle)
+        app.cleanup_ctx.append(self._open_session)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Generate tokens and answer with what became of each."""
+        order = _decode(await request.read(), type=protocol.PassRequest)
+        response = web.StreamResponse()
+        response.content_type = protocol.MEDIA_TYPE
+        await response.prepare(request)
+        step: protocol.StepRequest | None = order.step
+        for _ in range(order.token_count):
+            if step is None:
+                break
+            reply = await self._pass(step, order)
+            await self.board.hold_if_silenced(request)
+            body = _encode(reply)
+            length = len(body).to_bytes(_LENGTH_BYTES, 'big')
+            await response.write(length + body)
+            step = _next_step(step, reply)
+        await response.write_eof()
+        return response
+
+    async def _pass(
+        self,
+        step: protocol.StepRequest,
+        order: protocol.PassRequest,
+    ) -> protocol.PassReply:
+        own = await self.run_step(step)
+        if isinstance(own, protocol.StepRefusal):
+            return protocol.PassReply(refusal=own)
+        rest = order.chain[1:]
+        if not rest:
+            return protocol.PassReply((own,))
+        below = await self._forward(step, own, rest, order.timeout_s)
+        own.hidden = ()
+        own.is_passed_on = True
+        return protocol.PassReply(
+            (own, *below.replies),
+            below.refusal,
+            below.loss,
+        )
+
+    async def _forward(
+        self,
+        step: protocol.StepRequest,
+        own: protocol.StepReply,
+        rest: tuple[protocol.PassStage, ...],
+        timeout_s: float,
+    ) -> protocol.PassReply:
+        following = msgspec.structs.replace(
+            step,
+            first_layer=rest[0].first_layer,
+            stop_layer=rest[0].stop_layer,
+            prompt='',
+            tokens=(),
+            hidden=own.hidden,
+        )
+        order = protocol.PassRequest(
+            following,
+            rest,
+            1,
+            timeout_s * _WAIT_SHARE,
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._post(rest[0].address, order)
+        except TimeoutError:
+            return protocol.PassReply(loss='target_silent')
+        except ClientConnectorError:
+            return protocol.PassReply(loss='unreachable')
+        except (ClientError, OSError, msgspec.MsgspecError):
+            return protocol.PassReply(loss='reset')
+
+    async def _post(
+        self,
+        address: str,
+        order: protocol.PassRequest,
+    ) -> protocol.PassReply:
+        async with self._session.post(
+            f'http://{address}{protocol.PASSES_PATH}',
+            data=_encode(order),
+        ) as response:
+            body = await response.read()
+        return _decode(body[_LENGTH_BYTES:], type=protocol.PassReply)
+
+    async def _open_session(self, app: web.Application) -> AsyncIterator[None]:
+        self._session = ClientSession()
+        yield
+        await self._session.close()
+
+
+def _next_step(
+    step: protocol.StepRequest,
+    reply: protocol.PassReply,
+) -> protocol.StepRequest | None:
+    if reply.loss or reply.refusal is not None:
+        return None
+    token = reply.replies[-1].token
+    if token is None:
+        return None
+    return msgspec.structs.replace(
+        step,
+        position=step.position + reply.replies[0].count,
+        prompt='',
+        tokens=(token,),
+        hidden=(),
+    )
--- /dev/null
+++ b/tests/pipelines/test_receipts.py
@@ -0,0 +1,64 @@
+"""Tests of the receipts alone."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.pipelines.receipts import Receipt, ReceiptLedger
+
+
+def receipt(layers: str, position: int = 0, count: int = 1) -> Receipt:
+    """Build a receipt."""
+    held = LayerRange.from_text(layers)
+    return Receipt('a', 1, position, count, held.start, held.stop)
+
+
+class ReceiptLedgerTest(unittest.TestCase):
+    """Each layer runs each position once, after the layer before."""
+
+    def setUp(self) -> None:
+        """Run the first two of six layers."""
+        self.ledger = ReceiptLedger(6)
+        self.assertEqual(self.ledger.accept(receipt('0-2', count=3)), '')
+
+    def test_what_may_not_come(self) -> None:
+        """A layer twice, skipped, out of range, or ahead of its input."""
+        wrong = {
+            receipt('0-2', count=3): 'position',
+            receipt('0-2', position=4): 'position',
+            receipt('1-3', count=3): 'position',
+            receipt('3-6', count=3): 'layer order',
+            receipt('2-4', count=4): 'layer order',
+            receipt('2-4', count=0): 'count',
+            receipt('2-7', count=3): 'layer range',
+        }
+        reversed_layers = dataclasses.replace(receipt('2-4'), stop_layer=2)
+        wrong[reversed_layers] = 'layer range'
+        before = self.ledger.digest
+        for came, reason in wrong.items():
+            self.assertEqual(self.ledger.accept(came), reason)
+        self.assertEqual(self.ledger.digest, before)
+
+    def test_a_whole_position(self) -> None:
+        """It counts once the last layer has run, and the digest tells it."""
+        self.ledger.accept(receipt('2-4', count=3))
+        self.assertEqual(self.ledger.position, 0)
+        self.ledger.accept(receipt('4-6', count=3))
+        self.assertEqual(
+            (self.ledger.position, self.ledger.position_at(0)), (3, 3)
+        )
+        other = ReceiptLedger(6, position=3)
+        self.assertEqual(other.accept(receipt('0-6', position=3)), '')
+        self.assertNotEqual(other.digest, self.ledger.digest)
+
+    def test_lost_layers_are_run_again(self) -> None:
+        """And no others."""
+        for layers in ('2-4', '4-6'):
+            self.ledger.accept(receipt(layers, count=3))
+        self.ledger.accept(receipt('0-2', position=3))
+        self.ledger.forget(LayerRange(2, 4))
+        self.assertEqual(self.ledger.accept(receipt('2-4', count=4)), '')
+        self.assertEqual(self.ledger.accept(receipt('4-6', position=3)), '')
+        self.assertEqual(self.ledger.position, 4)
