--- /dev/null
+++ b/nutmegspoke/bench/carrier_cost.py
@@ -0,0 +1,151 @@
+"""Cost of both carriers for the daemon: CPU a token and hop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import tempfile
+import time
+import types
+from typing import TYPE_CHECKING, Any
+
+from nutmegspoke.border.loop import new_runner  # isort: skip -- sets the loop
+
+import aiohttp
+import typer
+
+from nutmegspoke.bench import processes
+from nutmegspoke.border.engine_client import RelayCarrier
+from nutmegspoke.border.pass_on import PassOnCarrier
+from nutmegspoke.engine_protocol import LOAD_PATH, StepReply
+from nutmegspoke.layers import LayerRange, Stage
+from nutmegspoke.pipelines.carrier import Ahead
+from nutmegspoke.pipelines.decisions import SendStep, TokenReady
+from nutmegspoke.pipelines.run import DraftPlan, DraftRun
+
+if TYPE_CHECKING:
+    from nutmegspoke.layers import Chain
+    from nutmegspoke.pipelines.carrier import StepCarrier
+
+_HOPS = ('0-3', '3-6', '6-9', '9-12')
+_LAYER_COUNT = 12
+_LAYER_TOKENS_PER_S = 10_000_000.0
+_TIMEOUT_S = 30.0
+_PROMPT = 'notes of the club for this issue'
+_CARRIERS = types.MappingProxyType(
+    {'relay': RelayCarrier, 'pass_on': PassOnCarrier},
+)
+
+
+async def _draft(
+    carrier: StepCarrier,
+    chain: Chain,
+    stream_id: str,
+    token_count: int,
+) -> None:
+    plan = DraftPlan(stream_id, _PROMPT, 7, _LAYER_COUNT, token_count)
+    run = DraftRun(plan, chain, 1)
+    order: SendStep | None = run.begin()
+    while order is not None:
+        left = token_count - run.answer.run_count
+        reply = await carrier.carry(
+            order.stage,
+            order.step,
+            _TIMEOUT_S,
+            Ahead(chain, left),
+        )
+        if not isinstance(reply, StepReply):
+            raise RuntimeError(f'the bench met a loss: {reply}')
+        decision = run.accept(reply)
+        if isinstance(decision, TokenReady):
+            order = decision.following
+        else:
+            order = decision
+
+
+async def _measure(
+    name: str,
+    chain: Chain,
+    streams: int,
+    token_count: int,
+) -> dict[str, float]:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        carrier = _CARRIERS[name](session, session)
+        began_s = time.perf_counter()
+        began_cpu_s = time.process_time()
+        await asyncio.gather(
+            *(
+                _draft(
+                    carrier,
+                    chain,
+                    f'{name}-{token_count}-{number}',
+                    token_count,
+                )
+                for number in range(streams)
+            ),
+        )
+    tokens = streams * token_count
+    cpu_s = time.process_time() - began_cpu_s
+    return {
+        'tokens': tokens,
+        'cpu_us_per_token': round(cpu_s / tokens * 1e6, 1),
+        'cpu_us_per_token_and_hop': round(cpu_s / tokens / len(chain) * 1e6, 1),
+        'tokens_per_s': round(tokens / (time.perf_counter() - began_s), 1),
+    }
+
+
+def main(streams: int = 10, token_count: int = 400, rounds: int = 3) -> None:
+    """Print the cost of each carrier, in rounds that alternate."""
+    with tempfile.TemporaryDirectory(prefix='nutmegspoke-') as directory:
+        engines = [
+            processes.start_standin(
+                f'engine-{number}',
+                'engine',
+                pathlib.Path(directory),
+                '--layers',
+                layers,
+                '--layer-tokens-per-s',
+                str(_LAYER_TOKENS_PER_S),
+            )
+            for number, layers in enumerate(_HOPS)
+        ]
+        try:
+            for engine in engines:
+                processes.wait_for(f'{engine.url}{LOAD_PATH}')
+            chain = tuple(
+                Stage(
+                    engine.name,
+                    engine.address,
+                    LayerRange.from_text(layers),
+                )
+                for engine, layers in zip(engines, _HOPS, strict=True)
+            )
+            figures = _all_rounds(chain, streams, token_count, rounds)
+        finally:
+            for engine in engines:
+                engine.end()
+    print(json.dumps(figures, indent=2))
+
+
+def _all_rounds(
+    chain: Chain,
+    streams: int,
+    token_count: int,
+    rounds: int,
+) -> dict[str, Any]:
+    figures: dict[str, Any] = {name: [] for name in _CARRIERS}
+    with new_runner() as runner:
+        for number in range(rounds):
+            for name in _CARRIERS:
+                figures[name].append(
+                    runner.run(
+                        _measure(name, chain, streams, token_count + number),
+                    ),
+                )
+    return figures
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/nutmegspoke/pipelines/receipts.py
+++ b/nutmegspoke/pipelines/receipts.py
@@ -30,6 +30,15 @@
     first_layer: int
     stop_layer: int
 
+    def encoded(self) -> bytes:
+        """Return the receipt as bytes for a digest."""
+        fields = (
+            f'{len(self.target)}:{self.target}',
+            f'{self.attempt}:{self.position}:{self.count}',
+            f'{self.first_layer}:{self.stop_layer};',
+        )
+        return ':'.join(fields).encode()
+
 
 class ReceiptLedger:
     """Counts the positions that each layer has run and checks new receipts.
@@ -65,7 +74,7 @@
         reason = self._fault(receipt)
         if reason:
             return reason
-        self._digest.update(repr(dataclasses.astuple(receipt)).encode())
+        self._digest.update(receipt.encoded())
         for layer in range(receipt.first_layer, receipt.stop_layer):
             self._run_by_layer[layer] += receipt.count
         return ''
--- a/tests/pipelines/test_run.py
+++ b/tests/pipelines/test_run.py
@@ -189,18 +189,37 @@
         self.assertEqual(self.order.step.prompt, build.PROMPT)
         self.assertEqual(self.finish(), build.right_answer())
 
+    def test_inputs_of_an_earlier_chain_are_forgotten(self) -> None:
+        """Only boundaries of the present chain are kept."""
+        strategy = ReplayStrategy(1_000)
+        self.run_ = DraftRun(build.plan(), build.CHAIN, 1, strategy)
+        self.order = self.run_.begin()
+        self.advance(3 * 2 + 1)
+        self.order = self.run_.restart(build.chain('e:0-4', 'c:4-6'))
+        self.advance(2)
+        self.assertEqual(strategy.kept_count, _PROMPT_LENGTH + 2)
+        self.assertEqual(self.finish(), build.right_answer())
+
 
 class ResumeTest(RunCase):
     """Another daemon goes on where the caller is."""
 
-    def resume(self, **changes: Any) -> ResumePoint:
+    def resume(
+        self,
+        over: Any = build.CHAIN,
+        strategy: Any = None,
+        **changes: Any,
+    ) -> ResumePoint:
         """Deliver four tokens, then go on in another run."""
-        self.advance(3 * 4 + 2)
+        self.run_ = build.run(over)
+        self.order = self.run_.begin()
+        self.advance(len(over) * 4 + len(over) - 1)
         point = msgspec.structs.replace(self.point(), **changes)
         self.run_ = DraftRun(
             build.plan(seed=point.seed),
-            build.CHAIN,
+            over,
             point.next_attempt,
+            strategy,
         )
         self.order = self.run_.resume(point)
         self.carried.clear()
@@ -222,6 +241,21 @@
         self.order = self.run_.restart(build.OTHER_CHAIN)
         self.assertEqual(self.finish(), build.right_answer())
 
+    def test_no_replay_of_inputs_from_before(self) -> None:
+        """A run that has not seen the first inputs begins at the prompt."""
+        for lost in ('b', 'f'):
+            self.held, self.delivered = build.engines(), []
+            over = build.CHAIN if lost == 'b' else build.chain('f:0-6')
+            self.resume(over, ReplayStrategy(1_000))
+            self.advance(len(over))
+            while self.order.stage.target != lost:
+                self.advance()
+            held = self.held[lost]
+            held.load(held.first_layer, held.stop_layer)
+            self.order = self.run_.restart(over)
+            self.assertEqual(self.order.step.prompt, build.PROMPT)
+            self.assertEqual(self.finish(), build.right_answer())
+
     def test_a_difference_is_told(self) -> None:
         """Other tokens than the delivered ones are never spliced on."""
         self.resume(seed=8)
@@ -232,10 +266,9 @@
 
     def test_the_daemon_before_never_reaches_the_attempt(self) -> None:
         """Its restarts stay below; its steps are refused."""
-        stale, stale_order = self.run_, self.order
-        self.advance(1)
-        stale_order = self.order
         self.resume()
+        stale = build.run()
+        stale_order = stale.begin()
         self.advance(3)
         for _ in range(5):
             stale_order = stale.restart(build.CHAIN)
