--- a/nutmegspoke/border/draft_chains.py
+++ b/nutmegspoke/border/draft_chains.py
@@ -83,9 +83,14 @@
                 return refusal
 
     async def choose_again(self, draft: DraftInProgress) -> ChainChoice | None:
-        """Choose another chain, and wait as long as a target may be silent."""
+        """Choose another chain.
+
+        If the caller has tokens, wait for one as long as a target may be
+        silent; else the caller loses nothing by coming back.
+        """
         request = draft.request
-        patience_s = request.route.progress_timeout_s
+        has_tokens = draft.run.answer.count > 0
+        patience_s = request.route.progress_timeout_s if has_tokens else 0
         end_s = min(self._clock.now_s() + patience_s, request.deadline_s)
         choice = self._router.choose_chain(request, draft.avoided)
         while not isinstance(choice, ChainChoice):
--- /dev/null
+++ b/tests/mutation_list_pipelines.py
@@ -0,0 +1,246 @@
+"""The mechanisms of pipelines, each with a line that breaks it."""
+
+from __future__ import annotations
+
+from tests.mutation_list import Mutation
+
+_RUN = ('tests.pipelines.test_run',)
+_RECEIPTS = ('tests.pipelines.test_receipts',)
+_RESUME = ('tests.pipelines.test_resume',)
+_STREAMS = ('tests.standins.test_streams',)
+_DRAFTS = ('tests.border.test_drafts',)
+_CARRIERS = ('tests.border.test_carriers',)
+
+PIPELINE_MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'promise-1 reply of another attempt',
+        'nutmegspoke/pipelines/run.py',
+        'if reply.attempt != self.attempt:',
+        'if reply.attempt > self.attempt:',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 reply of another target',
+        'nutmegspoke/pipelines/run.py',
+        'if reply.target != stage.target:',
+        'if not reply.target:',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 reply of other layers',
+        'nutmegspoke/pipelines/run.py',
+        'if (reply.first_layer, reply.stop_layer) != (',
+        'if not reply.stop_layer or (0, 0) == (',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 reply of another position',
+        'nutmegspoke/pipelines/run.py',
+        'if reply.position != step.position:',
+        'if reply.position < 0:',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 receipt of another position',
+        'nutmegspoke/pipelines/receipts.py',
+        'if any(position != receipt.position for position in run):',
+        'if not run:',
+        _RECEIPTS,
+    ),
+    Mutation(
+        'promise-1 receipt out of layer order',
+        'nutmegspoke/pipelines/receipts.py',
+        'if first and self._run_by_layer[first - 1] < reached:',
+        'if first < 0:',
+        _RECEIPTS,
+    ),
+    Mutation(
+        'promise-1 restart raises the attempt',
+        'nutmegspoke/pipelines/run.py',
+        'self.attempt = max(self.attempt, above_attempt) + 1',
+        'self.attempt = max(self.attempt, above_attempt)',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 resend raises the attempt',
+        'nutmegspoke/pipelines/run.py',
+        '        self.attempt += 1\n',
+        '',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 replay hands on new positions only',
+        'nutmegspoke/pipelines/run.py',
+        'hidden=reply.hidden[position - reply.position :],',
+        'hidden=reply.hidden,',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 stage truncates on a higher attempt',
+        'nutmegspoke/standins/streams.py',
+        '            del self.digests[position + 1 :]',
+        '            self.digests[position + 1 :]',
+        _STREAMS,
+    ),
+    Mutation(
+        'promise-1 stage refuses an old attempt',
+        'nutmegspoke/standins/streams.py',
+        'if step.attempt < lowest:',
+        'if step.attempt < 0:',
+        _STREAMS,
+    ),
+    Mutation(
+        'promise-1 stage checks its cache length',
+        'nutmegspoke/standins/streams.py',
+        'if any(cache.length != step.position for cache in caches):',
+        'if not caches:',
+        _STREAMS,
+    ),
+    Mutation(
+        'promise-1 stage checks each layer',
+        'nutmegspoke/standins/streams.py',
+        'if any(cache.length != step.position for cache in caches):',
+        'if caches[0].length != step.position:',
+        _STREAMS,
+    ),
+    Mutation(
+        'promise-1 stage remembers ended streams',
+        'nutmegspoke/standins/streams.py',
+        'return self._ended.get(stream_id, 0) + 1',
+        'return 0',
+        _STREAMS,
+    ),
+    Mutation(
+        'promise-1 replay forgets an earlier chain',
+        'nutmegspoke/pipelines/recovery.py',
+        '            self._inputs.clear()\n            self._is_complete = True\n',
+        '            self._is_complete = True\n',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 replay notices missing inputs',
+        'nutmegspoke/pipelines/recovery.py',
+        'if step.first_layer and step.position > len(inputs):',
+        'if step.position < 0:',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 replay needs the same other stages',
+        'nutmegspoke/pipelines/recovery.py',
+        'if not self._is_complete or not _differ_only_at(place, old, new):',
+        'if not self._is_complete:',
+        _RUN,
+    ),
+    Mutation(
+        'promise-1 replay needs the tokens',
+        'nutmegspoke/pipelines/run.py',
+        'return not is_first or len(self.answer.tokens) == self.answer.count',
+        'return True',
+        _RUN,
+    ),
+    Mutation(
+        'promise-2 reply of another stream',
+        'nutmegspoke/pipelines/run.py',
+        'if reply.stream_id != self.plan.stream_id:',
+        'if not reply.stream_id:',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-2 resume compares the digest',
+        'nutmegspoke/pipelines/answer.py',
+        'if is_caught_up and self._run_digest != self.digest:',
+        'if is_caught_up and not self._run_digest:',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-2 resume repeats no token',
+        'nutmegspoke/pipelines/answer.py',
+        'if len(self._tokens) > self.count:',
+        'if self._tokens:',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-2 resume begins a block of attempts',
+        'nutmegspoke/pipelines/resume.py',
+        '(self.attempt // ATTEMPTS_PER_RESUME + 1) * ATTEMPTS_PER_RESUME',
+        'self.attempt + 1',
+        _RUN,
+    ),
+    Mutation(
+        'promise-2 resume goes on at its position',
+        'nutmegspoke/pipelines/run.py',
+        'self._ledger.rewind(point.position)',
+        'self._ledger.rewind(point.position - 1)',
+        _RUN,
+    ),
+    Mutation(
+        'promise-2 resume keeps the seed',
+        'nutmegspoke/border/draft_runs.py',
+        'seed=point.seed if point else request.seed',
+        'seed=request.seed',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-2 event ids are signed',
+        'nutmegspoke/pipelines/resume.py',
+        'if not hmac.compare_digest(signed[:_MAC_BYTES], self._mac(body)):',
+        'if not signed:',
+        _RESUME,
+    ),
+    Mutation(
+        'promise-2 event ids are of one request',
+        'nutmegspoke/border/drafts.py',
+        'if point.fingerprint != _fingerprint(request):',
+        'if not point.fingerprint:',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-2 a superseded daemon gives up',
+        'nutmegspoke/pipelines/losses.py',
+        'is_superseded = seen_block > self._block',
+        'is_superseded = seen_block < 0',
+        _RESUME,
+    ),
+    Mutation(
+        'promise-2 hang-up ends the streams',
+        'nutmegspoke/border/drafts.py',
+        '            self._leave(draft)\n            draft.log_end()',
+        '            draft.log_end()',
+        _DRAFTS,
+    ),
+    Mutation(
+        'promise-3 a reset may have run',
+        'nutmegspoke/pipelines/losses.py',
+        'frozenset((LossKind.UNREACHABLE,))',
+        'frozenset((LossKind.UNREACHABLE, LossKind.RESET))',
+        _RESUME,
+    ),
+    Mutation(
+        'promise-5 a leaving target is told of',
+        'nutmegspoke/border/drafts.py',
+        '            tell_directory(self._targets, stage, lost)\n',
+        '',
+        _DRAFTS,
+    ),
+    Mutation(
+        'silent-connections target is not blamed',
+        'nutmegspoke/pipelines/losses.py',
+        'isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT',
+        'isinstance(lost, StepLost) and lost.kind is LossKind.BAD_REPLY',
+        _RESUME,
+    ),
+    Mutation(
+        'silent-connections new connections after a silent one',
+        'nutmegspoke/border/target_calls.py',
+        '        self._fresh_until_s[address] = _loop_s() + self._keepalive_s\n',
+        '',
+        _CARRIERS,
+    ),
+    Mutation(
+        'silent-connections probe over a new connection',
+        'nutmegspoke/border/target_calls.py',
+        '        self.is_answered = True\n',
+        '',
+        _CARRIERS,
+    ),
+)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -10,6 +10,7 @@
 import tempfile
 
 from tests.mutation_list import MUTATIONS, Mutation
+from tests.mutation_list_pipelines import PIPELINE_MUTATIONS
 
 _ROOT = pathlib.Path(__file__).parents[1]
 _COPIED = ('nutmegspoke', 'tests', 'examples', 'unittest.cfg')
@@ -47,7 +48,8 @@
 def main(chosen: list[str]) -> int:
     """Apply the chosen mutations, or all; 1 if one is not caught."""
     missed = 0
-    mutations = [m for m in MUTATIONS if not chosen or m.name in chosen]
+    listed = (*MUTATIONS, *PIPELINE_MUTATIONS)
+    mutations = [m for m in listed if not chosen or m.name in chosen]
     with tempfile.TemporaryDirectory(prefix='nutmegspoke-') as directory:
         scratch = pathlib.Path(directory)
         for name in _COPIED:
--- a/tests/pipelines/test_run.py
+++ b/tests/pipelines/test_run.py
@@ -189,6 +189,15 @@
         self.assertEqual(self.order.step.prompt, build.PROMPT)
         self.assertEqual(self.finish(), build.right_answer())
 
+    def test_no_replay_if_another_stage_changes_too(self) -> None:
+        """The draft is run again."""
+        self.run_ = DraftRun(build.plan(), build.CHAIN, 1, ReplayStrategy(99))
+        self.order = self.run_.begin()
+        self.advance(3 * 2 + 1)
+        self.order = self.run_.restart(build.chain('a:0-2', 'd:2-4', 'f:4-6'))
+        self.assertEqual(self.order.step.prompt, build.PROMPT)
+        self.assertEqual(self.finish(), build.right_answer())
+
     def test_inputs_of_an_earlier_chain_are_forgotten(self) -> None:
         """Only boundaries of the present chain are kept."""
         strategy = ReplayStrategy(1_000)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 PROOFS: dict[str, tuple[str, ...]] = {
-    'promise-1': (),
-    'promise-2': (),
+    'promise-1': (
+        'tests.pipelines.test_receipts',
+        'tests.pipelines.test_run',
+        'tests.pipelines.test_run_interleavings',
+        'tests.standins.test_streams',
+    ),
+    'promise-2': (
+        'tests.border.test_draft_sessions',
+        'tests.border.test_drafts',
+        'tests.pipelines.test_processes',
+        'tests.pipelines.test_resume',
+    ),
     'promise-3': (),
     'promise-4': (),
     'promise-5': ('tests.membership.test_directory',),
     'promise-6': (),
     'promise-7': (),
-    'silent-connections': (),
+    'silent-connections': ('tests.border.test_carriers',),
     'poison': (),
     'leases': (),
     'orders': (),
