--- a/tests/pipelines/test_run.py
+++ b/tests/pipelines/test_run.py
@@ -135,8 +135,10 @@
     def test_resend_after_a_lost_reply(self) -> None:
         """One step more, and every later one is right."""
         for _ in range(12):
-            self.ask()
+            late = self.ask()
             self.order = self.run_.resend()
+            dropped = self.run_.accept(late)
+            self.assertEqual(dropped, ReplyDropped('other attempt'))
             self.advance()
         self.assertEqual(self.finish(), build.right_answer())
         self.assertEqual(len(self.carried), 3 * 8 + 12)
