--- a/nutmegspoke/bench/deployment.py
+++ b/nutmegspoke/bench/deployment.py
@@ -231,7 +231,10 @@
         for target in self.targets.values():
             processes.wait_for(f'{target.url}/v1/load')
         for daemon in self.daemons.values():
-            processes.wait_for(f'{daemon.url}/.nutmegspoke/ready')
+            processes.wait_for(
+                f'{daemon.url}/.nutmegspoke/ready',
+                daemon.process,
+            )
 
     def wait_targets(self, daemon: Daemon, count: int) -> None:
         """Wait until a daemon sees a number of usable targets."""
--- a/nutmegspoke/bench/processes.py
+++ b/nutmegspoke/bench/processes.py
@@ -147,15 +147,24 @@
     return finished.stdout.strip()
 
 
-def wait_for(url: str, limit_s: float = 20.0) -> None:
+def wait_for(
+    url: str,
+    process: Process | None = None,
+    limit_s: float = 20.0,
+) -> None:
     """Wait until a URL answers with status 200.
 
+    :param process: the process that should answer.
     :raises TimeoutError: if it does not within the limit.
+    :raises ChildProcessError: if the process has ended.
     """
     end_s = time.monotonic() + limit_s
     while time.monotonic() < end_s:
         if status_of(url) == 200:
             return
+        if process is not None and not process.is_running():
+            output = process.log_path.read_text('utf-8', 'replace')
+            raise ChildProcessError(f'{process.name} has ended: {output}')
         time.sleep(_POLL_S)
     raise TimeoutError(f'{url} does not answer')
 
