Join the daemons: exchange over pynng, rows, tables from peers

Each daemon answers peers on one socket and keeps links to those in view. A link that gives no answer is made anew before its peer is suspected. Daemons find each other by rows in the table service or seeds in the settings; rows that nobody renews are deleted. A daemon that is behind gets the rows from a peer; its word of leaving targets reaches the others' directories.

Threads of a daemon with peers: 11 by /proc, 6 of them of pynng (with every thread parameter at 1; 31 in all without), 4 of libuv's pool. The pool is started by the loop's resolver, which listening and connecting use even for IP numbers.

--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -17,6 +17,7 @@
     'nutmegspoke.border.http_sessions',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
+    'nutmegspoke.border.peer_setup',
     'nutmegspoke.border.router',
     'nutmegspoke.border.admission_gate',
     'nutmegspoke.border.drafts',
--- /dev/null
+++ b/nutmegspoke/border/peer_rows.py
@@ -0,0 +1,91 @@
+"""Writes and reads the rows by which daemons find each other."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.membership.daemon_rows import (
+    ROW_PREFIX,
+    DaemonRow,
+    DaemonRows,
+)
+from nutmegspoke.platform import Committed, Unavailable
+
+if TYPE_CHECKING:
+    from nutmegspoke.application import Application
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.membership.gossip import Gossip
+    from nutmegspoke.platform import TableService
+
+logger = logging.getLogger(__name__)
+_INTERVAL_S = 1.0
+
+
+class PeerRows:
+    """Keeps the own row, and gives the peers' addresses to the exchange."""
+
+    def __init__(
+        self,
+        rows: DaemonRows,
+        gossip: Gossip,
+        tables: TableService,
+        clock: Clock,
+    ) -> None:
+        """Prepare to write the own row."""
+        self._rows = rows
+        self._gossip = gossip
+        self._tables = tables
+        self._clock = clock
+        self._periodic = Periodic('peer_rows', _INTERVAL_S, self._work)
+
+    @classmethod
+    def from_application(cls, app: Application, gossip: Gossip) -> PeerRows:
+        """Build from the daemon's own entry."""
+        entry = gossip.own.entry
+        row = DaemonRow(
+            entry.name,
+            entry.start,
+            entry.address,
+            entry.availability_zone,
+        )
+        sessions = app.kernel.find(SESSIONS, HttpSessions)
+        tables = sessions.platform.tables
+        return cls(DaemonRows(row), gossip, tables, app.clock)
+
+    async def start(self) -> None:
+        """Begin to write and read."""
+        self._periodic.start()
+
+    async def stop(self) -> None:
+        """Take the own row away."""
+        await self._periodic.stop()
+        await self._tables.commit(self._rows.removal())
+
+    async def _work(self) -> None:
+        now_s = self._clock.now_s()
+        write = self._rows.write_due(now_s)
+        if write is not None:
+            written = await self._tables.commit(write)
+            if isinstance(written, Committed):
+                self._rows.written(now_s)
+        is_cut_off = self._gossip.is_cut_off(now_s)
+        if self._rows.is_read_due(now_s, is_cut_off=is_cut_off):
+            await self._read()
+
+    async def _read(self) -> None:
+        rows = await self._tables.scan(ROW_PREFIX)
+        if isinstance(rows, Unavailable):
+            return
+        now_s = self._clock.now_s()
+        self._gossip.view.take_rows(self._rows.read(rows, now_s))
+        live = {member.entry.name for member in self._gossip.live(now_s)}
+        for deletion in self._rows.dead(live, now_s):
+            await self._tables.commit(deletion)
+            logger.info(
+                'peers: dead row deleted key=%s',
+                deletion.writes[0].key,
+            )
--- /dev/null
+++ b/nutmegspoke/border/peer_sockets.py
@@ -0,0 +1,160 @@
+"""Sockets between daemons: one listener, and a link to each peer in view."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+import pynng
+
+from nutmegspoke.border.peer_wire import MAX_MESSAGE_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+logger = logging.getLogger(__name__)
+
+_REQUEST_TIMEOUT_S = 0.7
+_MAX_LINK_AGE_S = 60.0
+_MS_PER_S = 1_000
+_NEVER_MS = -1
+_THREAD_PARAMETERS = (
+    pynng.lib.NNG_INIT_NUM_TASK_THREADS,
+    pynng.lib.NNG_INIT_MAX_TASK_THREADS,
+    pynng.lib.NNG_INIT_NUM_EXPIRE_THREADS,
+    pynng.lib.NNG_INIT_MAX_EXPIRE_THREADS,
+    pynng.lib.NNG_INIT_NUM_POLLER_THREADS,
+    pynng.lib.NNG_INIT_MAX_POLLER_THREADS,
+    pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS,
+)
+
+
+def limit_threads() -> None:
+    """Let the library start one thread of each kind.
+
+    It must be called before the first socket; by default the library starts
+    several threads for each core.
+    """
+    for parameter in _THREAD_PARAMETERS:
+        pynng.lib.nng_init_set_parameter(parameter, 1)
+
+
+class PeerListener:
+    """Answers the requests of peers.
+
+    :param address: ``IP:PORT`` to listen on.
+    :param answer: returns the answer to a request; ``None`` for none.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        answer: Callable[[bytes], bytes | None],
+    ) -> None:
+        """Prepare the listener."""
+        self._address = address
+        self._answer = answer
+        self._socket: pynng.Rep0 | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Listen."""
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        self._socket.listen(f'tcp://{self._address}')
+        self._task = asyncio.create_task(self._serve(self._socket))
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._task is None or self._socket is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._socket.close()
+
+    async def _serve(self, socket: pynng.Rep0) -> None:
+        while True:
+            answer = self._answer(await socket.arecv())
+            if answer is None:
+                continue
+            try:
+                await socket.asend(answer)
+            except pynng.NNGException as error:
+                logger.info('peers: answer lost error=%s', error)
+
+
+class PeerLink:
+    """A connection to one peer, made anew when it is silent or old.
+
+    :param address: ``IP:PORT`` of the peer.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Prepare a link without a connection."""
+        self._address = address
+        self._socket: pynng.Req0 | None = None
+        self._opened_s = 0.0
+        self._lock = asyncio.Lock()
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a request is under way."""
+        return self._lock.locked()
+
+    async def request(self, message: bytes, now_s: float) -> bytes | None:
+        """Send a request and return the answer.
+
+        If an open connection gives none, a new one is tried, because something
+        between the two ends may have lost track of the old one.
+
+        :returns: ``None`` if a new connection gave no answer either.
+        """
+        async with self._lock:
+            self._close_if_old(now_s)
+            if self._socket is not None:
+                answer = await self._ask(self._socket, message)
+                if answer is not None:
+                    return answer
+                if self._lost_connection():
+                    return None
+            self._open(now_s)
+            return await self._ask(self._socket, message)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._socket is not None:
+            self._socket.close()
+        self._socket = None
+
+    def _close_if_old(self, now_s: float) -> None:
+        if now_s - self._opened_s > _MAX_LINK_AGE_S:
+            self.close()
+
+    def _lost_connection(self) -> bool:
+        """Close the connection; tell whether the peer had closed it."""
+        is_lost = self._socket is not None and not self._socket.pipes
+        self.close()
+        return is_lost
+
+    def _open(self, now_s: float) -> None:
+        timeout_ms = int(_REQUEST_TIMEOUT_S * _MS_PER_S)
+        self._socket = pynng.Req0(
+            recv_timeout=timeout_ms,
+            send_timeout=timeout_ms,
+            resend_time=_NEVER_MS,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        self._socket.dial(f'tcp://{self._address}', block=False)
+        self._opened_s = now_s
+
+    async def _ask(self, socket: pynng.Req0, message: bytes) -> bytes | None:
+        try:
+            await socket.asend(message)
+            return await socket.arecv()
+        except pynng.NNGException as error:
+            logger.info(
+                'peers: no answer peer=%s error=%s', self._address, error
+            )
+            return None
--- a/nutmegspoke/border/peer_wire.py
+++ b/nutmegspoke/border/peer_wire.py
@@ -78,6 +78,16 @@
     message: messages.Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Misaddressed:
+    """A request that was meant for an earlier start of this daemon.
+
+    :param envelope: what surrounded it.
+    """
+
+    envelope: Envelope
+
+
 class PeerWire:
     """Seals the messages of one daemon and opens those of its peers.
 
@@ -125,7 +135,10 @@
         sealed = _encode(envelope)
         return self._mac(sealed) + sealed
 
-    def open_request(self, received: bytes) -> Opened | WireFault:
+    def open_request(
+        self,
+        received: bytes,
+    ) -> Opened | Misaddressed | WireFault:
         """Check a request of a peer."""
         opened = self._open(received)
         if isinstance(opened, Opened):
@@ -146,11 +159,15 @@
             return self._count(WireFault.REPLAYED)
         return opened
 
-    def _checked_request(self, opened: Opened) -> Opened | WireFault:
+    def _checked_request(
+        self,
+        opened: Opened,
+    ) -> Opened | Misaddressed | WireFault:
         envelope = opened.envelope
         is_hello = isinstance(opened.message, messages.Hello)
         if not is_hello and envelope.receiver_start != self._start:
-            return self._count(WireFault.OTHER_START)
+            self._count(WireFault.OTHER_START)
+            return Misaddressed(envelope)
         sender = (envelope.sender, envelope.sender_start)
         if not self._guard.accept(sender, envelope.number):
             return self._count(WireFault.REPLAYED)
--- /dev/null
+++ b/nutmegspoke/border/peers.py
@@ -0,0 +1,164 @@
+"""Exchanges soft state and tables with the other daemons."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border.peer_exchange import PeerExchange
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.membership.messages import (
+    Notice,
+    NoticeKind,
+    TablesReply,
+    TablesRequest,
+)
+from nutmegspoke.membership.gossip_types import (
+    GossipSettings,
+    Heard,
+    OwnState,
+    Send,
+)
+from nutmegspoke.membership.states import LeavingNote, Source
+from nutmegspoke.targets import TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.border.inflight import InFlight
+    from nutmegspoke.border.peer_wire import PeerWire
+    from nutmegspoke.border.tables_watch import TablesWatch
+    from nutmegspoke.border.target_watch import TargetWatch
+    from nutmegspoke.membership.gossip import Gossip
+    from nutmegspoke.membership.members import Member
+    from nutmegspoke.membership.messages import TeamDemand
+    from nutmegspoke.membership.states import StateChange
+
+logger = logging.getLogger(__name__)
+NAME = 'peers'
+
+
+def no_demand() -> tuple[TeamDemand, ...]:
+    """Return no demand, for a daemon that tells none."""
+    return ()
+
+
+class Peers:
+    """The exchange of one daemon with the others.
+
+    :ivar demand: returns the demands of teams here, largest first.
+    :ivar on_quarantine: is told the fingerprint and the age in seconds of
+        each quarantine that a peer has announced.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        wire: PeerWire,
+        clock: Clock,
+        tables: TablesWatch,
+        targets: TargetWatch,
+        in_flight: InFlight,
+    ) -> None:
+        """Prepare the exchange."""
+        self.demand: Callable[[], tuple[TeamDemand, ...]] = no_demand
+        self.on_quarantine: Callable[[str, float], None] | None = None
+        self.gossip = gossip
+        self._exchange = PeerExchange(gossip, wire, clock, self)
+        self._clock = clock
+        self._tables = tables
+        self._targets = targets
+        self._in_flight = in_flight
+        self._periodic = Periodic(NAME, GossipSettings().round_s, self._round)
+
+    async def start(self) -> None:
+        """Listen and begin the rounds."""
+        self._targets.on_change = self._target_changed
+        self._exchange.start()
+        self._periodic.start()
+
+    async def stop(self) -> None:
+        """End the rounds and listen no more."""
+        await self._periodic.stop()
+        await self._exchange.stop()
+
+    def live(self) -> tuple[Member, ...]:
+        """Return the other daemons that count as live."""
+        return self.gossip.live(self._clock.now_s())
+
+    def is_cut_off(self) -> bool:
+        """Tell whether peers are known and none of them is heard."""
+        return self.gossip.is_cut_off(self._clock.now_s())
+
+    def announce_quarantine(self, fingerprint: str) -> None:
+        """Tell the peers of a request that must not run any more."""
+        self._announce(NoticeKind.QUARANTINE, fingerprint, '')
+
+    def tables_reply(self, request: TablesRequest) -> TablesReply | None:
+        """Return what leads from a peer's revision to the one in force."""
+        return self._tables.history.reply(request.revision)
+
+    def take_tables(self, reply: TablesReply) -> None:
+        """Take rows that a peer passed on."""
+        self._tables.take_from_peer(reply)
+
+    def heard(self, heard: Heard) -> None:
+        """Take what a message brought."""
+        for entry in heard.joined:
+            logger.info(
+                'peers: daemon joined name=%s start=%d address=%s zone=%s',
+                entry.name,
+                entry.start,
+                entry.address,
+                entry.availability_zone,
+            )
+        for notice in heard.notices:
+            self._take_notice(notice)
+        if heard.revision > self._tables.current.revision:
+            self._periodic.hurry()
+
+    async def _round(self) -> None:
+        now_s = self._clock.now_s()
+        self.gossip.renew(self._own_state(), now_s)
+        ahead = self.gossip.ahead(self._tables.current.revision, now_s)
+        if ahead is not None:
+            request = TablesRequest(self._tables.current.revision)
+            self._exchange.send(Send(ahead, request))
+        for send in self.gossip.due(now_s):
+            self._exchange.send(send)
+
+    def _own_state(self) -> OwnState:
+        return OwnState(
+            revision=self._tables.current.revision,
+            is_store_reachable=self._tables.is_store_reachable,
+            is_stopping=self._in_flight.is_stopping,
+            demands=self.demand(),
+            confirmed_s=self._tables.confirmed_s,
+        )
+
+    def _take_notice(self, notice: Notice) -> None:
+        if notice.kind == NoticeKind.LEAVING_TARGET:
+            note = LeavingNote(notice.subject, notice.detail, notice.age_s)
+            self._targets.peer_says_leaving(note)
+        elif self.on_quarantine is not None:
+            self.on_quarantine(notice.subject, notice.age_s)
+
+    def _target_changed(self, change: StateChange) -> None:
+        is_leaving = change.state == TargetState.LEAVING
+        if is_leaving and change.source != Source.PEER:
+            self._announce(
+                NoticeKind.LEAVING_TARGET,
+                change.address,
+                change.start_id,
+            )
+
+    def _announce(
+        self,
+        kind: NoticeKind,
+        subject: str,
+        detail: str,
+    ) -> None:
+        notice = Notice(kind, subject, detail, 0.0)
+        self.gossip.announce(notice, self._clock.now_s())
+        self._periodic.hurry()
--- a/nutmegspoke/border/sanic_server.py
+++ b/nutmegspoke/border/sanic_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 from typing import TYPE_CHECKING, Any
 
 from sanic import Sanic
@@ -11,6 +12,7 @@
     from sanic.server.async_server import AsyncioServer
 
 logger = logging.getLogger(__name__)
+_BACKLOG = 1_024
 
 
 def new_app(name: str, **config: float) -> Sanic:
@@ -47,8 +49,7 @@
     async def start(self) -> None:
         """Listen."""
         server: Any = await self._app.create_server(
-            host=self._host,
-            port=self._port,
+            sock=self._listen(),
             return_asyncio_server=True,
             asyncio_server_kwargs={'start_serving': False},
         )
@@ -58,6 +59,17 @@
         await server.after_start()
         self._server = server
 
+    def _listen(self) -> socket.socket:
+        """Bind here: the loop would start four threads to resolve the host."""
+        is_v6 = ':' in self._host
+        listening = socket.create_server(
+            (self._host, self._port),
+            family=socket.AF_INET6 if is_v6 else socket.AF_INET,
+            backlog=_BACKLOG,
+        )
+        listening.setblocking(False)
+        return listening
+
     async def stop(self) -> None:
         """Listen no more and close idle connections."""
         if self._server is None:
--- a/nutmegspoke/border/settings.py
+++ b/nutmegspoke/border/settings.py
@@ -83,6 +83,20 @@
     load_poll_interval_s: _PositiveSeconds = 1.0
 
 
+class PeersSection(_Section):
+    """How the first other daemons are found beside the table service."""
+
+    seeds: Annotated[
+        str,
+        pydantic.Field(pattern=r'^([\w.:\[\]]+:\d+([ ,]+|$))*$'),
+    ] = ''
+
+    @property
+    def seed_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of peer ports, ``IP:PORT`` each."""
+        return tuple(self.seeds.replace(',', ' ').split())
+
+
 class LogSection(_Section):
     """What is logged."""
 
@@ -99,6 +113,7 @@
     stop: StopSection = StopSection()
     routing: RoutingSection = RoutingSection()
     log: LogSection = LogSection()
+    peers: PeersSection = PeersSection()
 
     @classmethod
     def from_file(cls, path: pathlib.Path) -> Self:
--- a/nutmegspoke/border/tables_watch.py
+++ b/nutmegspoke/border/tables_watch.py
@@ -9,14 +9,16 @@
 from nutmegspoke.border.http_sessions import HttpSessions
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.border.table_reads import read_snapshot
+from nutmegspoke.membership.table_passing import EncodedTables, TableHistory
 from nutmegspoke.platform import Unavailable
 from nutmegspoke.tables import codec
 from nutmegspoke.tables.rows import Tables
-from nutmegspoke.tables.snapshot import TablesSnapshot
+from nutmegspoke.tables.snapshot import TablesSnapshot, decode_bodies
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.membership.messages import TablesReply
     from nutmegspoke.platform import TableService
 
 logger = logging.getLogger(__name__)
@@ -34,7 +36,10 @@
     ) -> None:
         """Start from empty tables."""
         self.current = Tables()
+        self.history = TableHistory()
         self.is_ready = False
+        self.is_store_reachable = False
+        self.confirmed_s: float | None = None
         self._tables = tables
         self._clock = clock
         self._periodic = Periodic(NAME, interval_s, self.poll)
@@ -49,24 +54,56 @@
 
     async def poll(self) -> None:
         """Read the revision and, if it has risen, the rows."""
+        asked_s = self._clock.now_s()
         revision = await self._read_revision()
+        self.is_store_reachable = revision is not None
         if revision is None:
             return
+        if revision == self.current.revision:
+            self.confirmed_s = asked_s
         if revision <= self.current.revision:
             self.is_ready = True
             return
         snapshot = await read_snapshot(self._tables)
         if isinstance(snapshot, TablesSnapshot):
-            self._take(snapshot.tables)
+            revision = snapshot.tables.revision
+            encoded = EncodedTables(revision, snapshot.bodies())
+            self._take(snapshot.tables, encoded, 'store')
         else:
             logger.warning('tables: rows not read result=%s', snapshot)
 
-    def _take(self, tables: Tables) -> None:
+    def take_from_peer(self, reply: TablesReply) -> None:
+        """Take rows that a peer passed on, if they lead to a higher revision.
+
+        :param reply: rows that build on the revision in force.
+        """
+        encoded = self.history.apply(reply)
+        if encoded is None:
+            return
+        tables = decode_bodies(encoded.revision, dict(encoded.bodies))
+        if isinstance(tables, Tables):
+            self._take(tables, encoded, 'peer')
+        else:
+            logger.warning(
+                'tables: row of a peer unreadable key=%s', tables.key
+            )
+
+    def _take(
+        self,
+        tables: Tables,
+        encoded: EncodedTables,
+        source: str,
+    ) -> None:
+        if tables.revision <= self.current.revision:
+            return
         self.current = tables
+        self.history.keep(encoded)
         self.is_ready = True
         logger.info(
-            'tables: revision in force revision=%d routes=%d pools=%d',
+            'tables: revision in force revision=%d source=%s routes=%d '
+            'pools=%d',
             tables.revision,
+            source,
             len(tables.routes),
             len(tables.pools),
         )
--- /dev/null
+++ b/nutmegspoke/membership/daemon_rows.py
@@ -0,0 +1,121 @@
+"""The rows by which daemons find each other in the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from nutmegspoke.membership.gossip_types import PeerAddress
+from nutmegspoke.platform import Condition, Transaction, Write
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from nutmegspoke.platform import StoredRow
+
+ROW_PREFIX = 'daemon/'
+RENEW_AFTER_S = 600.0
+READ_AFTER_S = 60.0
+READ_AFTER_CUT_OFF_S = 5.0
+_MISSED_RENEWALS = 3.0
+_MAX_DELETIONS = 8
+
+
+class DaemonRow(msgspec.Struct, frozen=True):
+    """Body of a daemon's row.
+
+    :param name: name of the daemon.
+    :param start: number that it drew at its start.
+    :param address: ``IP:PORT`` of its peer port.
+    :param availability_zone: where it is.
+    """
+
+    name: str
+    start: int
+    address: str
+    availability_zone: str
+
+
+@dataclasses.dataclass(slots=True)
+class DaemonRows:
+    """Decides when to write the own row, and which rows of others are dead.
+
+    :param own: the own row.
+    """
+
+    own: DaemonRow
+    _written_s: float = -math.inf
+    _read_s: float = -math.inf
+    _first_seen: dict[str, tuple[int, float]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def write_due(self, now_s: float) -> Transaction | None:
+        """Return the write of the own row, if one is due."""
+        if now_s - self._written_s < RENEW_AFTER_S:
+            return None
+        body = msgspec.msgpack.encode(self.own)
+        return Transaction((), (Write(self._key(), body),))
+
+    def written(self, now_s: float) -> None:
+        """Note that the own row was written."""
+        self._written_s = now_s
+
+    def removal(self) -> Transaction:
+        """Return the write that takes the own row away at a stop."""
+        return Transaction((), (Write(self._key(), None),))
+
+    def is_read_due(self, now_s: float, *, is_cut_off: bool) -> bool:
+        """Tell whether the rows should be read."""
+        wait_s = READ_AFTER_CUT_OFF_S if is_cut_off else READ_AFTER_S
+        return now_s - self._read_s >= wait_s
+
+    def read(
+        self,
+        rows: Sequence[StoredRow],
+        now_s: float,
+    ) -> tuple[PeerAddress, ...]:
+        """Take a reading of all rows and return the peers' addresses."""
+        self._read_s = now_s
+        seen: dict[str, tuple[int, float]] = {}
+        for row in rows:
+            version, since_s = self._first_seen.get(row.key, (0, now_s))
+            is_same = version == row.version
+            seen[row.key] = (row.version, since_s if is_same else now_s)
+        self._first_seen = seen
+        decoded = [_decoded(row) for row in rows if row.key != self._key()]
+        return tuple(
+            PeerAddress(row.address, row.name, row.start)
+            for row in decoded
+            if row is not None
+        )
+
+    def dead(
+        self,
+        live: Collection[str],
+        now_s: float,
+    ) -> tuple[Transaction, ...]:
+        """Return the deletions of rows that nobody renews any more.
+
+        :param live: names of live daemons.
+        """
+        limit_s = now_s - _MISSED_RENEWALS * RENEW_AFTER_S
+        found = [
+            Transaction((Condition(key, version),), (Write(key, None),))
+            for key, (version, since_s) in self._first_seen.items()
+            if since_s < limit_s and key.removeprefix(ROW_PREFIX) not in live
+        ]
+        return tuple(found[:_MAX_DELETIONS])
+
+    def _key(self) -> str:
+        return f'{ROW_PREFIX}{self.own.name}'
+
+
+def _decoded(row: StoredRow) -> DaemonRow | None:
+    try:
+        return msgspec.msgpack.decode(row.body, type=DaemonRow)
+    except msgspec.MsgspecError:
+        return None
--- a/nutmegspoke/membership/directory.py
+++ b/nutmegspoke/membership/directory.py
@@ -94,7 +94,7 @@
         after = record.state(now_s, self.max_report_age_s)
         if after == before:
             return None
-        return StateChange(address, after, Source.LOAD_REPORT)
+        return _change(record, after, Source.LOAD_REPORT)
 
     def work_started(self, address: str, now_s: float) -> None:
         """Count work that leaves for a target."""
@@ -165,7 +165,7 @@
             return None
         if not record.mark_leaving(Source.PEER, said_s, note.start_id):
             return None
-        return StateChange(note.address, TargetState.LEAVING, Source.PEER)
+        return _change(record, TargetState.LEAVING, Source.PEER)
 
     def leaving_notes(self, now_s: float) -> tuple[LeavingNote, ...]:
         """Return what peers should hear, newest first."""
@@ -276,7 +276,16 @@
 ) -> StateChange | None:
     if not record.mark_leaving(source, now_s):
         return None
-    return StateChange(record.address, TargetState.LEAVING, source)
+    return _change(record, TargetState.LEAVING, source)
+
+
+def _change(
+    record: TargetRecord,
+    state: TargetState,
+    source: Source,
+) -> StateChange:
+    start_id = record.leaving.start_id if record.leaving else ''
+    return StateChange(record.address, state, source, start_id)
 
 
 def _is_fresh_start(
--- a/nutmegspoke/membership/gossip.py
+++ b/nutmegspoke/membership/gossip.py
@@ -82,6 +82,7 @@
     def announce(self, notice: Notice, now_s: float) -> None:
         """Tell the peers something that this daemon has found."""
         self.news.notices.take(notice, now_s)
+        self._round_s = -math.inf
 
     def due(self, now_s: float) -> tuple[Send, ...]:
         """Return the messages of a round, if one is due."""
--- a/nutmegspoke/membership/states.py
+++ b/nutmegspoke/membership/states.py
@@ -56,8 +56,10 @@
     :param address: ``IP:PORT`` of the target.
     :param state: its new state.
     :param source: what made it change.
+    :param start_id: start of a leaving target; empty if it is not known.
     """
 
     address: str
     state: TargetState
     source: Source
+    start_id: str = ''
--- a/tests/border/test_peer_wire.py
+++ b/tests/border/test_peer_wire.py
@@ -74,7 +74,9 @@
     def test_a_message_counts_for_one_start_only(self) -> None:
         """Only a greeting may reach a start that its sender can't know."""
         sealed = self._request(_DIGEST, start=21)
-        self._expect(sealed, WireFault.OTHER_START)
+        refused = self.receiver.open_request(sealed)
+        self.assertIsInstance(refused, peer_wire.Misaddressed)
+        self.assertEqual(self.receiver.faults[WireFault.OTHER_START], 1)
         hello = self._request(messages.Hello(build.entry(1)), start=0)
         self.assertIsInstance(self.receiver.open_request(hello), Opened)
 
