Drive the planned stop by its decider

The second signal was not looked at during the notice, and a request that came after the last one had ended but before the port closed was cut. A draining daemon now refuses new requests as not run; a second signal ends it in any state and the log names what was cut.

--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -34,6 +34,7 @@
 READY_PATH = '/.nutmegspoke/ready'
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
 _NOT_READY_RETRY_AFTER_S = 2.0
+_STOPPING_RETRY_AFTER_S = 1.0
 _DRAINED_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -131,6 +132,14 @@
         request: Request,
         request_id: str,
     ) -> _Served:
+        if self._in_flight.is_refusing:
+            return _Served(
+                outcomes.NotRun(
+                    outcomes.RefusalReason.STOPPING,
+                    _STOPPING_RETRY_AFTER_S,
+                    'this daemon is stopping',
+                ),
+            )
         if not self._tables.is_ready:
             return _Served(
                 outcomes.NotRun(
--- a/nutmegspoke/border/inflight.py
+++ b/nutmegspoke/border/inflight.py
@@ -15,11 +15,16 @@
 
 
 class InFlight:
-    """The requests in work."""
+    """The requests in work.
+
+    :ivar is_stopping: the balancer should send nothing more here.
+    :ivar is_refusing: new requests are refused, those in work are finished.
+    """
 
     def __init__(self) -> None:
         """Start with none."""
         self.is_stopping = False
+        self.is_refusing = False
         self._request_ids: set[str] = set()
         self._idle = asyncio.Event()
         self._idle.set()
--- a/nutmegspoke/cmd/daemon.py
+++ b/nutmegspoke/cmd/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import pathlib
 import signal
@@ -19,12 +20,15 @@
 from nutmegspoke.border.inflight import NAME as INFLIGHT
 from nutmegspoke.border.inflight import InFlight
 from nutmegspoke.border.settings import Settings, read_secret
+from nutmegspoke.border.stopping import PlannedStop
 from nutmegspoke.errors import SettingsError
+from nutmegspoke.membership.stopping import StopDecider, StopSettings
 
 logger = logging.getLogger(__name__)
 
 EXIT_SETTINGS = 2
 EXIT_CUT = 3
+_CUT_LIMIT_S = 2.0
 
 
 async def run(settings: Settings) -> int:
@@ -37,9 +41,10 @@
     signals = _catch_signals()
     await app.kernel.start()
     logger.info('kernel: daemon started name=%s', settings.daemon.name)
-    await signals.get()
-    exit_code = await _finish(app, settings, signals)
-    await app.kernel.stop()
+    stop = settings.stop
+    decider = StopDecider(StopSettings(stop.notice_s, stop.finish_limit_s))
+    await _planned_stop(app, decider, signals).run()
+    exit_code = await _end(app, decider)
     logger.info('kernel: daemon stopped exit=%d', exit_code)
     return exit_code
 
@@ -52,27 +57,21 @@
     return signals
 
 
-async def _finish(
+def _planned_stop(
     app: Application,
-    settings: Settings,
+    decider: StopDecider,
     signals: asyncio.Queue[int],
-) -> int:
+) -> PlannedStop:
     in_flight = app.kernel.find(INFLIGHT, InFlight)
-    in_flight.is_stopping = True
-    logger.info('stopping: not ready, still accepting')
-    await asyncio.sleep(settings.stop.notice_s)
-    idle = asyncio.create_task(in_flight.wait_idle())
-    second = asyncio.create_task(signals.get())
-    await asyncio.wait(
-        (idle, second),
-        timeout=settings.stop.finish_limit_s,
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    second.cancel()
-    cut = in_flight.request_ids
-    if not cut:
+    return PlannedStop(decider, in_flight, signals, app.clock)
+
+
+async def _end(app: Application, decider: StopDecider) -> int:
+    if not decider.cut:
+        await app.kernel.stop()
         return 0
-    logger.error('stopping: requests cut ids=%s', ','.join(sorted(cut)))
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(app.kernel.stop(), _CUT_LIMIT_S)
     return EXIT_CUT
 
 
