Replace lost layers from the daemons

A candidate of each pool keeps its lease; its holder orders the layers that no live engine holds onto a spare, after a place in the weight store's queue and with a record in the table service. Layers that nobody has reported yet count as lost only after a grace: a holder that had just started would have ordered the whole model onto the first spare.

The engine stand-in may start without layers and tells a start id.

--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -18,6 +18,7 @@
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
     'nutmegspoke.border.peer_setup',
+    'nutmegspoke.border.placement',
     'nutmegspoke.border.router',
     'nutmegspoke.border.admission_gate',
     'nutmegspoke.border.drafts',
--- a/nutmegspoke/border/peers.py
+++ b/nutmegspoke/border/peers.py
@@ -72,6 +72,16 @@
         self._in_flight = in_flight
         self._periodic = Periodic(NAME, GossipSettings().round_s, self._round)
 
+    @property
+    def name(self) -> str:
+        """Return the name of this daemon."""
+        return self.gossip.own.entry.name
+
+    @property
+    def start_number(self) -> int:
+        """Return the number that this daemon drew at its start."""
+        return self.gossip.own.entry.start
+
     async def start(self) -> None:
         """Listen and begin the rounds."""
         self._targets.on_change = self._target_changed
--- /dev/null
+++ b/nutmegspoke/border/placement.py
@@ -0,0 +1,103 @@
+"""Places layers on engines: leases of pools, lost layers, orders."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border.http_sessions import NAME as SESSIONS
+from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.inflight import NAME as INFLIGHT
+from nutmegspoke.border.inflight import InFlight
+from nutmegspoke.border.order_client import OrderClient
+from nutmegspoke.border.peers import NAME as PEERS
+from nutmegspoke.border.peers import Peers
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.border.pool_placement import PlacementTools, PoolPlacement
+from nutmegspoke.border.tables_watch import NAME as TABLES
+from nutmegspoke.border.tables_watch import TablesWatch
+from nutmegspoke.border.target_watch import NAME as TARGETS
+from nutmegspoke.border.target_watch import TargetWatch
+from nutmegspoke.placement.candidates import is_candidate
+from nutmegspoke.placement.lease import LeaseSettings
+from nutmegspoke.tables.rows import PoolKind
+
+if TYPE_CHECKING:
+    from nutmegspoke.application import Application
+    from nutmegspoke.tables.rows import PoolRow
+
+logger = logging.getLogger(__name__)
+NAME = 'placement'
+_INTERVAL_S = 0.5
+
+
+class Placement:
+    """Works on the pools for which this daemon is a candidate."""
+
+    def __init__(self, app: Application) -> None:
+        """Find the services that placement needs."""
+        kernel = app.kernel
+        sessions = kernel.find(SESSIONS, HttpSessions)
+        self._peers = kernel.find(PEERS, Peers)
+        self._tables = kernel.find(TABLES, TablesWatch)
+        self._targets = kernel.find(TARGETS, TargetWatch)
+        self._in_flight = kernel.find(INFLIGHT, InFlight)
+        self._clock = app.clock
+        self._tools = PlacementTools(
+            app.clock,
+            sessions.platform.tables,
+            sessions.platform.weights,
+            OrderClient(sessions.fresh),
+            LeaseSettings(),
+        )
+        self._pools: dict[str, PoolPlacement] = {}
+        self._periodic = Periodic(NAME, _INTERVAL_S, self._work)
+
+    async def start(self) -> None:
+        """Begin to work on pools."""
+        self._periodic.start()
+
+    async def stop(self) -> None:
+        """Give the leases back."""
+        await self._periodic.stop()
+        for placement in self._pools.values():
+            await placement.release()
+
+    async def _work(self) -> None:
+        rows = [
+            row
+            for row in self._tables.current.pools
+            if row.kind is PoolKind.ENGINE and self._is_candidate(row)
+        ]
+        names = {row.name for row in rows}
+        for name in self._pools.keys() - names:
+            await self._pools.pop(name).release()
+        for row in rows:
+            members = self._targets.directory.members(
+                row.name,
+                self._clock.now_s(),
+            )
+            await self._placement(row).work(row, members)
+
+    def _is_candidate(self, row: PoolRow) -> bool:
+        if self._in_flight.is_stopping:
+            return False
+        live = {
+            member.entry.name
+            for member in self._peers.live()
+            if not member.entry.is_stopping
+        }
+        return is_candidate(row.name, self._peers.name, live)
+
+    def _placement(self, row: PoolRow) -> PoolPlacement:
+        placement = self._pools.get(row.name)
+        if placement is None:
+            holder = f'{self._peers.name}#{self._peers.start_number}'
+            placement = PoolPlacement(row.name, holder, self._tools)
+            self._pools[row.name] = placement
+        return placement
+
+
+def setup(app: Application) -> None:
+    """Register the placement."""
+    app.kernel.register(NAME, Placement(app))
--- /dev/null
+++ b/nutmegspoke/border/pool_placement.py
@@ -0,0 +1,215 @@
+"""Keeps the lease of one pool and carries out its orders."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+import secrets
+from typing import TYPE_CHECKING
+
+from nutmegspoke.placement.lease import (
+    CommitLease,
+    LeaseKeeper,
+    LeaseSettings,
+    ReadLease,
+)
+from nutmegspoke.placement.orders import (
+    CommitOrder,
+    Order,
+    OrderRow,
+    ReadOrder,
+    SendOrder,
+)
+from nutmegspoke.placement.spares import Replacement, SpareFinder
+from nutmegspoke.platform import Unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.border.order_client import OrderClient
+    from nutmegspoke.placement.orders import OrderStep
+    from nutmegspoke.platform import TableService, WeightStore
+    from nutmegspoke.tables.rows import PoolRow
+    from nutmegspoke.targets import Target
+
+logger = logging.getLogger(__name__)
+_ORDER_ID_BYTES = 8
+_MAX_STEPS = 4
+
+
+@dataclasses.dataclass(slots=True)
+class _Planned:
+    """An order and when the weight store lets it start."""
+
+    order: Order
+    replacement: Replacement
+    ready_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementTools:
+    """What the placement of a pool works with.
+
+    :param clock: the process's clock.
+    :param tables: the table service.
+    :param weights: the weight store.
+    :param client: sends orders to engines.
+    :param settings: times of leases.
+    """
+
+    clock: Clock
+    tables: TableService
+    weights: WeightStore
+    client: OrderClient
+    settings: LeaseSettings
+
+
+class PoolPlacement:
+    """Lease, lost layers and orders of one pool."""
+
+    def __init__(self, pool: str, holder: str, tools: PlacementTools) -> None:
+        """Know nothing of the lease yet.
+
+        :param pool: name of the pool.
+        :param holder: name and start of this daemon.
+        """
+        self._pool = pool
+        self._holder = holder
+        self._tools = tools
+        self._keeper = LeaseKeeper(pool, holder, tools.settings)
+        self._finder = SpareFinder()
+        self._planned: list[_Planned] = []
+        self._was_held = False
+
+    async def work(self, row: PoolRow, members: Sequence[Target]) -> None:
+        """Keep the lease and, while it is held, replace lost layers.
+
+        :param row: row of the pool.
+        :param members: all targets of the pool, whatever their state.
+        """
+        await self._work_lease()
+        if not self._keeper.is_held(self._tools.clock.now_s()):
+            self._planned.clear()
+            return
+        await self._plan(row, members)
+        for planned in self._planned:
+            self._note_layers(planned.order, members)
+            await self._work_order(planned)
+        self._planned = [
+            planned for planned in self._planned if not planned.order.is_ended
+        ]
+
+    async def release(self) -> None:
+        """Give the lease back, unless an order may be under way."""
+        if self._planned:
+            return
+        step = self._keeper.release(self._tools.clock.now_s())
+        if step is not None:
+            await self._tools.tables.commit(step.transaction)
+            logger.info('placement: lease given back pool=%s', self._pool)
+
+    async def _work_lease(self) -> None:
+        clock = self._tools.clock
+        step = self._keeper.next_step(clock.now_s())
+        if isinstance(step, ReadLease):
+            row = await self._tools.tables.read(step.key)
+            if isinstance(row, Unavailable):
+                return
+            self._keeper.row_read(row, clock.now_s())
+            step = self._keeper.next_step(clock.now_s())
+        if isinstance(step, CommitLease):
+            result = await self._tools.tables.commit(step.transaction)
+            self._keeper.commit_answered(result, clock.now_s())
+        self._log_lease()
+
+    def _log_lease(self) -> None:
+        is_held = self._keeper.is_held(self._tools.clock.now_s())
+        if is_held != self._was_held and self._keeper.seen is not None:
+            logger.info(
+                'placement: lease %s pool=%s fencing=%d',
+                'taken' if is_held else 'lost',
+                self._pool,
+                self._keeper.seen.fencing_number,
+            )
+        self._was_held = is_held
+
+    async def _plan(self, row: PoolRow, members: Sequence[Target]) -> None:
+        now_s = self._tools.clock.now_s()
+        under_way = [planned.replacement for planned in self._planned]
+        for replacement in self._finder.find(row, members, under_way, now_s):
+            layers = str(replacement.layers)
+            wait_s = await self._tools.weights.reserve(row.model, layers)
+            if isinstance(wait_s, Unavailable):
+                logger.warning('placement: no weights pool=%s', row.name)
+                return
+            logger.info(
+                'placement: layers lost pool=%s layers=%s spare=%s wait_s=%.3f',
+                row.name,
+                layers,
+                replacement.spare.name,
+                wait_s,
+            )
+            ready_s = self._tools.clock.now_s() + wait_s
+            order = self._new_order(row, replacement)
+            self._planned.append(_Planned(order, replacement, ready_s))
+
+    def _new_order(self, row: PoolRow, replacement: Replacement) -> Order:
+        spare = replacement.spare
+        order_row = OrderRow(
+            order_id=secrets.token_hex(_ORDER_ID_BYTES),
+            pool=row.name,
+            fencing_number=0,
+            target=spare.name,
+            address=spare.address,
+            model=row.model,
+            version=row.version,
+            first_layer=replacement.layers.start,
+            stop_layer=replacement.layers.stop,
+            holder=self._holder,
+        )
+        timeout_s = self._tools.settings.order_timeout_s
+        return Order(order_row, row.checks_fencing, timeout_s)
+
+    def _note_layers(self, order: Order, members: Sequence[Target]) -> None:
+        for target in members:
+            order.layers_reported(target.address, target.layers)
+
+    async def _work_order(self, planned: _Planned) -> None:
+        order = planned.order
+        if self._tools.clock.now_s() < planned.ready_s:
+            return
+        before = order.state
+        for _ in range(_MAX_STEPS):
+            step = order.next_step(self._keeper, self._tools.clock.now_s())
+            if step is None:
+                break
+            await self._carry_out(order, step)
+        if order.state != before or order.is_ended:
+            _log_order(order)
+
+    async def _carry_out(self, order: Order, step: OrderStep) -> None:
+        if isinstance(step, SendOrder):
+            sent = await self._tools.client.send(step)
+            order.send_answered(sent, self._tools.clock.now_s())
+        elif isinstance(step, CommitOrder):
+            result = await self._tools.tables.commit(step.transaction)
+            order.commit_answered(result)
+        elif isinstance(step, ReadOrder):
+            row = await self._tools.tables.read(step.key)
+            if not isinstance(row, Unavailable):
+                order.row_read(row)
+
+
+def _log_order(order: Order) -> None:
+    logger.info(
+        'placement: order state=%s id=%s pool=%s layers=%s target=%s '
+        'fencing=%d reason=%s',
+        order.state,
+        order.row.order_id,
+        order.row.pool,
+        order.row.layers,
+        order.row.target,
+        order.row.fencing_number,
+        order.drop_reason,
+    )
--- a/nutmegspoke/placement/spares.py
+++ b/nutmegspoke/placement/spares.py
@@ -33,9 +33,9 @@
 class SpareFinder:
     """Decides for one pool which layers are lost and which engine loads them.
 
-    Layers whose engines are gone or leaving are lost at once; those whose
-    engines are merely suspect are lost after a grace, because a report may
-    just be late. A spare is a live engine that holds nothing, or else one
+    Layers whose engines are gone or leaving are lost at once. Those whose
+    engines are merely suspect, or that no engine has reported yet, are lost
+    after a grace, because a report may just be late. A spare is a live engine that holds nothing, or else one
     whose layers others hold as well.
 
     :param suspect_grace_s: time for which suspect engines count as holding.
@@ -84,12 +84,19 @@
             return []
         if self._lost_since_s is None:
             self._lost_since_s = now_s
+        suspect = list(_ranges(engines, {TargetState.SUSPECT}))
+        former = list(_ranges(engines, _ENDED))
         is_waiting = now_s - self._lost_since_s < self.suspect_grace_s
         if is_waiting:
-            suspect = _ranges(engines, {TargetState.SUSPECT})
             gaps = _gaps([*live, *suspect], row.layer_count)
-        former = list(_ranges(engines, _ENDED | {TargetState.SUSPECT}))
-        return [layers for gap in gaps for layers in _split(gap, former)]
+        else:
+            former.extend(suspect)
+        return [
+            layers
+            for gap in gaps
+            for layers, is_known in _split(gap, former)
+            if is_known or not is_waiting
+        ]
 
 
 def _holds_model(row: PoolRow, target: Target) -> bool:
@@ -122,8 +129,8 @@
 def _split(
     gap: LayerRange,
     former: Sequence[LayerRange],
-) -> Iterator[LayerRange]:
-    """Return the parts of a gap that one engine each used to hold.
+) -> Iterator[tuple[LayerRange, bool]]:
+    """Return the parts of a gap, and whether an engine used to hold each.
 
     An engine has no room for more layers than engines of its pool hold.
     """
@@ -134,8 +141,13 @@
             for layers in former
             if layers.start <= position < layers.stop
         ]
-        stop = max(stops, default=gap.stop)
-        yield LayerRange(position, stop)
+        starts = [
+            layers.start
+            for layers in former
+            if position < layers.start < gap.stop
+        ]
+        stop = max(stops or [min(starts, default=gap.stop)])
+        yield LayerRange(position, stop), bool(stops)
         position = stop
 
 
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
+_NO_LAYERS = LayerRange(0, 0)
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -75,6 +77,7 @@
         self._activation_bytes = activation_bytes
         self._in_flight = 0
         self._highest_fencing_number = 0
+        self._start_id = secrets.token_hex(8)
         self._shown_load: protocol.LoadReport | None = None
 
     def app(self) -> web.Application:
@@ -158,6 +161,7 @@
             stop_layer=self._caches.stop_layer,
             layer_tokens_per_s=self._pace.layer_tokens_per_s,
             link_bytes_per_s=self._pace.link_bytes_per_s,
+            start_id=self._start_id,
             activation_bytes=self._activation_bytes,
         )
 
@@ -196,9 +200,9 @@
     :param port: port that takes steps.
     :param control_port: port that takes orders to show faults.
     """
-    held = LayerRange.from_text(layers)
+    held = _NO_LAYERS if layers == 'none' else LayerRange.from_text(layers)
     if held is None:
-        raise typer.BadParameter('layers are START-STOP')
+        raise typer.BadParameter('layers are START-STOP or none')
     caches = StreamCaches(name, held.start, held.stop, layer_count)
     pace = Pace(layer_tokens_per_s, link_bytes_per_s, time.monotonic)
     engine = Engine(caches, pace, model, version, activation_bytes)
--- a/tests/placement/test_spares.py
+++ b/tests/placement/test_spares.py
@@ -85,6 +85,17 @@
         _find(_engine('a', '0-12'), finder=finder, now_s=4.0)
         self.assertEqual(_find(*members, finder=finder, now_s=5.0), [])
 
+    def test_layers_that_nobody_has_reported_yet_have_a_grace(self) -> None:
+        """A daemon that has just started orders nothing on no knowledge."""
+        finder = SpareFinder()
+        members = (_engine('a', state=_SUSPECT), _engine('spare'))
+        self.assertEqual(_find(*members, finder=finder), [])
+        known = (*members, _engine('b', '4-8', _GONE))
+        found = _find(*known, finder=finder, now_s=1.0)
+        self.assertEqual(found, [('4-8', 'spare')])
+        found = _find(*members, finder=finder, now_s=3.0)
+        self.assertEqual(found, [('0-12', 'spare')])
+
     def test_each_lost_engine_gets_a_spare_of_its_own(self) -> None:
         """No engine gets more layers than an engine of the pool held."""
         found = _find(
--- a/tests/scenarios/stage.py
+++ b/tests/scenarios/stage.py
@@ -301,6 +301,11 @@
         path = self._process(daemon).log_path
         processes.wait_until(lambda: text in path.read_text('utf-8'))
 
+    def do_unlogged(self, daemon: str, text: str) -> None:
+        """Check that a daemon's log does not hold a text."""
+        log = self._process(daemon).log_path.read_text('utf-8')
+        self._case.assertNotIn(text, log)
+
     def _usable(self, daemon: str) -> set[str]:
         status = self._deployment.status(self._deployment.daemons[daemon])
         return {target['name'] for target in status['targets']}
