--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -15,6 +15,7 @@
     'nutmegspoke.border.inflight',
     'nutmegspoke.border.metrics',
     'nutmegspoke.border.http_sessions',
+    'nutmegspoke.border.evidence_log',
     'nutmegspoke.border.tables_watch',
     'nutmegspoke.border.target_watch',
     'nutmegspoke.border.router',
--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -9,7 +9,12 @@
 from sanic import HTTPResponse, Request, Sanic, exceptions
 
 from nutmegspoke import outcomes
-from nutmegspoke.border import completions, responses
+from nutmegspoke.border import (
+    completions,
+    evidence_context,
+    evidence_log,
+    responses,
+)
 from nutmegspoke.border.answers import StreamWriter, collect
 from nutmegspoke.border.calls import NAME as CALLS
 from nutmegspoke.border.calls import CallService
@@ -33,6 +38,7 @@
 NAME = 'callers'
 READY_PATH = '/.nutmegspoke/ready'
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
+HTTP_OK = 200
 _NOT_READY_RETRY_AFTER_S = 2.0
 _DRAINED_BODY_BYTES = 64 * 1024 * 1024
 
@@ -59,6 +65,10 @@
         self._calls = kernel.find(CALLS, CallService)
         self._in_flight = kernel.find(INFLIGHT, InFlight)
         self._metrics = kernel.find(METRICS, Metrics)
+        self._evidence = kernel.find(
+            evidence_log.NAME,
+            evidence_log.EvidenceLog,
+        )
         limits = app.settings.limits
         self._sanic = new_app(
             'nutmegspoke-callers',
@@ -92,8 +102,18 @@
         request_id = self._new_request_id()
         request.ctx.request_id = request_id
         received_s = self._clock.now_s()
-        with self._in_flight.counted(request_id):
+        with (
+            self._in_flight.counted(request_id),
+            evidence_context.opened(self._evidence, request_id),
+        ):
             served = await self._serve(request, request_id)
+            self._evidence.end(
+                request_id,
+                served.outcome,
+                HTTP_OK
+                if served.is_sent
+                else responses.status_of(served.outcome),
+            )
         self._metrics.request_ended(
             served.route,
             served.outcome,
@@ -165,6 +185,7 @@
             matched.pool.name,
             matched.team,
         )
+        evidence_context.note_matched(matched)
         if matched.pool.kind is PoolKind.SERVICE:
             outcome = await self._calls.call(matched.call_request())
             return _Served(outcome, route.name)
--- a/nutmegspoke/border/evidence_log.py
+++ b/nutmegspoke/border/evidence_log.py
@@ -89,6 +89,12 @@
         if record is not None:
             self.buffer.add(record)
 
+    def abandon(self, request_id: str) -> None:
+        """Close the trail of a request whose caller is gone, if it is open."""
+        record = self._trails.abandon(request_id, self._clock.now_s())
+        if record is not None:
+            self.buffer.add(record)
+
     def adopted(self, revision: int, previous: int, source: str) -> None:
         """Record that a revision is in force here."""
         self.buffer.add(
--- a/nutmegspoke/evidence/story.py
+++ b/nutmegspoke/evidence/story.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.evidence import records
+from nutmegspoke.evidence.trails import CALLER_GONE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -109,6 +110,8 @@
 
 
 def _ending_text(ending: records.Ending) -> str:
+    if ending.reason == CALLER_GONE:
+        return 'the caller hung up before it was told'
     parts = [f'caller told: {_ENDINGS[ending.executed]}']
     if ending.reason:
         parts.append(f'reason {ending.reason}')
--- a/nutmegspoke/evidence/trails.py
+++ b/nutmegspoke/evidence/trails.py
@@ -6,12 +6,19 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.evidence.records import Ending, RequestRecord, TimedEvent
-from nutmegspoke.outcomes import NotRun, Outcome, Unknown, executed
+from nutmegspoke.outcomes import (
+    Executed,
+    NotRun,
+    Outcome,
+    Unknown,
+    executed,
+)
 
 if TYPE_CHECKING:
     from nutmegspoke.evidence.records import Event
 
 MAX_EVENTS = 64
+CALLER_GONE = 'caller_gone'
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,6 +79,23 @@
         :param status: HTTP status that the caller got.
         :param now_s: the present time.
         """
+        return self._close(request_id, _ending(outcome, status), now_s)
+
+    def abandon(self, request_id: str, now_s: float) -> RequestRecord | None:
+        """Close the trail of a request whose caller is gone, if it is open.
+
+        :param request_id: id of the request.
+        :param now_s: the present time.
+        """
+        ending = Ending(Executed.UNKNOWN.value, CALLER_GONE)
+        return self._close(request_id, ending, now_s)
+
+    def _close(
+        self,
+        request_id: str,
+        ending: Ending,
+        now_s: float,
+    ) -> RequestRecord | None:
         trail = self._trails.pop(request_id, None)
         if trail is None:
             return None
@@ -81,7 +105,7 @@
             received_wall_s=trail.received_wall_s,
             duration_s=now_s - trail.received_s,
             events=tuple(trail.events),
-            ending=_ending(outcome, status),
+            ending=ending,
             dropped_events=trail.dropped_events,
         )
 
--- a/tests/evidence/test_evidence.py
+++ b/tests/evidence/test_evidence.py
@@ -90,6 +90,15 @@
         self.assertIn('in force at d1 after about 1.0 s, by peer', story)
         self.assertIn('no daemon', change_story(change, (), ()))
 
+    def test_a_caller_who_hung_up(self) -> None:
+        """The record is closed once and says so."""
+        kept = trails.Trails('d1')
+        kept.begin('d1.1.gh', 100.0, 60.0)
+        record = kept.abandon('d1.1.gh', 101.0)
+        self.assertIn('hung up before it was told', request_story(record))
+        self.assertIsNone(kept.abandon('d1.1.gh', 102.0))
+        self.assertEqual(len(kept), 0)
+
     def test_a_long_trail_is_bounded(self) -> None:
         """Events over the limit are counted."""
         events = [records.CallSent(number, 't') for number in range(70)]
