--- a/nutmegspoke/border/table_files.py
+++ b/nutmegspoke/border/table_files.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterator
 
 _TITLE = re.compile('^(?P<kind>route|pool) (?P<name>[a-z0-9][a-z0-9._-]*)$')
+_TWICE = 'appears twice'
 _SETTING = re.compile(r'^([^\s=][^=\n]*?)\s*=', re.MULTILINE)
 _MODELS = {  # noqa: WPS407 -- read only
     'route': table_models.RouteModel,
@@ -48,7 +49,7 @@
     titles: set[str] = set()
     for chunk in _chunks(text):
         if chunk.title in titles:
-            faults.append(_title_fault(source, chunk.title, 'appears twice'))
+            faults.append(_title_fault(source, chunk.title, _TWICE))
         titles.add(chunk.title)
         found = _read_section(chunk, source)
         if isinstance(found, TableFaults):
@@ -98,8 +99,8 @@
 def _read_section(chunk: _Chunk, source: str) -> Row | TableFaults:
     title = _TITLE.match(chunk.title)
     if title is None:
-        problem = 'is no known section' if chunk.title else 'lacks a section'
-        return TableFaults((_title_fault(source, chunk.title, problem),))
+        fault = _title_fault(source, chunk.title, 'is no known section')
+        return TableFaults((fault,))
     faults = _duplicate_keys(chunk, source)
     settings = _read_settings(chunk, source)
     if isinstance(settings, TableFault):
@@ -118,7 +119,7 @@
 def _duplicate_keys(chunk: _Chunk, source: str) -> tuple[TableFault, ...]:
     keys = collections.Counter(_SETTING.findall(chunk.text))
     return tuple(
-        TableFault(source, chunk.title, key, 'appears twice', 'it once')
+        TableFault(source, chunk.title, key, _TWICE, 'each key once')
         for key, count in keys.items()
         if count > 1
     )
@@ -160,6 +161,12 @@
 
 
 def _title_fault(source: str, title: str, problem: str) -> TableFault:
+    allowed = _TITLE_RULE
     if not title:
-        problem = f'{problem} above its first line'
-    return TableFault(source, title, '', problem, _TITLE_RULE)
+        problem = 'has settings above its first section'
+    elif title.startswith('['):
+        title = title.removeprefix('[')
+        problem = 'lacks the closing "]"'
+    elif problem == _TWICE:
+        allowed = 'each section once'
+    return TableFault(source, title, '', problem, allowed)
--- a/nutmegspoke/border/table_models.py
+++ b/nutmegspoke/border/table_models.py
@@ -28,8 +28,12 @@
 _OPTIONAL_LABEL = '^([a-zA-Z0-9][a-zA-Z0-9._/-]*)?$'
 
 
-def _to_boolean(text: object) -> object:
-    return _BOOLEANS.get(str(text).lower(), text)
+def _to_boolean(text: object) -> bool:
+    if isinstance(text, bool):
+        return text
+    if text not in _BOOLEANS:
+        raise ValueError(text)
+    return _BOOLEANS[text]
 
 
 def _to_words(text: object) -> object:
--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -97,7 +97,8 @@
             base,
         )
 
-    revision = printer.applied(run(platform, carry_out), platform)
+    told = run(platform, carry_out)
+    revision = printer.applied(told, platform, is_last=not wait)
     if wait:
         cli_wait.wait_in_force(printer, revision, daemons, token, wait_limit_s)
 
--- a/nutmegspoke/cmd/cli_output.py
+++ b/nutmegspoke/cmd/cli_output.py
@@ -43,6 +43,11 @@
         :param as_json: print JSON instead of text.
         """
         self._as_json = as_json
+        self._kept: dict[str, Any] = {}
+
+    def keep(self, **fields: Any) -> None:
+        """Add fields to the JSON document that is still to come."""
+        self._kept.update(fields)
 
     def fail(self, code: ExitCode, detail: str, **fields: Any) -> NoReturn:
         """Print an error and end the program."""
@@ -55,7 +60,8 @@
     def faults(self, source: str, found: TableFaults) -> NoReturn:
         """Print the faults of a file and end the program."""
         count = len(found.faults)
-        lines = [*map(str, found.faults), f'{source}: {count} faults']
+        total = '1 fault' if count == 1 else f'{count} faults'
+        lines = [*map(str, found.faults), f'{source}: {total}']
         faults = [dataclasses.asdict(fault) for fault in found.faults]
         self.fail(ExitCode.FAULTS, '\n'.join(lines), faults=faults)
 
@@ -93,17 +99,26 @@
         else:
             typer.echo(shown)
 
-    def applied(self, told: border_apply.ApplyResult, platform: str) -> int:
+    def applied(
+        self,
+        told: border_apply.ApplyResult,
+        platform: str,
+        *,
+        is_last: bool = True,
+    ) -> int:
         """Print what became of a change; end the program if it failed.
 
+        :param told: what became of it.
+        :param platform: URL of the platform, for the command to ask again.
+        :param is_last: nothing is printed afterwards.
         :returns: the revision that has what the operator wants.
         """
         match told:
             case table_reads.Accepted():
-                self.accepted(told.record)
+                self.accepted(told.record, is_last=is_last)
                 return told.record.revision
             case apply.NoChange():
-                self._unchanged(told.revision)
+                self._unchanged(told.revision, is_last=is_last)
                 return told.revision
             case apply.RowConflict():
                 self._conflict(told)
@@ -115,21 +130,29 @@
                     f'not accepted: {told.detail}',
                 )
 
-    def accepted(self, record: ChangeRecord) -> None:
+    def accepted(self, record: ChangeRecord, *, is_last: bool = True) -> None:
         """Print an accepted change."""
-        self.say(
+        self._tell(
+            is_last,
             f'{change_text(record)}\naccepted: revision {record.revision}',
             result='accepted',
             change=change_fields(record),
         )
 
-    def _unchanged(self, revision: int) -> None:
-        self.say(
+    def _unchanged(self, revision: int, *, is_last: bool) -> None:
+        self._tell(
+            is_last,
             f'nothing to change: revision {revision} has it already',
             result='unchanged',
             revision=revision,
         )
 
+    def _tell(self, is_last: bool, shown: str, **fields: Any) -> None:
+        if self._as_json and not is_last:
+            self.keep(**fields)
+        else:
+            self.say(shown, **fields)
+
     def _conflict(self, told: apply.RowConflict) -> NoReturn:
         lines = [
             f'not accepted: {", ".join(told.keys)} changed '
@@ -163,7 +186,8 @@
         )
 
     def _json(self, **fields: Any) -> None:
-        typer.echo(msgspec.json.encode(fields).decode())
+        document = {**self._kept, **fields}
+        typer.echo(msgspec.json.encode(document).decode())
 
 
 def change_text(record: ChangeRecord) -> str:
--- a/tests/border/test_table_files.py
+++ b/tests/border/test_table_files.py
@@ -109,11 +109,12 @@
                 ('pool engines', ''),
                 ('pool engines', ''),
                 ('pol e2', ''),
-                ('[route e3', ''),
+                ('route e3', ''),
             ],
         )
         self.assertIn(
             'f: [route drafts] pool is missing; allowed: ', str(found.faults[3])
         )
+        self.assertEqual(found.faults[-1].problem, 'lacks the closing "]"')
         for fault in found.faults:
             self.assertTrue(fault.problem and fault.allowed, fault)
