--- /dev/null
+++ b/tests/cmd/test_cli_processes.py
@@ -0,0 +1,128 @@
+"""Tests of the command-line tool against real processes."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import unittest
+
+from nutmegspoke.bench import processes
+from nutmegspoke.bench.deployment import Deployment
+from nutmegspoke.cmd.cli_output import ExitCode
+from tests import deployments
+
+
+class CliProcessesTest(unittest.TestCase):
+    """Applies, races and evidence with two daemons."""
+
+    def setUp(self) -> None:
+        """Start a small deployment."""
+        self.deployment = self.enterContext(Deployment())
+        deployments.start_small(self.deployment, daemons=2)
+
+    def test_operators_race_and_everyone_gets_both(self) -> None:
+        """Different rows both win, the same row shows the first change."""
+        tables = deployments.TABLES
+        first = tables.replace('max_body_bytes = 65536', 'priority = 1')
+        second = tables.replace('path = /mailings', 'path = /mailings/*')
+        third = tables.replace('max_body_bytes = 65536', 'priority = 2')
+        racing = [
+            self._start('apply', self._file(text), '--base', '1', '--wait')
+            for text in (first, second)
+        ]
+        told = [self._finish(process) for process in racing]
+        self.assertEqual([code for code, _ in told], [ExitCode.OK] * 2, told)
+        self.assertEqual(
+            sorted(answer['change']['revision'] for _, answer in told),
+            [2, 3],
+        )
+        for daemon in self.deployment.daemons.values():
+            self.assertEqual(self.deployment.status(daemon)['revision'], 3)
+        code, answer = self._run('show')
+        rows = {row['name']: row for row in answer['tables']['routes']}
+        self.assertEqual(rows['drafts']['priority'], 1)
+        self.assertEqual(rows['mailing']['path'], '/mailings/*')
+        code, answer = self._run('apply', self._file(third), '--base', '1')
+        self.assertEqual(code, ExitCode.CONFLICT)
+        self.assertEqual(answer['rows'], ['route/drafts'])
+        (other,) = answer['others']
+        self.assertEqual(other['sections'][0]['section'], 'route drafts')
+
+    def test_answer_lost_after_the_write(self) -> None:
+        """The change is accepted once, and the operator is told so."""
+        self.deployment.platform.order_fault(
+            'lose_answer',
+            count=1,
+            path='/tables/commit',
+        )
+        changed = deployments.TABLES.replace('= /mailings', '= /mailings/*')
+        code, answer = self._run('apply', self._file(changed), '--wait')
+        self.assertEqual((code, answer['result']), (ExitCode.OK, 'in_force'))
+        self.assertEqual(answer['change']['revision'], 2)
+        self.assertEqual(len(self._run('history')[1]['changes']), 2)
+
+    def test_store_silent_after_the_write(self) -> None:
+        """The operator is told unknown, and the command that settles it."""
+        self.deployment.platform.order_fault(
+            'lose_answer',
+            path='/tables/commit',
+        )
+        changed = deployments.TABLES.replace('= /mailings', '= /mailings/*')
+        code, answer = self._run('apply', self._file(changed))
+        self.assertEqual(code, ExitCode.UNKNOWN)
+        self.deployment.platform.order_fault('clear')
+        asked = answer['ask'].split()[1:]
+        code, answer = self._run(*asked)
+        self.assertEqual((code, answer['result']), (ExitCode.OK, 'accepted'))
+
+    def test_explain_and_refusals_of_the_tool(self) -> None:
+        """A request is explained from the evidence that its daemon wrote."""
+        daemon = self.deployment.daemons['daemon-0']
+        answer = deployments.call(daemon, 'GET', '/roster/7')
+        request_id = answer.headers['Nutmegspoke-Request-Id']
+        processes.wait_until(lambda: self._run('explain', request_id)[0] == 0)
+        record = self._run('explain', request_id)[1]['record']
+        self.assertEqual(record['ending']['executed'], 'yes')
+        matched = record['events'][0]['event']
+        self.assertEqual(
+            (matched['route'], matched['revision']),
+            ('roster', 1),
+        )
+        code, _ = self._run('explain', 'daemon-0.1.ff')
+        self.assertEqual(code, ExitCode.FAILED)
+        code, told = self._run('status', '--token', 'wrong')
+        self.assertEqual(code, ExitCode.UNAVAILABLE)
+        self.assertIn('token', told['daemons'][0]['status']['reason'])
+
+    def _file(self, text: str) -> str:
+        path = self.deployment.path / f'{len(text)}-{hash(text)}.ini'
+        path.write_text(text, 'utf-8')
+        return str(path)
+
+    def _run(self, *arguments: str) -> tuple[int, dict]:
+        return self._finish(self._start(*arguments))
+
+    def _start(self, *arguments: str) -> subprocess.Popen:
+        urls = [
+            daemon.operators_url for daemon in self.deployment.daemons.values()
+        ]
+        return subprocess.Popen(
+            (sys.executable, '-m', 'nutmegspoke.cmd.cli', *arguments, '--json'),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={
+                **os.environ,
+                'NUTMEGSPOKE_PLATFORM': self.deployment.platform.url,
+                'NUTMEGSPOKE_OPERATOR': 'tester',
+                'NUTMEGSPOKE_DAEMONS': ' '.join(urls),
+                'NUTMEGSPOKE_OPERATORS_TOKEN': self.deployment.token,
+            },
+        )
+
+    def _finish(self, process: subprocess.Popen) -> tuple[int, dict]:
+        shown, message = process.communicate(timeout=60)
+        self.assertTrue(shown, message)
+        return process.returncode, json.loads(shown)
