--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -40,6 +40,7 @@
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
 HTTP_OK = 200
 _NOT_READY_RETRY_AFTER_S = 2.0
+_STOPPING_RETRY_AFTER_S = 1.0
 _DRAINED_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -151,6 +152,14 @@
         request: Request,
         request_id: str,
     ) -> _Served:
+        if self._in_flight.is_refusing:
+            return _Served(
+                outcomes.NotRun(
+                    outcomes.RefusalReason.STOPPING,
+                    _STOPPING_RETRY_AFTER_S,
+                    'this daemon is stopping',
+                ),
+            )
         if not self._tables.is_ready:
             return _Served(
                 outcomes.NotRun(
