Serve the steps of a team that is below its share first

Fair turns at admission alone leave a small team's steps behind those of a flood at each engine. Engines honour priorities; so does the stand-in now.

--- a/nutmegspoke/admission/fair_order.py
+++ b/nutmegspoke/admission/fair_order.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from nutmegspoke.admission.tickets import Ticket
 
+_CLEARLY_BELOW = 0.8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -154,6 +156,18 @@
         )
         return team.weight / waiting
 
+    def is_below_share(self, ticket: Ticket) -> bool:
+        """Tell whether a team runs clearly less than its weight allows."""
+        active = [
+            team
+            for team in self.teams.values()
+            if team.in_flight or team.waiting
+        ]
+        team = self.team_of(ticket)
+        running = sum(each.in_flight for each in active)
+        share = team.weight / sum(each.weight for each in active)
+        return team.in_flight <= _CLEARLY_BELOW * share * running
+
     def worst_excess(self, newcomer: TeamState) -> Entry | None:
         """Return the ticket to put out of a full queue for a newcomer's.
 
--- a/nutmegspoke/admission/queueing.py
+++ b/nutmegspoke/admission/queueing.py
@@ -85,6 +85,14 @@
         """Change the limit of a team on this daemon; ``None`` for no limit."""
         self._order.limit(team, max_in_flight)
 
+    def is_below_share(self, ticket: Ticket) -> bool:
+        """Tell whether a running ticket's team has less than its share.
+
+        Its work should then go first at the targets, where it competes with
+        work that is running already.
+        """
+        return self._order.is_below_share(ticket)
+
     def offer(self, ticket: Ticket, now_s: float) -> Admitted | Queued | NotRun:
         """Decide on a request that arrives.
 
@@ -112,8 +120,9 @@
 
     def next_ready(self, now_s: float) -> Ready:
         """Return what may start now and what must be refused now."""
-        for expired in self._expired(now_s):
-            self._refuse_waiting(expired, RefusalReason.DEADLINE, now_s)
+        for waiting in tuple(self._waiting.values()):
+            if now_s > self._waits.latest_start_s(waiting):
+                self._refuse_waiting(waiting, RefusalReason.DEADLINE, now_s)
         started: list[Ticket] = []
         entry = self._order.next_entry()
         while entry is not None and self._slots.has_free(now_s):
@@ -212,13 +221,6 @@
         self._refuse_waiting(evicted, RefusalReason.QUEUE_FULL, now_s)
         return None
 
-    def _expired(self, now_s: float) -> list[Entry]:
-        return [
-            entry
-            for entry in self._waiting.values()
-            if now_s > self._waits.latest_start_s(entry)
-        ]
-
     def _refuse_waiting(
         self,
         entry: Entry,
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -115,7 +115,14 @@
         if isinstance(choice, outcomes.NotRun):
             yield choice
             return
-        draft = _Draft(request, choice, self._carrier, self._targets)
+        priority = self._gate.step_priority(request)
+        draft = _Draft(
+            request,
+            choice,
+            self._carrier,
+            self._targets,
+            priority,
+        )
         try:
             async for item in self._run(draft):
                 yield item
@@ -193,6 +200,7 @@
         choice: ChainChoice,
         carrier: StepCarrier,
         targets: TargetWatch,
+        priority: int,
     ) -> None:
         self.request = request
         self.choice = choice
@@ -206,7 +214,7 @@
             seed=request.seed,
             layer_count=request.pool.layer_count,
             max_tokens=request.max_tokens,
-            priority=request.route.priority,
+            priority=priority,
         )
         self.run = DraftRun(plan, choice.chain, attempt=1)
         self._last_sent: SendStep | None = None
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
 
 import msgspec
 import typer
@@ -13,45 +12,14 @@
 from nutmegspoke import engine_protocol as protocol
 from nutmegspoke.layers import LayerRange
 from nutmegspoke.standins import faults, serving
+from nutmegspoke.standins.pace import Pace
 from nutmegspoke.standins.streams import StreamCaches
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
 _MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
-class Pace:
-    """Makes steps take the time that the hardware would take.
-
-    :param layer_tokens_per_s: layers times tokens run in a second.
-    :param link_bytes_per_s: rate of the link; 0 for no limit.
-    """
-
-    def __init__(
-        self,
-        layer_tokens_per_s: float,
-        link_bytes_per_s: float,
-        clock_s: Callable[[], float],
-    ) -> None:
-        """Create an idle accelerator."""
-        self.layer_tokens_per_s = layer_tokens_per_s
-        self.link_bytes_per_s = link_bytes_per_s
-        self._clock_s = clock_s
-        self._free_at_s = 0.0
-
-    async def work(self, layer_tokens: int, link_bytes: int) -> None:
-        """Wait until the accelerator and the link have done a step."""
-        now_s = self._clock_s()
-        busy_s = layer_tokens / self.layer_tokens_per_s
-        if self.link_bytes_per_s:
-            busy_s = max(busy_s, link_bytes / self.link_bytes_per_s)
-        self._free_at_s = max(self._free_at_s, now_s) + busy_s
-        await asyncio.sleep(self._free_at_s - now_s)
-
-
 class Engine:
     """Handlers of an engine."""
 
@@ -104,6 +72,7 @@
             await self._pace.work(
                 reply.count * (step.stop_layer - step.first_layer),
                 reply.count * self._activation_bytes,
+                step.priority,
             )
         finally:
             self._in_flight -= 1
--- a/tests/admission/test_queueing.py
+++ b/tests/admission/test_queueing.py
@@ -128,6 +128,19 @@
         )
         self.assertEqual(none.reason, RefusalReason.TEAM_LIMIT)
 
+    def test_tells_a_team_that_runs_less_than_its_share(self) -> None:
+        """A small team beside a flood is below; a team alone never is."""
+        queue = _queue(capacity=30)
+        alone = ticket('alone', 'large')
+        queue.offer(alone, 0)
+        self.assertFalse(queue.is_below_share(alone))
+        for number in range(10):
+            queue.offer(ticket(f'flood{number}', 'large'), 0)
+        small = ticket('small', 'small')
+        queue.offer(small, 0)
+        self.assertTrue(queue.is_below_share(small))
+        self.assertFalse(queue.is_below_share(alone))
+
     def test_a_put_back_request_goes_first_after_a_pause(self) -> None:
         """No loop of starts while no target has room."""
         queue = _queue(capacity=2)
