--- a/nutmegspoke/border/admission_gate.py
+++ b/nutmegspoke/border/admission_gate.py
@@ -117,15 +117,10 @@
         line = self._line(request.pool)
         line.leave(request.request_id, is_served=is_served)
 
-    def step_priority(self, request: DraftRequest) -> int:
-        """Return the priority of a running draft's steps at the engines.
-
-        The route's priority comes first; among equals a team that runs less
-        than its share.
-        """
+    def is_below_share(self, request: DraftRequest) -> bool:
+        """Tell whether a running draft's team has less than its share."""
         line = self._line(request.pool)
-        is_first = line.queue.is_below_share(self._ticket(request))
-        return 2 * request.route.priority + is_first
+        return line.queue.is_below_share(self._ticket(request))
 
     def waiting_count(self, pool: str) -> int:
         """Return the number of requests that wait for a pool."""
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -115,13 +115,12 @@
         if isinstance(choice, outcomes.NotRun):
             yield choice
             return
-        priority = self._gate.step_priority(request)
         draft = _Draft(
             request,
             choice,
             self._carrier,
             self._targets,
-            priority,
+            is_first=self._gate.is_below_share(request),
         )
         try:
             async for item in self._run(draft):
@@ -136,7 +135,11 @@
     ) -> ChainChoice | outcomes.NotRun:
         """Choose a chain, and wait while all targets are at their limits."""
         while True:
-            choice = self._router.choose_chain(request, frozenset())
+            choice = self._router.choose_chain(
+                request,
+                frozenset(),
+                is_first=self._gate.is_below_share(request),
+            )
             if isinstance(choice, ChainChoice):
                 return choice
             if choice.reason is not NoChoiceReason.IN_FLIGHT_LIMIT:
@@ -172,7 +175,11 @@
         draft.note_loss(lost)
         if draft.run.attempt >= _MAX_ATTEMPTS:
             return None
-        choice = self._router.choose_chain(draft.request, draft.avoided)
+        choice = self._router.choose_chain(
+            draft.request,
+            draft.avoided,
+            is_first=draft.is_first,
+        )
         if isinstance(choice, NoChain):
             return None
         self._router.finish_chain(draft.request.pool, draft.choice)
@@ -200,9 +207,11 @@
         choice: ChainChoice,
         carrier: StepCarrier,
         targets: TargetWatch,
-        priority: int,
+        *,
+        is_first: bool,
     ) -> None:
         self.request = request
+        self.is_first = is_first
         self.choice = choice
         self.avoided: frozenset[str] = frozenset()
         self.has_run = False
@@ -214,7 +223,7 @@
             seed=request.seed,
             layer_count=request.pool.layer_count,
             max_tokens=request.max_tokens,
-            priority=priority,
+            priority=2 * request.route.priority + is_first,
         )
         self.run = DraftRun(plan, choice.chain, attempt=1)
         self._last_sent: SendStep | None = None
--- a/nutmegspoke/border/router.py
+++ b/nutmegspoke/border/router.py
@@ -88,11 +88,14 @@
         self,
         request: DraftRequest,
         avoided: frozenset[str],
+        *,
+        is_first: bool = False,
     ) -> ChainChoice | NoChain:
         """Choose a chain for a draft.
 
         :param request: the draft.
         :param avoided: names of targets that must not be used.
+        :param is_first: the draft is to have a fast chain.
         """
         now_s = self._clock.now_s()
         pool = request.pool
@@ -105,6 +108,7 @@
             prefix_key=prefix_key(request.prompt),
             availability_zone=self._options.availability_zone,
             avoided=avoided,
+            is_first=is_first,
         )
         choice = self._chain_policy(pool.name).choose(query, usable, now_s)
         _log_chain(request, choice, avoided)
--- a/nutmegspoke/routing/choices.py
+++ b/nutmegspoke/routing/choices.py
@@ -41,6 +41,8 @@
     :param availability_zone: zone of the daemon; empty if not known.
     :param avoided: names of targets that must not be used.
     :param limits: adapted in-flight limits by target, below the common one.
+    :param is_first: the request is to have a fast chain, such as one of a
+        team that runs less than its share.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     availability_zone: str = ''
     avoided: frozenset[str] = frozenset()
     limits: tuple[TargetLimit, ...] = ()
+    is_first: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/routing/flow.py
+++ b/nutmegspoke/routing/flow.py
@@ -23,6 +23,7 @@
 logger = logging.getLogger(__name__)
 
 _AFFINITY_CREDIT_REQUESTS = 2
+_FIRST_CREDIT_REQUESTS = 8
 
 
 class _Members:
@@ -95,7 +96,8 @@
     request adds credit to the chains with room, by weight, and takes its work
     from the chosen one. Chains inside one zone come first while they are
     idle. Credit of a prefix's preferred chain may fall behind by the work of
-    two requests, so that affinity is bounded.
+    two requests, and that of the fastest chain, which goes to requests that
+    are to be first, by that of eight, so that no preference overloads.
     """
 
     def __init__(self) -> None:
@@ -103,6 +105,7 @@
         self._planner = Planner()
         self._credits: list[float] = []
         self._weights: list[float] = []
+        self._steps_s: list[float] = []
         self._changes_by_origin: dict[str, list[int]] = {}
         self._ledger = WorkLedger()
 
@@ -135,6 +138,7 @@
         plan = self._planner.plan
         self._credits = [0.0 for _ in plan.chains]
         self._weights = [chain.tokens_per_s for chain in plan.chains]
+        self._steps_s = [plan.step_s(chain) for chain in plan.chains]
         self._changes_by_origin.clear()
         logger.info(
             'routing: plan renewed groups=%d chains=%d bound_tokens_per_s=%.1f',
@@ -173,7 +177,7 @@
         changes = self._zone_changes(query.availability_zone)
         fewest = min(changes)
         near = [index for index in chains if changes[index] == fewest]
-        if len(near) == len(chains):
+        if query.is_first or len(near) == len(chains):
             return None
         index = self._best_chain(query, near)
         stages = members.stages_of(index)
@@ -212,6 +216,11 @@
             for index in chains
         }
         richest = max(chains, key=credit.__getitem__)
+        if query.is_first:
+            slack = _FIRST_CREDIT_REQUESTS * query.work_tokens
+            least = credit[richest] - slack
+            rich = [index for index in chains if credit[index] >= least]
+            return min(rich, key=self._steps_s.__getitem__)
         if not query.prefix_key:
             return richest
         slack = _AFFINITY_CREDIT_REQUESTS * query.work_tokens
--- a/nutmegspoke/routing/plan.py
+++ b/nutmegspoke/routing/plan.py
@@ -59,6 +59,18 @@
         groups = group_engines(targets, SpeedMemory().update(targets))
         return cls.from_groups(groups, layer_count, _activation_bytes(targets))
 
+    def step_s(self, chain: WeightedChain) -> float:
+        """Return the time of one token over a chain without other work.
+
+        :param chain: a chain of this plan.
+        """
+        return sum(
+            len(hop.layers)
+            * len(self.groups[hop.group].members)
+            / self.groups[hop.group].layer_tokens_per_s
+            for hop in chain.hops
+        )
+
     def zone_changes(self, chain: WeightedChain, origin: str) -> int:
         """Count how often a chain changes the availability zone.
 
--- a/tests/routing/test_flow.py
+++ b/tests/routing/test_flow.py
@@ -137,6 +137,16 @@
         )
         self.assertLessEqual(max(counts.values()), 100 / 4 * 1.25 + 1)
 
+    def test_the_first_get_the_fastest_chain_within_bounds(self) -> None:
+        """Its credit pays for them, so shares stay those of the flow."""
+        one = self._choose(build.chain_query(is_first=True))
+        self.assertEqual(one.chain[0].target, 'fast')
+        firsts: collections.Counter[str] = collections.Counter()
+        for number in range(400):
+            query = build.chain_query(is_first=number % 2 == 0)
+            firsts[self._choose(query).chain[0].target] += 1
+        self.assertAlmostEqual(firsts['fast'] / 400, 0.75, delta=0.05)
+
     def test_chains_of_a_mixed_pool_cover_the_model(self) -> None:
         """Every choice covers all layers once with layers that are held."""
         pool = build.mixed_engines(60)
