--- a/nutmegspoke/admission/queueing.py
+++ b/nutmegspoke/admission/queueing.py
@@ -107,6 +107,13 @@
         is_due = self._returns.redeem(ticket, now_s)
         entry = self._order.entry(ticket, is_due=is_due)
         if self._slots.has_free(now_s) and self._order.is_next(ticket):
+            if len(self._slots) and self._waits.is_hopeless(entry, now_s):
+                return self._waits.refusal(
+                    entry,
+                    RefusalReason.DEADLINE,
+                    self._slots.capacity,
+                    now_s,
+                )
             self._start(ticket, now_s)
             return Admitted(ticket)
         wait_s = self._waits.wait_s(entry, self._slots.capacity, now_s)
@@ -121,7 +128,7 @@
     def next_ready(self, now_s: float) -> Ready:
         """Return what may start now and what must be refused now."""
         for waiting in tuple(self._waiting.values()):
-            if now_s > self._waits.latest_start_s(waiting):
+            if self._waits.is_hopeless(waiting, now_s):
                 self._refuse_waiting(waiting, RefusalReason.DEADLINE, now_s)
         started: list[Ticket] = []
         entry = self._order.next_entry()
--- a/nutmegspoke/admission/waits.py
+++ b/nutmegspoke/admission/waits.py
@@ -39,6 +39,10 @@
         ticket = entry.ticket
         return ticket.deadline_s - self._meter.service_s(ticket.cost)
 
+    def is_hopeless(self, entry: Entry, now_s: float) -> bool:
+        """Tell whether a ticket that starts now would miss its deadline."""
+        return now_s > self.latest_start_s(entry)
+
     def wait_s(self, entry: Entry, capacity: int, now_s: float) -> float:
         """Return the wait behind the team's backlog and promised returns."""
         team = self._order.team_of(entry.ticket)
--- a/nutmegspoke/bench/measure.py
+++ b/nutmegspoke/bench/measure.py
@@ -9,12 +9,24 @@
 import msgspec
 import typer
 
-from nutmegspoke.bench import changes_cost, idle_cost, request_cost
+from nutmegspoke.bench import (
+    changes_cost,
+    idle_cost,
+    policies,
+    request_cost,
+    throughput,
+)
 
 if TYPE_CHECKING:
     from nutmegspoke.bench.results import Section
 
-_MEASUREMENTS = (request_cost, changes_cost, idle_cost)
+_MEASUREMENTS = (
+    policies,
+    throughput,
+    request_cost,
+    changes_cost,
+    idle_cost,
+)
 
 
 class Measurement(Protocol):
--- a/nutmegspoke/bench/policies.py
+++ b/nutmegspoke/bench/policies.py
@@ -11,6 +11,7 @@
 
 from nutmegspoke.admission.queueing import AdmissionQueue, QueueSettings
 from nutmegspoke.admission.tickets import Ticket
+from nutmegspoke.bench.results import Result, Section
 from nutmegspoke.layers import LayerRange
 from nutmegspoke.routing import baselines
 from nutmegspoke.routing.choices import ChainQuery
@@ -119,16 +120,29 @@
     }
 
 
+def measure(*, is_quick: bool) -> Section:
+    """Measure the deciders; there is no stated target for them."""
+    sizes = _SIZES[:2] if is_quick else _SIZES
+    routing = [measure_routing(size) for size in sizes]
+    admission = [
+        measure_admission(teams, waiting)
+        for teams, waiting in ((10, 64), (10, 256), (64, 256))
+    ]
+    found = [
+        Result(f'flow_choice_us_{each["engines"]}', each['flow_choice_us'])
+        for each in routing
+    ]
+    found.extend(
+        Result(f'plan_ms_{each["engines"]}', each['plan_ms'])
+        for each in routing
+    )
+    details = {'routing': routing, 'admission': admission}
+    return Section('policies', found, details)
+
+
 def main() -> None:
     """Measure the deciders; print one JSON document."""
-    report = {
-        'routing': [measure_routing(size) for size in _SIZES],
-        'admission': [
-            measure_admission(teams, waiting)
-            for teams, waiting in ((10, 64), (10, 256), (64, 256))
-        ],
-    }
-    print(json.dumps(report, indent=2))
+    print(json.dumps(measure(is_quick=False).details, indent=2))
 
 
 if __name__ == '__main__':
--- a/nutmegspoke/bench/throughput.py
+++ b/nutmegspoke/bench/throughput.py
@@ -18,89 +18,16 @@
 
 import typer
 
-from nutmegspoke.bench import processes
+from nutmegspoke.bench import mixed_pool
 from nutmegspoke.bench.deployment import DaemonOptions, Deployment
 from nutmegspoke.bench.draft_load import DraftLoad, DraftResult, DraftSizes
-from nutmegspoke.layers import LayerRange
-from nutmegspoke.routing.plan import PoolPlan
-from nutmegspoke.targets import Target
-
-POLICIES = ('flow', 'random', 'round_robin', 'least_in_flight')
-_LAYER_COUNT = 12
-_ACTIVATION_BYTES = 16_384
-_BASE_SPEED = 60.0
-_FAST_LINK_BYTES_PER_S = 1_000.0 * _ACTIVATION_BYTES
-_SLOW_LINK_BYTES_PER_S = _FAST_LINK_BYTES_PER_S / 100
-_POOL = 'drafting'
+from nutmegspoke.bench.results import Result, Section
+
+_FLOW = 'flow'
+POLICIES = (_FLOW, 'random', 'round_robin', 'least_in_flight')
 _CALLERS = 160
 _REFUSED = frozenset((429, 503))
 _SMALL_CALLERS = 4
-_TABLES = """\
-[route drafts]
-path = /v1/completions
-model = fanletter
-pool = drafting
-repeatable = yes
-timeout_s = {timeout_s}
-
-[pool drafting]
-kind = engine
-model = fanletter
-version = 1
-layer_count = 12
-selector = drafting
-max_in_flight = {max_in_flight}
-max_queue = 256
-"""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineSpec:
-    """An engine of the pool.
-
-    :param name: its name.
-    :param layers: layers that it holds.
-    :param speed: layers times tokens a second.
-    :param zone: its availability zone.
-    :param link_bytes_per_s: rate of its link.
-    """
-
-    name: str
-    layers: str
-    speed: float
-    zone: str
-    link_bytes_per_s: float = _FAST_LINK_BYTES_PER_S
-
-    def target(self) -> Target:
-        """Return the engine as the router sees it."""
-        return Target(
-            name=self.name,
-            address='',
-            pool=_POOL,
-            availability_zone=self.zone,
-            layers=LayerRange.from_text(self.layers),
-            layer_tokens_per_s=self.speed,
-            link_bytes_per_s=self.link_bytes_per_s,
-            activation_bytes=_ACTIVATION_BYTES,
-        )
-
-
-ENGINES = (
-    EngineSpec('fast-a', '0-6', 4 * _BASE_SPEED, 'pnw-a'),
-    EngineSpec('fast-b', '6-12', 4 * _BASE_SPEED, 'pnw-b'),
-    EngineSpec(
-        'fast-c', '0-6', 4 * _BASE_SPEED, 'pnw-c', _SLOW_LINK_BYTES_PER_S
-    ),
-    EngineSpec('mid-a', '0-4', 2 * _BASE_SPEED, 'pnw-a'),
-    EngineSpec('mid-b', '4-8', 2 * _BASE_SPEED, 'pnw-b'),
-    EngineSpec('mid-c', '8-12', 2 * _BASE_SPEED, 'pnw-c'),
-    EngineSpec('slow-a', '0-3', _BASE_SPEED, 'pnw-a'),
-    EngineSpec('slow-b', '3-6', _BASE_SPEED, 'pnw-b'),
-    EngineSpec('slow-c', '6-9', _BASE_SPEED, 'pnw-c'),
-    EngineSpec('slow-d', '9-12', _BASE_SPEED, 'pnw-a'),
-    EngineSpec('slow-e', '6-9', _BASE_SPEED, 'pnw-b', _SLOW_LINK_BYTES_PER_S),
-    EngineSpec('slow-f', '9-12', _BASE_SPEED, 'pnw-c'),
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +36,7 @@
 
     :param seconds: length of each measured span.
     :param warm_up_s: time before each span.
+    :param overload_s: length of the measured spans of the overload.
     :param policies: policies at full load.
     :param max_in_flight: in-flight limit of each engine.
     :param daemons: number of daemons.
@@ -117,6 +45,7 @@
 
     seconds: float = 30.0
     warm_up_s: float = 45.0
+    overload_s: float = 90.0
     policies: tuple[str, ...] = POLICIES
     max_in_flight: int = 64
     daemons: int = 1
@@ -132,40 +61,14 @@
         self._options = options
         self._sizes = DraftSizes()
         self._round = 0
-        plan = PoolPlan.from_targets(
-            [spec.target() for spec in ENGINES],
-            _LAYER_COUNT,
-        )
-        self.bound = plan.bound_tokens_per_s
+        self.bound = mixed_pool.bound_tokens_per_s()
 
     def start(self) -> None:
         """Start the engines and write the tables."""
-        for spec in ENGINES:
-            self._deployment.start_target(
-                spec.name,
-                'engine',
-                _POOL,
-                spec.zone,
-                '--layers',
-                spec.layers,
-                '--layer-tokens-per-s',
-                str(spec.speed),
-                '--link-bytes-per-s',
-                str(spec.link_bytes_per_s),
-            )
-        tables = self._deployment.path / 'tables.ini'
-        text = _TABLES.format(
-            timeout_s=self._options.timeout_s,
-            max_in_flight=self._options.max_in_flight,
-        )
-        tables.write_text(text, 'utf-8')
-        processes.run_tool(
-            'apply',
-            str(tables),
-            '--operator',
-            'bench',
-            '--platform',
-            self._deployment.platform.url,
+        mixed_pool.start_pool(
+            self._deployment,
+            self._options.max_in_flight,
+            self._options.timeout_s,
         )
 
     def full_load(self, policy: str) -> dict[str, object]:
@@ -173,22 +76,23 @@
         load = self._load(policy)
         seconds = self._options.warm_up_s + self._options.seconds
         asyncio.run(load.closed_loop('press', _CALLERS, seconds))
-        return self._summary(load, policy)
+        return self._summary(load, policy, self._options.seconds)
 
     def overload(self, factor: float) -> dict[str, object]:
         """Measure goodput of the flow policy at a multiple of the bound."""
         drafts_per_s = factor * self.bound / self._sizes.mean_work()
-        load = self._load('flow')
-        seconds = self._options.warm_up_s + self._options.seconds
+        load = self._load(_FLOW)
+        seconds = self._options.warm_up_s + self._options.overload_s
         asyncio.run(load.open_loop('press', drafts_per_s, seconds))
-        return self._summary(load, 'flow') | {'offered': factor}
+        span_s = self._options.overload_s
+        return self._summary(load, _FLOW, span_s) | {'offered': factor}
 
     def fairness(self) -> dict[str, object]:
         """Measure a small team alone and beside a tenfold flood."""
         seconds = self._options.warm_up_s + self._options.seconds
-        alone = self._load('flow')
+        alone = self._load(_FLOW)
         asyncio.run(alone.closed_loop('small', _SMALL_CALLERS, seconds))
-        flooded = self._load('flow')
+        flooded = self._load(_FLOW)
 
         async def both() -> None:
             await asyncio.gather(
@@ -229,15 +133,20 @@
             urls.append(daemon.url)
         self._deployment.wait_ready()
         for daemon in self._deployment.daemons.values():
-            self._deployment.wait_targets(daemon, len(ENGINES))
+            self._deployment.wait_targets(daemon, len(mixed_pool.ENGINES))
         time.sleep(0.5)
         return DraftLoad(urls, seed=17, sizes=self._sizes)
 
-    def _summary(self, load: DraftLoad, policy: str) -> dict[str, object]:
+    def _summary(
+        self,
+        load: DraftLoad,
+        policy: str,
+        span_s: float,
+    ) -> dict[str, object]:
         begin_s = (
             min(each.sent_s for each in load.drafts) + self._options.warm_up_s
         )
-        end_s = begin_s + self._options.seconds
+        end_s = begin_s + span_s
         positions = sum(
             each.positions_between(begin_s, end_s) for each in load.drafts
         )
@@ -245,7 +154,7 @@
             each for each in load.drafts if begin_s <= each.ended_s < end_s
         ]
         whole = [each for each in ended if each.is_whole]
-        rate = positions / self._options.seconds
+        rate = positions / span_s
         return {
             'policy': policy,
             'tokens_per_s': round(rate, 2),
@@ -256,9 +165,7 @@
                 each.status == 200 and not each.is_whole for each in ended
             ),
             'goodput_share': round(
-                sum(each.work for each in whole)
-                / self._options.seconds
-                / self.bound,
+                sum(each.work for each in whole) / span_s / self.bound,
                 4,
             ),
             'p95_s_a_token': _p95(whole),
@@ -286,7 +193,7 @@
     return round(times[min(len(times) - 1, int(len(times) * 0.95))], 4)
 
 
-def measure(options: Options, parts: str) -> dict[str, object]:
+def run_parts(options: Options, parts: str) -> dict[str, object]:
     """Run the measurements.
 
     :param options: what is measured.
@@ -311,6 +218,45 @@
     return report
 
 
+def measure(*, is_quick: bool) -> Section:
+    """Measure against the targets.
+
+    A quick run shows two policies without a verdict, as its spans are too
+    short for the in-flight limit to settle.
+    """
+    if is_quick:
+        options = Options(
+            seconds=6,
+            warm_up_s=6,
+            policies=(_FLOW, 'least_in_flight'),
+        )
+        report = run_parts(options, 'p')
+        return Section('throughput', _shares(report), report)
+    report = run_parts(Options(), 'pof')
+    full, overload = report['full_load'], report['overload']
+    shares = {each['policy']: each['share_of_bound'] for each in full}
+    best = max(share for name, share in shares.items() if name != _FLOW)
+    at_once, at_twice = (each['goodput_share'] for each in overload)
+    found = [
+        Result.at_least('flow_share_of_bound', shares[_FLOW], 0.95),
+        Result.at_least('flow_over_best_baseline', shares[_FLOW] / best, 1),
+        Result.at_least('goodput_twice_over_once', at_twice / at_once, 0.9),
+        Result.at_most(
+            'small_team_p95_flooded_over_alone',
+            report['fairness']['ratio'],
+            1.5,
+        ),
+    ]
+    return Section('throughput', found + _shares(report), report)
+
+
+def _shares(report: dict[str, object]) -> list[Result]:
+    return [
+        Result(f'{each["policy"]}_share_of_bound', each['share_of_bound'])
+        for each in report['full_load']
+    ]
+
+
 def _told(figures: dict[str, object]) -> dict[str, object]:
     print(json.dumps(figures), file=sys.stderr, flush=True)
     return figures
@@ -335,7 +281,7 @@
         daemons=daemons,
         timeout_s=timeout_s,
     )
-    text = json.dumps(measure(options, parts), indent=2)
+    text = json.dumps(run_parts(options, parts), indent=2)
     if output is not None:
         output.write_text(text, 'utf-8')
     print(text)
--- a/tests/admission/test_queueing.py
+++ b/tests/admission/test_queueing.py
@@ -97,6 +97,14 @@
             queue.offer(ticket('ok', deadline_s=6), 0), Queued
         )
 
+    def test_refuses_what_takes_longer_than_it_has_on_a_busy_pool(self) -> None:
+        """On an idle pool it is tried, as the estimate may be old."""
+        queue = _queue(capacity=2)
+        short = ticket('short', deadline_s=0.5)
+        self.assertEqual(queue.offer(short, 0), Admitted(short))
+        refused = queue.offer(ticket('next', deadline_s=0.5), 0)
+        self.assertEqual(refused.reason, RefusalReason.DEADLINE)
+
     def test_a_waiting_request_is_refused_once_it_cannot_make_it(self) -> None:
         """The event time tells when, and the answer comes then."""
         queue = _queue()
