--- a/nutmegspoke/admission/fair_order.py
+++ b/nutmegspoke/admission/fair_order.py
@@ -10,6 +10,7 @@
     from nutmegspoke.admission.tickets import Ticket
 
 _CLEARLY_BELOW = 0.8
+_MAX_TEAMS = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,12 +99,23 @@
         """Return the state of a ticket's team, with its weight and limit."""
         team = self.teams.get(ticket.team)
         if team is None:
+            self._forget_idle()
             team = TeamState(ticket.team)
             self.teams[ticket.team] = team
         team.weight = max(ticket.weight, 1e-6)
         team.max_in_flight = ticket.max_in_flight
         return team
 
+    def _forget_idle(self) -> None:
+        """Keep the number of teams bounded; callers may send any name."""
+        if len(self.teams) < _MAX_TEAMS:
+            return
+        self.teams = {
+            name: team
+            for name, team in self.teams.items()
+            if team.waiting or team.in_flight
+        }
+
     def push(self, entry: Entry) -> None:
         """Let a ticket wait."""
         team = self.team_of(entry.ticket)
--- a/nutmegspoke/admission/returns.py
+++ b/nutmegspoke/admission/returns.py
@@ -12,7 +12,10 @@
 _EARLY_S = 0.05
 _GRACE_S = 15.0
 _LATE_S = 2.0
+_RETURN_GAIN = 0.02
+_LEAST_RETURN_SHARE = 0.05
 _MAX_PROMISES = 20_000
+_MAX_TEAMS = 1024
 _LEAST_RETRY_AFTER_S = 0.05
 _LEAST_COST_PER_S = 1e-6
 
@@ -36,7 +39,8 @@
     """Slots of the drain rate that are promised to refused callers.
 
     Each team has its own row of slots, so that one that is refused often
-    doesn't push back the others.
+    doesn't push back the others. A slot is as long as the share of callers who
+    do come back.
     """
 
     def __init__(self, source: RandomSource) -> None:
@@ -50,6 +54,7 @@
             collections.defaultdict(dict)
         )
         self._count = 0
+        self._return_share = 1.0
 
     def promise(
         self,
@@ -66,28 +71,32 @@
         :param now_s: present time.
         :returns: seconds to wait, with jitter of up to one slot.
         """
+        self._forget_teams(now_s)
         self._expire(ticket.team, now_s)
-        length_s = ticket.cost / max(cost_per_s, _LEAST_COST_PER_S)
+        cost = ticket.cost * self._return_share
+        length_s = cost / max(cost_per_s, _LEAST_COST_PER_S)
         start_s = max(ready_s, self._last_slot_s.get(ticket.team, 0.0))
         slot_s = start_s + length_s
-        self._last_slot_s[ticket.team] = slot_s
         due_s = slot_s + self._source.random() * length_s
         due_s = max(due_s, now_s + _LEAST_RETRY_AFTER_S)
-        self._remember(
-            ticket.team,
-            _Promise(ticket.return_key, slot_s, due_s, ticket.cost),
-        )
+        if self._may_keep(ticket.team):
+            self._last_slot_s[ticket.team] = slot_s
+            self._remember(
+                ticket.team,
+                _Promise(ticket.return_key, slot_s, due_s, cost),
+            )
         return due_s - now_s
 
     def redeem(self, ticket: Ticket, now_s: float) -> bool:
         """Tell whether a caller comes back as told, and take its slot."""
         self._expire(ticket.team, now_s)
-        promises = self._promises[ticket.team]
+        promises = self._promises.get(ticket.team, {})
         promise = promises.get(ticket.return_key)
         if promise is None or now_s < promise.due_s - _EARLY_S:
             return False
         promises.pop(ticket.return_key)
         self._count -= 1
+        self._return_share += _RETURN_GAIN * (1 - self._return_share)
         return True
 
     def cost_with_due(
@@ -104,7 +113,7 @@
         :param cost_per_s: the team's share of the drain rate.
         :param now_s: present time.
         """
-        for promise in self._promises[team].values():
+        for promise in self._promises.get(team, {}).values():
             if promise.slot_s > now_s + cost / cost_per_s:
                 break
             if promise.due_s + _LATE_S > now_s:
@@ -121,13 +130,33 @@
         promises[promise.return_key] = promise
         self._count += 1
 
+    def _may_keep(self, team: str) -> bool:
+        is_known = team in self._last_slot_s
+        return is_known or len(self._last_slot_s) < _MAX_TEAMS
+
+    def _forget_teams(self, now_s: float) -> None:
+        """Drop the teams whose last slot is past, if there are too many."""
+        if len(self._last_slot_s) < _MAX_TEAMS:
+            return
+        past = [
+            team
+            for team, slot_s in self._last_slot_s.items()
+            if slot_s + _GRACE_S < now_s
+        ]
+        for team in past:
+            self._last_slot_s.pop(team)
+            self._count -= len(self._promises.pop(team, ()))
+
     def _expire(self, team: str, now_s: float) -> None:
         """Drop the promises of callers who did not come back."""
+        promises = self._promises.get(team, {})
         late: list[str] = []
-        for key, promise in self._promises[team].items():
+        for key, promise in promises.items():
             if promise.slot_s + _GRACE_S >= now_s:
                 break
             late.append(key)
         for expired in late:
-            self._promises[team].pop(expired)
+            promises.pop(expired)
+            lower = self._return_share * (1 - _RETURN_GAIN)
+            self._return_share = max(lower, _LEAST_RETURN_SHARE)
         self._count -= len(late)
--- a/tests/admission/test_queueing.py
+++ b/tests/admission/test_queueing.py
@@ -162,6 +162,21 @@
         names = [each.request_id for each in started]
         self.assertEqual(names, ['first', 'second'])
 
+    def test_forgets_teams_that_are_idle(self) -> None:
+        """Callers may send any team name; state stays bounded."""
+        queue = _queue(capacity=1, max_queue=0)
+        queue.offer(ticket('run', 'first'), 0)
+        for number in range(3000):
+            name = f't{number}'
+            self.assertIsInstance(
+                queue.offer(ticket(name, name, return_key=name), 100 * number),
+                NotRun,
+            )
+        self.assertLessEqual(len(queue._order.teams), 1025)
+        self.assertLessEqual(len(queue._returns._last_slot_s), 1025)
+        self.assertLessEqual(len(queue._returns._promises), 1025)
+        self.assertIn('first', queue._order.teams)
+
     def test_broken_invariants_are_raised(self) -> None:
         """A ticket offered twice or finished twice is a fault of ours."""
         queue = _queue()
@@ -212,6 +227,22 @@
         self.assertEqual(run.served, run.arrived)
         self.assertGreater(run.served / run.ended_s, 0.9 * run.capacity_per_s)
 
+    def test_callers_who_never_come_back_do_not_push_others_away(self) -> None:
+        """The slots of those who stay away are given out again."""
+        queue = _queue(capacity=1, max_queue=0)
+        running = ticket('run0')
+        queue.offer(running, 0)
+        told = []
+        for second in range(1, 600):
+            queue.finish(running, second)
+            running = ticket(f'run{second}')
+            queue.offer(running, second)
+            for number in range(3):
+                name = f'{second}-{number}'
+                answer = queue.offer(ticket(name, return_key=name), second)
+                told.append(answer.retry_after_s)
+        self.assertLess(max(told[-30:]), 120)
+
     def test_two_callers_are_not_told_the_same_time(self) -> None:
         """Slots and jitter spread the callers out."""
         queue = _queue(max_queue=0)
