--- a/nutmegspoke/admission/fair_order.py
+++ b/nutmegspoke/admission/fair_order.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     from nutmegspoke.admission.tickets import Ticket
 
+_CLEARLY_BELOW = 0.8
+_MAX_TEAMS = 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -96,12 +99,23 @@
         """Return the state of a ticket's team, with its weight and limit."""
         team = self.teams.get(ticket.team)
         if team is None:
+            self._forget_idle()
             team = TeamState(ticket.team)
             self.teams[ticket.team] = team
         team.weight = max(ticket.weight, 1e-6)
         team.max_in_flight = ticket.max_in_flight
         return team
 
+    def _forget_idle(self) -> None:
+        """Keep the number of teams bounded; callers may send any name."""
+        if len(self.teams) < _MAX_TEAMS:
+            return
+        self.teams = {
+            name: team
+            for name, team in self.teams.items()
+            if team.waiting or team.in_flight
+        }
+
     def push(self, entry: Entry) -> None:
         """Let a ticket wait."""
         team = self.team_of(entry.ticket)
@@ -154,6 +168,18 @@
         )
         return team.weight / waiting
 
+    def is_below_share(self, ticket: Ticket) -> bool:
+        """Tell whether a team runs clearly less than its weight allows."""
+        active = [
+            team
+            for team in self.teams.values()
+            if team.in_flight or team.waiting
+        ]
+        team = self.team_of(ticket)
+        running = sum(each.in_flight for each in active)
+        share = team.weight / sum(each.weight for each in active)
+        return team.in_flight <= _CLEARLY_BELOW * share * running
+
     def worst_excess(self, newcomer: TeamState) -> Entry | None:
         """Return the ticket to put out of a full queue for a newcomer's.
 
