--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -19,6 +19,7 @@
     'nutmegspoke.border.target_watch',
     'nutmegspoke.border.router',
     'nutmegspoke.border.admission_gate',
+    'nutmegspoke.border.quarantine',
     'nutmegspoke.border.drafts',
     'nutmegspoke.border.calls',
     'nutmegspoke.border.operators',
--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -9,40 +9,25 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
+from nutmegspoke.border.call_run import RETRY_AFTER_S, CallRun
+from nutmegspoke.border.target_health import TargetHealth
 from nutmegspoke.claims import steps
+from nutmegspoke.retries.budget import RetryBudgets
+from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.routing.choices import TargetChoice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from nutmegspoke.border.call_parts import CallParts
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.border.router import Router
     from nutmegspoke.requests import CallRequest
     from nutmegspoke.targets import Target, TargetDirectory
 
 logger = logging.getLogger(__name__)
 
-_MAX_ATTEMPTS = 3
-_RETRY_AFTER_S = 1.0
-_MIN_FAILURE_STATUS = 400
-
-
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """One call on its way over the targets."""
-
-    request: CallRequest
-    tried: list[str] = dataclasses.field(default_factory=list)
-    refusal: outcomes.NotRun | None = None
-    unknown: outcomes.Unknown | None = None
-
-    def last_word(self, fallback: outcomes.RefusalReason) -> outcomes.Outcome:
-        """Return what the caller is told when no target is left."""
-        if self.unknown is not None:
-            return self.unknown
-        if self.refusal is not None:
-            return self.refusal
-        return outcomes.NotRun(fallback, _RETRY_AFTER_S)
+_MAX_ATTEMPTS = 4
+_Reason = outcomes.RefusalReason
 
 
 class CallAttempts:
@@ -53,152 +38,161 @@
         clock: Clock,
         targets: TargetDirectory,
         client: service_client.ServiceClient,
-        router: Router,
+        parts: CallParts,
     ) -> None:
         """Create the sender.
 
         :param clock: the process's clock.
         :param targets: knows the targets of each pool.
         :param client: sends one call.
-        :param router: chooses the targets.
+        :param parts: router and quarantine.
         """
         self._clock = clock
         self._targets = targets
         self._client = client
-        self._router = router
+        self._router = parts.router
+        self._quarantine = parts.quarantine
+        self._health = TargetHealth(clock, client, parts.quarantine)
+        self._budgets = RetryBudgets()
         self._in_flight: collections.Counter[str] = collections.Counter()
 
-    async def run_once(
+    async def run(
         self,
         request: CallRequest,
-        dispatch: Callable[[], steps.Step],
+        dispatch: Callable[[], steps.Step] = steps.Proceed,
     ) -> outcomes.Outcome:
-        """Run a call that may not be repeated.
-
-        Another target is tried only while no byte has left, or if a target
-        refused the call.
+        """Run a call.
 
         :param request: the call.
         :param dispatch: asked before the first byte of each attempt.
         """
-        gate = _Gate(dispatch)
-        run = _Run(request)
-        while run.unknown is None and gate.refusal is None:
-            attempt = await self._attempt(run, gate, is_fresh=True)
-            if not isinstance(attempt, service_client.Attempt):
-                return attempt
-            answer = _judge(run, attempt)
-            if answer is not None:
-                return answer
-        return gate.refusal or run.last_word(_NO_TARGET)
-
-    async def run_repeatable(self, request: CallRequest) -> outcomes.Outcome:
-        """Run a call that may run more than once.
+        route = request.route
+        budget = self._budgets.note_request(
+            route.name,
+            route.retry_budget_share,
+        )
+        run = CallRun.from_request(request, budget, dispatch)
+        while run.may_go_on:
+            target = await self._next_target(run)
+            if isinstance(target, outcomes.NotRun):
+                return run.give_up(target)
+            attempt = await self._send(run, target)
+            outcome = run.take(attempt)
+            if outcome is not None:
+                return outcome
+        return run.give_up(outcomes.NotRun(_Reason.NO_TARGET))
+
+    async def _next_target(self, run: CallRun) -> Target | outcomes.NotRun:
+        """Return where to send the call next, or why nowhere."""
+        if self._clock.now_s() >= run.request.deadline_s:
+            return run.refusal or _refused(_Reason.DEADLINE)
+        if run.attempt_count >= _MAX_ATTEMPTS:
+            return run.refusal or _refused(_Reason.NO_TARGET)
+        if run.attempt_count and not run.budget.take():
+            return _refused(_Reason.RETRY_BUDGET)
+        if run.silent is not None:
+            return run.silent
+        usable = await self._usable(run)
+        if isinstance(usable, outcomes.NotRun):
+            return usable
+        choice = self._router.choose_target(run.request, usable, run.tried)
+        if isinstance(choice, TargetChoice):
+            return choice.target
+        return run.refusal or _refused(_Reason.NO_TARGET)
+
+    async def _usable(
+        self,
+        run: CallRun,
+    ) -> tuple[Target, ...] | outcomes.NotRun:
+        pool = run.request.pool.name
+        targets = self._targets.usable(pool, self._clock.now_s())
+        verdict = self._quarantine.check(run.fingerprint)
+        if isinstance(verdict, outcomes.NotRun):
+            return verdict
+        if not isinstance(verdict, SendAlone):
+            return self._counted(self._health.usable(targets))
+        names = tuple(target.name for target in targets)
+        allowed = await self._quarantine.turn(
+            run.fingerprint,
+            names,
+            run.request.deadline_s,
+        )
+        return self._counted(
+            tuple(target for target in targets if target.name in allowed),
+        )
 
-        :param request: the call.
-        """
-        run = _Run(request)
-        gate = _Gate(steps.Proceed)
-        while True:
-            attempt = await self._attempt(run, gate, is_fresh=False)
-            if not isinstance(attempt, service_client.Attempt):
-                return attempt
-            answer = _judge(run, attempt)
-            if answer is not None:
-                return answer
-
-    async def _attempt(
+    def _counted(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
+        return tuple(
+            dataclasses.replace(
+                target,
+                own_in_flight=self._in_flight[target.name],
+            )
+            for target in targets
+        )
+
+    async def _send(
         self,
-        run: _Run,
-        gate: _Gate,
-        *,
-        is_fresh: bool,
-    ) -> service_client.Attempt | outcomes.Outcome:
-        request = run.request
-        now_s = self._clock.now_s()
-        if now_s >= request.deadline_s:
-            return run.last_word(outcomes.RefusalReason.DEADLINE)
-        target = self._pick(run, now_s)
-        if target is None or len(run.tried) >= _MAX_ATTEMPTS:
-            return run.last_word(_NO_TARGET)
-        run.tried.append(target.name)
+        run: CallRun,
+        target: Target,
+    ) -> service_client.Attempt:
+        is_fresh = self._needs_fresh_connection(run, target)
+        run.attempt_count += 1
         logger.info(
-            'calls: call sent request=%s target=%s attempt=%d',
-            request.request_id,
+            'calls: call sent request=%s target=%s attempt=%d fresh=%s',
+            run.request.request_id,
             target.name,
-            len(run.tried),
+            run.attempt_count,
+            is_fresh,
+        )
+        attempt = await self._exchange(run, target, is_fresh=is_fresh)
+        was_silent = run.silent is not None
+        run.silent = None
+        if _is_silent(attempt) and not is_fresh:
+            run.silent = target
+            self._quarantine.ended(run.fingerprint, (target.name,))
+            return attempt
+        if was_silent and isinstance(attempt, service_client.Answered):
+            self._health.note_silent_connection(target)
+        run.tried.add(target.name)
+        await self._health.note(
+            run.fingerprint,
+            target,
+            attempt,
+            is_fresh=is_fresh,
         )
+        return attempt
+
+    async def _exchange(
+        self,
+        run: CallRun,
+        target: Target,
+        *,
+        is_fresh: bool,
+    ) -> service_client.Attempt:
         self._in_flight[target.name] += 1
+        self._quarantine.started(run.fingerprint, (target.name,))
         try:
             return await self._client.send(
-                request,
+                run.request,
                 target,
-                request.deadline_s - now_s,
-                gate.may_leave,
+                run.request.deadline_s - self._clock.now_s(),
+                run.gate.may_leave,
                 is_fresh=is_fresh,
             )
         finally:
             self._in_flight[target.name] -= 1
 
-    def _pick(self, run: _Run, now_s: float) -> Target | None:
-        usable = self._targets.usable(run.request.pool.name, now_s)
-        counted = tuple(
-            dataclasses.replace(
-                target,
-                own_in_flight=self._in_flight[target.name],
-            )
-            for target in usable
+    def _needs_fresh_connection(self, run: CallRun, target: Target) -> bool:
+        return (
+            not run.is_repeatable
+            or run.silent is not None
+            or self._health.needs_fresh_connection(target)
         )
-        choice = self._router.choose_target(run.request, counted, run.tried)
-        return choice.target if isinstance(choice, TargetChoice) else None
-
-
-class _Gate:
-    """Remembers why a call was kept from leaving."""
-
-    def __init__(self, dispatch: Callable[[], steps.Step]) -> None:
-        self._dispatch = dispatch
-        self.refusal: outcomes.Outcome | None = None
-
-    def may_leave(self) -> bool:
-        """Ask whether the call may leave now."""
-        step = self._dispatch()
-        if isinstance(step, steps.Answer):
-            self.refusal = step.outcome
-        return self.refusal is None
-
-
-_NO_TARGET = outcomes.RefusalReason.NO_TARGET
-
-
-def _judge(
-    run: _Run,
-    attempt: service_client.Attempt,
-) -> outcomes.Outcome | None:
-    """Return the outcome of an attempt; ``None`` if another may follow."""
-    match attempt:
-        case service_client.Answered(status, body, content_type):
-            failed = status >= _MIN_FAILURE_STATUS
-            kind = outcomes.Failed if failed else outcomes.Completed
-            return kind(status, body, content_type)
-        case service_client.NotSent(reason):
-            run.refusal = outcomes.NotRun(
-                outcomes.RefusalReason.TARGET_UNREACHABLE,
-                _RETRY_AFTER_S,
-                reason,
-            )
-        case service_client.Declined(retry_after_s):
-            run.refusal = outcomes.NotRun(
-                outcomes.RefusalReason.TARGET_REFUSED,
-                retry_after_s or _RETRY_AFTER_S,
-            )
-        case service_client.Lost(is_silent, reason):
-            run.unknown = outcomes.Unknown(
-                outcomes.UnknownReason.ANSWER_TIMEOUT
-                if is_silent
-                else outcomes.UnknownReason.ANSWER_LOST,
-                detail=reason,
-            )
-        case service_client.Withheld():
-            logger.info('calls: call held back reason=claim_stale')
-    return None
+
+
+def _is_silent(attempt: service_client.Attempt) -> bool:
+    return isinstance(attempt, service_client.Lost) and attempt.is_silent
+
+
+def _refused(reason: outcomes.RefusalReason) -> outcomes.NotRun:
+    return outcomes.NotRun(reason, RETRY_AFTER_S)
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -9,14 +9,12 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
-from nutmegspoke.border.admission_gate import NAME as ADMISSION
-from nutmegspoke.border.admission_gate import AdmissionGate
 from nutmegspoke.border.call_attempts import CallAttempts
 from nutmegspoke.border.claim_keeper import ClaimKeeper
+from nutmegspoke.border.call_parts import CallParts
+from nutmegspoke.border.call_run import call_fingerprint
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
-from nutmegspoke.border.router import NAME as ROUTER
-from nutmegspoke.border.router import Router, RouterOptions
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.claims import steps
@@ -48,8 +46,7 @@
         daemon: str,
         holders: steps.Holders | None = None,
         limits: ClaimLimits | None = None,
-        router: Router | None = None,
-        gate: AdmissionGate | None = None,
+        parts: CallParts | None = None,
     ) -> None:
         """Create the service.
 
@@ -59,11 +56,11 @@
         :param daemon: name of this process, not used by any earlier one.
         :param holders: knows which daemons live.
         :param limits: bounds of the claims.
-        :param router: chooses the targets; a new one by default.
-        :param gate: lets calls into their pool; a new one by default.
+        :param parts: services on the way; new ones by default.
         """
-        router = router or Router(clock, targets, RouterOptions())
-        self._gate = gate or AdmissionGate(clock, router, seed=0)
+        parts = parts or CallParts.new(clock, targets)
+        self._gate = parts.gate
+        self._quarantine = parts.quarantine
         decider = ClaimDecider(
             daemon,
             holders or steps.UnknownHolders(),
@@ -71,7 +68,7 @@
         )
         self._claims = ClaimKeeper(clock, tables, decider)
         self._client = service_client.ServiceClient()
-        self._attempts = CallAttempts(clock, targets, self._client, router)
+        self._attempts = CallAttempts(clock, targets, self._client, parts)
         self._running: set[asyncio.Task[outcomes.Outcome]] = set()
 
     async def start(self) -> None:
@@ -86,6 +83,10 @@
         await self._claims.stop(_STOP_LIMIT_S)
         await self._client.stop()
 
+    def set_daemon_count(self, daemon_count: int) -> None:
+        """Take the number of live daemons, which share the claims."""
+        self._claims.set_daemon_count(daemon_count)
+
     async def call(self, request: CallRequest) -> outcomes.Outcome:
         """Run a call.
 
@@ -105,6 +106,9 @@
                 outcomes.RefusalReason.KEY_REQUIRED,
                 detail='the route needs an Idempotency-Key header',
             )
+        verdict = self._quarantine.check(call_fingerprint(request))
+        if isinstance(verdict, outcomes.NotRun):
+            return verdict
         refusal = await self._gate.enter(request)
         if refusal is not None:
             return refusal
@@ -118,23 +122,16 @@
 
     async def _run_admitted(self, request: CallRequest) -> outcomes.Outcome:
         if request.route.repeatable:
-            return await self._attempts.run_repeatable(request)
+            return await self._attempts.run(request)
         claim = await self._claims.acquire(request)
         if not isinstance(claim, str):
             return claim
-        outcome = await self._run_claimed(request, claim)
-        self._claims.finish(claim, outcome)
-        return outcome
-
-    async def _run_claimed(
-        self,
-        request: CallRequest,
-        key: str,
-    ) -> outcomes.Outcome:
-        return await self._attempts.run_once(
+        outcome = await self._attempts.run(
             request,
-            lambda: self._claims.dispatch(key),
+            lambda: self._claims.dispatch(claim),
         )
+        self._claims.finish(claim, outcome)
+        return outcome
 
 
 def setup(app: Application) -> None:
@@ -145,7 +142,6 @@
         tables=app.kernel.find(SESSIONS, HttpSessions).platform.tables,
         targets=app.kernel.find(TARGETS, TargetWatch),
         daemon=f'{app.settings.daemon.name}.{start_id}',
-        router=app.kernel.find(ROUTER, Router),
-        gate=app.kernel.find(ADMISSION, AdmissionGate),
+        parts=CallParts.from_kernel(app.kernel),
     )
     app.kernel.register(NAME, service)
--- a/nutmegspoke/border/claim_keeper.py
+++ b/nutmegspoke/border/claim_keeper.py
@@ -5,9 +5,11 @@
 import asyncio
 import contextlib
 import logging
+import math
 import uuid
 from typing import TYPE_CHECKING
 
+from nutmegspoke.border.group_commit import GroupCommitter
 from nutmegspoke.claims import rows, steps
 
 if TYPE_CHECKING:
@@ -19,6 +21,8 @@
 
 logger = logging.getLogger(__name__)
 
+_DRAIN_POLL_S = 0.02
+
 
 class ClaimKeeper:
     """Claims calls, and writes their outcomes in the background."""
@@ -37,9 +41,11 @@
         """
         self._clock = clock
         self._tables = tables
+        self._commits = GroupCommitter(tables)
         self._decider = decider
         self._is_due = asyncio.Event()
         self._writer: asyncio.Task[None] | None = None
+        self._writes: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start to write outcomes."""
@@ -60,7 +66,15 @@
             )
         if self._writer is not None:
             self._writer.cancel()
-            await asyncio.gather(self._writer, return_exceptions=True)
+            await asyncio.gather(
+                self._writer,
+                *self._writes,
+                return_exceptions=True,
+            )
+
+    def set_daemon_count(self, daemon_count: int) -> None:
+        """Take the number of daemons that share the table service."""
+        self._decider.share.set_daemon_count(daemon_count)
 
     async def acquire(self, request: CallRequest) -> str | Outcome:
         """Claim a call.
@@ -76,7 +90,7 @@
                     self._is_due.set()
                     return outcome
                 case steps.CommitClaim(key, transaction):
-                    commit = await self._tables.commit(transaction)
+                    commit = await self._commits.commit(transaction)
                     now_s = self._clock.now_s()
                     step = self._decider.committed(key, commit, now_s)
                 case steps.ReadClaim(key):
@@ -116,28 +130,32 @@
     async def _write_outcomes(self) -> None:
         while True:
             await self._wait_until_due()
-            writes = self._decider.due(self._clock.now_s())
-            await asyncio.gather(*(self._write(write) for write in writes))
+            for write in self._decider.due(self._clock.now_s()):
+                task = asyncio.create_task(self._write(write))
+                self._writes.add(task)
+                task.add_done_callback(self._written)
 
     async def _wait_until_due(self) -> None:
         self._is_due.clear()
         next_due_s = self._decider.next_due_s()
-        if next_due_s is None:
+        if next_due_s is None or math.isinf(next_due_s):
             await self._is_due.wait()
             return
         wait_s = next_due_s - self._clock.now_s()
-        if wait_s <= 0:
-            return
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._is_due.wait(), wait_s)
+        if wait_s > 0:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._is_due.wait(), wait_s)
 
     async def _write(self, write: steps.CommitClaim) -> None:
-        commit = await self._tables.commit(write.transaction)
-        self._decider.settled(write.key, commit)
+        commit = await self._commits.commit(write.transaction)
+        self._decider.settled(write.key, commit, self._clock.now_s())
+
+    def _written(self, task: asyncio.Task[None]) -> None:
+        self._writes.discard(task)
+        self._is_due.set()
+        if not task.cancelled():
+            task.result()
 
     async def _drain(self) -> None:
         while self._decider.open_count:
             await asyncio.sleep(_DRAIN_POLL_S)
-
-
-_DRAIN_POLL_S = 0.02
--- a/nutmegspoke/border/group_commit.py
+++ b/nutmegspoke/border/group_commit.py
@@ -28,7 +28,7 @@
         """
         self._tables = tables
         self._groups = CommitGroups(_MAX_MEMBERS)
-        self._results: dict[int, asyncio.Future[platform.CommitResult]] = {}
+        self._waiters: dict[int, asyncio.Future[platform.CommitResult]] = {}
         self._in_flight: set[asyncio.Task[None]] = set()
 
     async def commit(
@@ -38,7 +38,7 @@
         """Carry out a transaction as part of a group."""
         number = self._groups.add(transaction)
         result = asyncio.get_running_loop().create_future()
-        self._results[number] = result
+        self._waiters[number] = result
         self._send_groups()
         return await result
 
@@ -54,7 +54,7 @@
     async def _send(self, group: Group) -> None:
         commit = await self._tables.commit(group.transaction())
         for part in self._groups.resolve(group, commit):
-            future = self._results.pop(part.number)
+            future = self._waiters.pop(part.number)
             if not future.done():
                 future.set_result(part.commit)
 
--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
@@ -18,7 +19,7 @@
 logger = logging.getLogger(__name__)
 
 _SERVICE_UNAVAILABLE = 503
-_POOLED_IDLE_S = 15.0
+POOLED_IDLE_S = 15.0
 _CONNECT_TIMEOUT_S = 2.0
 _MIN_TIMEOUT_S = 0.001
 _EXECUTED_HEADER = 'Nutmegspoke-Executed'
@@ -44,9 +45,11 @@
     """No byte of the call left this process for the target.
 
     :param reason: what went wrong.
+    :param is_refused: the target's host refused the connection.
     """
 
     reason: str
+    is_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,7 +127,7 @@
     async def start(self) -> None:
         """Open the sessions."""
         self._pooled = _session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=_POOLED_IDLE_S),
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=POOLED_IDLE_S),
         )
         self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
@@ -165,6 +168,19 @@
         except (aiohttp.ClientError, OSError) as error:
             return _broken(departure, error)
 
+    async def is_refused(self, target: Target) -> bool:
+        """Tell whether a target's host refuses connections now."""
+        host, _, port = target.address.rpartition(':')
+        try:
+            _, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)),
+                _CONNECT_TIMEOUT_S,
+            )
+        except (OSError, ValueError) as error:
+            return _is_refusal(error)
+        writer.close()
+        return False
+
     async def _exchange(
         self,
         request: CallRequest,
@@ -254,5 +270,12 @@
 def _broken(departure: _Departure, error: Exception) -> Attempt:
     reason = f'{type(error).__name__}: {error}'
     if not departure.has_left:
-        return NotSent(reason)
+        return NotSent(reason, is_refused=_is_refusal(error))
     return Lost(is_silent=isinstance(error, TimeoutError), reason=reason)
+
+
+def _is_refusal(error: Exception) -> bool:
+    """Tell whether nobody listens at the address."""
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return isinstance(error.os_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
--- /dev/null
+++ b/nutmegspoke/border/target_health.py
@@ -0,0 +1,124 @@
+"""Learns from each attempt which targets are sound."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border import service_client
+from nutmegspoke.retries.outliers import Outliers, OutlierSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.border.quarantine import QuarantineService
+    from nutmegspoke.targets import Target
+
+logger = logging.getLogger(__name__)
+
+_MIN_ERROR_STATUS = 500
+
+
+class TargetHealth:
+    """Judges targets and connections by what became of attempts."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        client: service_client.ServiceClient,
+        quarantine: QuarantineService,
+    ) -> None:
+        """Create without results.
+
+        :param clock: the process's clock.
+        :param client: asks a target whether it still listens.
+        :param quarantine: hears of crashes.
+        """
+        self._clock = clock
+        self._client = client
+        self._quarantine = quarantine
+        self._outliers = Outliers(OutlierSettings())
+        self._fresh_until_s: dict[str, float] = {}
+
+    def usable(self, targets: Sequence[Target]) -> tuple[Target, ...]:
+        """Return the targets of a pool that are not ejected."""
+        return self._outliers.usable(targets, self._clock.now_s())
+
+    def needs_fresh_connection(self, target: Target) -> bool:
+        """Tell whether pooled connections to a target may be silent."""
+        until_s = self._fresh_until_s.get(target.name)
+        if until_s is None:
+            return False
+        if self._clock.now_s() < until_s:
+            return True
+        self._fresh_until_s.pop(target.name)
+        return False
+
+    def note_silent_connection(self, target: Target) -> None:
+        """Note that a fresh connection worked after a pooled one was silent.
+
+        No pooled connection is used until all of them were idle too long.
+        """
+        now_s = self._clock.now_s()
+        idle_s = service_client.POOLED_IDLE_S
+        self._fresh_until_s[target.name] = now_s + idle_s
+        logger.warning(
+            'calls: connections went silent target=%s, the target lives',
+            target.name,
+        )
+
+    async def note(
+        self,
+        fingerprint: str,
+        target: Target,
+        attempt: service_client.Attempt,
+        *,
+        is_fresh: bool,
+    ) -> None:
+        """Take the result of an attempt.
+
+        A pooled connection that breaks may have been closed long before, and
+        does not count against a target that still listens.
+
+        :param fingerprint: digest by which the request is known again.
+        :param target: where it went.
+        :param attempt: what became of it.
+        :param is_fresh: whether it had a connection of its own.
+        """
+        has_crashed = await self._has_crashed(target, attempt)
+        if isinstance(attempt, service_client.Answered):
+            self._quarantine.completed(fingerprint, (target.name,))
+        elif has_crashed:
+            self._quarantine.crashed(target.name)
+        self._quarantine.ended(fingerprint, (target.name,))
+        is_lost = isinstance(attempt, service_client.Lost)
+        if is_lost and not (is_fresh or has_crashed):
+            return
+        if not isinstance(attempt, service_client.Withheld):
+            self._outliers.note(
+                target.name,
+                self._clock.now_s(),
+                is_error=_is_error(attempt),
+            )
+
+    async def _has_crashed(
+        self,
+        target: Target,
+        attempt: service_client.Attempt,
+    ) -> bool:
+        match attempt:
+            case service_client.NotSent():
+                return attempt.is_refused
+            case service_client.Lost(is_silent=False):
+                return await self._client.is_refused(target)
+            case _:
+                return False
+
+
+def _is_error(attempt: service_client.Attempt) -> bool:
+    match attempt:
+        case service_client.Answered(status):
+            return status >= _MIN_ERROR_STATUS
+        case _:
+            return True
--- a/nutmegspoke/claims/decider.py
+++ b/nutmegspoke/claims/decider.py
@@ -9,6 +9,7 @@
 from nutmegspoke.claims import replies, rows
 from nutmegspoke.claims.held import HeldClaim, Phase
 from nutmegspoke.claims.pending import PendingWrites
+from nutmegspoke.claims.share import ShareSettings, WriteShare
 from nutmegspoke.claims.steps import (
     Answer,
     ClaimRequest,
@@ -33,6 +34,7 @@
     :param max_body_bytes: a larger answer is not kept.
     :param retry_s: first wait between two background writes of a claim.
     :param max_retry_s: longest wait between two background writes.
+    :param share: bounds of the writes for claims.
     """
 
     max_age_s: float = 10.0
@@ -41,6 +43,7 @@
     max_body_bytes: int = 65_536
     retry_s: float = 0.2
     max_retry_s: float = 5.0
+    share: ShareSettings = ShareSettings()
 
 
 class ClaimDecider:
@@ -49,6 +52,8 @@
     The caller of the decider carries out each step and reports its result
     through the method of that name, until the step is ``Proceed`` or
     ``Answer``.
+
+    :ivar share: this daemon's share of the table service's writes.
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         :param holders: knows which daemons live.
         :param limits: bounds of the decider.
         """
+        self.share = WriteShare(limits.share)
         self._daemon = daemon
         self._limits = limits
         self._open: dict[str, HeldClaim] = {}
@@ -85,6 +91,9 @@
             return Answer(replies.for_local(held, request))
         if len(self._open) >= self._limits.max_open:
             return Answer(replies.store_unavailable())
+        refusal = self.share.refusal(now_s)
+        if refusal is not None:
+            return Answer(refusal)
         held = HeldClaim.from_request(request, self._daemon)
         self._open[request.key] = held
         return self._insert(held, now_s)
@@ -179,21 +188,30 @@
     def due(self, now_s: float) -> tuple[CommitClaim, ...]:
         """Return the outcome writes and releases to send now.
 
-        Each is due again after a wait, until :meth:`settled` ends it.
+        Each then waits until :meth:`settled` takes its result.
         """
-        return self._pending.due(now_s)
+        pending = self._pending.due(now_s)
+        for _ in pending:
+            self.share.spend(now_s)
+        return pending
 
     def next_due_s(self) -> float | None:
         """Return when :meth:`due` has work next; ``None`` for never."""
         return self._pending.next_due_s()
 
-    def settled(self, key: str, commit: platform.CommitResult) -> None:
+    def settled(
+        self,
+        key: str,
+        commit: platform.CommitResult,
+        now_s: float,
+    ) -> None:
         """Take the result of an outcome write or a release.
 
         :param key: key of the claim row.
         :param commit: what the table service answered.
+        :param now_s: present time on the daemon's clock.
         """
-        if self._pending.settle(key, commit):
+        if self._pending.settle(key, commit, now_s):
             self._open.pop(key)
 
     def _insert(self, held: HeldClaim, now_s: float) -> Step:
@@ -201,6 +219,7 @@
         if too_old or held.insert_count >= self._limits.max_inserts:
             return self._refuse(held, replies.store_unavailable(), now_s)
         held.insert_count += 1
+        self.share.spend(now_s)
         return held.write()
 
     def _meet(
--- a/nutmegspoke/claims/grouping.py
+++ b/nutmegspoke/claims/grouping.py
@@ -130,7 +130,7 @@
         if not failed:
             raise BrokenInvariantError('a conflict that names no member')
         others = [member for member in group.members if member not in failed]
-        self._waiting[:0] = others
+        self._waiting = others + self._waiting
         return tuple(
             Result(member.number, part) for member, part in failed.items()
         )
--- a/nutmegspoke/claims/pending.py
+++ b/nutmegspoke/claims/pending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from nutmegspoke import platform
@@ -35,9 +36,9 @@
         self._claims[held.request.key] = held
 
     def due(self, now_s: float) -> tuple[CommitClaim, ...]:
-        """Return the writes to send now; each is due again after a wait."""
+        """Return the writes to send now; each then waits for its result."""
         return tuple(
-            self._send(held, now_s)
+            self._send(held)
             for held in self._claims.values()
             if held.next_write_s <= now_s
         )
@@ -49,26 +50,38 @@
             default=None,
         )
 
-    def settle(self, key: str, commit: platform.CommitResult) -> bool:
+    def settle(
+        self,
+        key: str,
+        commit: platform.CommitResult,
+        now_s: float,
+    ) -> bool:
         """Take the result of a write.
 
         :param key: key of the claim row.
         :param commit: what the table service answered.
+        :param now_s: present time on the daemon's clock.
         :returns: whether the claim needs no more writes.
         """
         held = self._claims.get(key)
-        if held is None or not self._is_over(held, commit):
+        if held is None:
+            return False
+        held.next_write_s = self._next_write_s(held, now_s)
+        if not self._is_over(held, commit):
             return False
         self._claims.pop(key)
         return True
 
-    def _send(self, held: HeldClaim, now_s: float) -> CommitClaim:
-        doublings = min(held.write_count, _MAX_BACKOFF_DOUBLINGS)
-        wait_s = self._retry_s * 2**doublings
+    def _send(self, held: HeldClaim) -> CommitClaim:
         held.write_count += 1
-        held.next_write_s = now_s + min(wait_s, self._max_retry_s)
+        held.next_write_s = math.inf
         return held.write()
 
+    def _next_write_s(self, held: HeldClaim, now_s: float) -> float:
+        doublings = min(held.write_count, _MAX_BACKOFF_DOUBLINGS)
+        wait_s = self._retry_s * 2 ** (doublings - 1)
+        return now_s + min(wait_s, self._max_retry_s)
+
     def _is_over(self, held: HeldClaim, commit: platform.CommitResult) -> bool:
         key = held.request.key
         match commit:
--- /dev/null
+++ b/nutmegspoke/retries/outliers.py
@@ -0,0 +1,195 @@
+"""Takes targets that answer with errors out of the choice for a while."""
+
+from __future__ import annotations
+
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from nutmegspoke.targets import Target
+
+logger = logging.getLogger(__name__)
+
+_MAX_DOUBLINGS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutlierSettings:
+    """When a target is ejected, and for how long.
+
+    :param min_results: results of a target that are needed to judge it.
+    :param min_error_share: share of errors that makes it an outlier.
+    :param peer_factor: how many times worse than its peers it must be.
+    :param max_ejected_share: share of a pool that is ejected at most.
+    :param half_life_s: time in which a result loses half its weight.
+    :param ejection_s: first ejection; each further one takes twice as long.
+    :param max_ejection_s: longest ejection.
+    """
+
+    min_results: float = 5.0
+    min_error_share: float = 0.5
+    peer_factor: float = 2.0
+    max_ejected_share: float = 0.34
+    half_life_s: float = 10.0
+    ejection_s: float = 5.0
+    max_ejection_s: float = 120.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """Decayed counts of one target's results."""
+
+    successes: float = 0.0
+    errors: float = 0.0
+    counted_s: float = 0.0
+    ejected_until_s: float = 0.0
+    ejection_count: int = 0
+
+    def count(
+        self,
+        now_s: float,
+        half_life_s: float,
+        *,
+        is_error: bool,
+    ) -> None:
+        self.decay(now_s, half_life_s)
+        if is_error:
+            self.errors += 1
+        else:
+            self.successes += 1
+
+    def decay(self, now_s: float, half_life_s: float) -> None:
+        factor = 0.5 ** ((now_s - self.counted_s) / half_life_s)
+        self.successes *= factor
+        self.errors *= factor
+        self.counted_s = now_s
+
+    def clear(self) -> None:
+        self.successes = 0.0
+        self.errors = 0.0
+
+    @property
+    def total(self) -> float:
+        return self.successes + self.errors
+
+
+class Outliers:
+    """Compares the results of a pool's targets with each other.
+
+    A target that answers fast with errors looks idle to a policy that picks
+    by work in flight, and would draw ever more of the traffic. If all targets
+    of a pool fail alike, the calls are to blame and none is ejected.
+    """
+
+    def __init__(self, settings: OutlierSettings) -> None:
+        """Create without results.
+
+        :param settings: when a target is ejected, and for how long.
+        """
+        self._settings = settings
+        self._records: dict[str, _Record] = {}
+
+    def note(self, target: str, now_s: float, *, is_error: bool) -> None:
+        """Take the result of a call.
+
+        :param target: name of the target.
+        :param now_s: present time.
+        :param is_error: an error of the target's own, or no answer.
+        """
+        record = self._records.setdefault(target, _Record(counted_s=now_s))
+        record.count(now_s, self._settings.half_life_s, is_error=is_error)
+        is_sound = record.errors < 1
+        if is_sound and record.successes >= self._settings.min_results:
+            record.ejection_count = 0
+
+    def usable(
+        self,
+        targets: Sequence[Target],
+        now_s: float,
+    ) -> tuple[Target, ...]:
+        """Return the targets of a pool that are not ejected.
+
+        :param targets: all targets of the pool that may get new work.
+        :param now_s: present time.
+        """
+        ejected = {
+            target.name for target in targets if self._is_out(target, now_s)
+        }
+        limit = self._max_ejected(len(targets))
+        for target in targets:
+            if len(ejected) >= limit:
+                break
+            is_new = target.name not in ejected
+            if is_new and self._is_outlier(target.name, targets, now_s):
+                self._eject(target.name, now_s)
+                ejected.add(target.name)
+        return tuple(each for each in targets if each.name not in ejected)
+
+    def _max_ejected(self, target_count: int) -> int:
+        if target_count < 2:
+            return 0
+        return max(1, int(target_count * self._settings.max_ejected_share))
+
+    def keep_only(self, targets: Sequence[str]) -> None:
+        """Forget targets that are no more."""
+        self._records = {
+            name: record
+            for name, record in self._records.items()
+            if name in targets
+        }
+
+    def _is_out(self, target: Target, now_s: float) -> bool:
+        record = self._records.get(target.name)
+        return record is not None and now_s < record.ejected_until_s
+
+    def _is_outlier(
+        self,
+        name: str,
+        targets: Sequence[Target],
+        now_s: float,
+    ) -> bool:
+        own = self._decayed(name, now_s)
+        if own.total < self._settings.min_results:
+            return False
+        own_share = own.errors / own.total
+        if own_share < self._settings.min_error_share:
+            return False
+        peers = [
+            self._decayed(peer.name, now_s)
+            for peer in targets
+            if peer.name != name
+        ]
+        return own_share >= self._settings.peer_factor * _error_share(peers)
+
+    def _decayed(self, name: str, now_s: float) -> _Record:
+        record = self._records.get(name)
+        if record is None:
+            return _Record(counted_s=now_s)
+        record.decay(now_s, self._settings.half_life_s)
+        return record
+
+    def _eject(self, name: str, now_s: float) -> None:
+        record = self._records[name]
+        doublings = min(record.ejection_count, _MAX_DOUBLINGS)
+        ejection_s = min(
+            self._settings.ejection_s * 2**doublings,
+            self._settings.max_ejection_s,
+        )
+        record.ejected_until_s = now_s + ejection_s
+        record.ejection_count += 1
+        record.clear()
+        logger.info(
+            'retries: target ejected target=%s for_s=%.1f',
+            name,
+            ejection_s,
+        )
+
+
+def _error_share(records: Sequence[_Record]) -> float:
+    total = sum(record.total for record in records)
+    if total == 0:
+        return 0.0
+    return sum(record.errors for record in records) / total
--- a/tests/claims/test_decider.py
+++ b/tests/claims/test_decider.py
@@ -55,7 +55,7 @@
         """Send all writes that are due."""
         for write in daemon.due(now_s):
             commit = await self.tables.commit(write.transaction)
-            daemon.settled(write.key, commit)
+            daemon.settled(write.key, commit, now_s)
 
     def row(self) -> rows.ClaimRow:
         """Return the claim row."""
--- a/tests/claims/test_machine.py
+++ b/tests/claims/test_machine.py
@@ -240,7 +240,7 @@
         decider = self.daemons[daemon].decider
         for write in decider.due(self.now_s):
             commit = self._commit(write.transaction, fault)
-            decider.settled(write.key, commit)
+            decider.settled(write.key, commit, self.now_s)
 
     @rule(
         kind=st.sampled_from(
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -2,29 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+from tests.mutation_list_claims import CLAIM_MUTATIONS
+from tests.mutation_types import Mutation
 
 _SCENARIO = 'tests.scenarios.test_scenarios.ScenariosTest.test_'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mutation:
-    """A change of one line that takes a mechanism out.
-
-    :param name: what is taken out.
-    :param path: file of the line.
-    :param old: the line as it is.
-    :param new: the line without the mechanism.
-    :param tests: tests of which at least one must fail.
-    """
-
-    name: str
-    path: str
-    old: str
-    new: str
-    tests: tuple[str, ...]
-
-
 MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
         'promise-6 wait for requests in work',
@@ -33,4 +16,5 @@
         'idle = asyncio.create_task(asyncio.sleep(0))',
         (f'{_SCENARIO}stop_cuts_no_request',),
     ),
+    *CLAIM_MUTATIONS,
 )
