--- a/nutmegspoke/retries/outliers.py
+++ b/nutmegspoke/retries/outliers.py
@@ -115,10 +115,8 @@
         :param targets: all targets of the pool that may get new work.
         :param now_s: present time.
         """
-        ejected = {
-            target.name for target in targets if self._is_out(target, now_s)
-        }
         limit = self._max_ejected(len(targets))
+        ejected = self._still_ejected(targets, limit, now_s)
         for target in targets:
             if len(ejected) >= limit:
                 break
@@ -141,9 +139,22 @@
             if name in targets
         }
 
-    def _is_out(self, target: Target, now_s: float) -> bool:
-        record = self._records.get(target.name)
-        return record is not None and now_s < record.ejected_until_s
+    def _still_ejected(
+        self,
+        targets: Sequence[Target],
+        limit: int,
+        now_s: float,
+    ) -> set[str]:
+        out = [
+            target.name
+            for target in targets
+            if self._ejected_until_s(target.name) > now_s
+        ]
+        return set(sorted(out, key=self._ejected_until_s, reverse=True)[:limit])
+
+    def _ejected_until_s(self, name: str) -> float:
+        record = self._records.get(name)
+        return record.ejected_until_s if record else 0.0
 
     def _is_outlier(
         self,
--- a/nutmegspoke/retries/quarantine.py
+++ b/nutmegspoke/retries/quarantine.py
@@ -8,7 +8,11 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.retries.notices import CrashNotice, QuarantineNotice
-from nutmegspoke.retries.suspects import Crash, RunningRequests, Suspect
+from nutmegspoke.retries.suspects import (
+    Crash,
+    RunningRequests,
+    SuspectBook,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -57,7 +61,7 @@
         """
         self._settings = settings
         self._running = RunningRequests()
-        self._suspects: dict[str, Suspect] = {}
+        self._suspects = SuspectBook(settings.max_suspects)
         self._crashes: dict[str, Crash] = {}
         self._notices: list[Notice] = []
 
@@ -67,17 +71,17 @@
         :param fingerprint: digest of team, route and body.
         :param now_s: present time.
         """
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.find(fingerprint)
         if suspect is None:
             return Clear()
-        if now_s < suspect.quarantined_until_s:
+        if suspect.is_quarantined(now_s):
             return outcomes.NotRun(
                 outcomes.RefusalReason.QUARANTINED,
                 suspect.quarantined_until_s - now_s,
                 'targets crashed while they ran this request',
             )
         if now_s - suspect.since_s > self._settings.suspicion_s:
-            self._suspects.pop(fingerprint)
+            self._suspects.clear(fingerprint)
             return Clear()
         return SendAlone(frozenset(suspect.targets))
 
@@ -97,7 +101,7 @@
         limit = max(1, int(len(targets) * share))
         if len(targets) - len(free) >= limit:
             return ()
-        suspect = self._suspects.get(fingerprint)
+        suspect = self._suspects.find(fingerprint)
         crashed = suspect.targets if suspect else frozenset()
         if crashed.issuperset(targets):
             return tuple(free)
@@ -129,13 +133,13 @@
     ) -> None:
         """Note that targets ran a request and live: suspicion lapses."""
         self.ended(fingerprint, targets)
-        if self._suspects.pop(fingerprint, None) is None:
+        if not self._suspects.clear(fingerprint):
             return
         logger.info('retries: suspicion lapsed fingerprint=%s', fingerprint)
         for target, crash in self._crashes.items():
             if fingerprint in crash.candidates:
                 crash.candidates.discard(fingerprint)
-                self._judge(target, crash, now_s)
+                self._tell(self._judge(target, crash, now_s))
 
     def crashed(self, target: str, now_s: float) -> None:
         """Note that a target crashed.
@@ -154,8 +158,7 @@
             tuple(sorted(passengers)),
             tuple(sorted(crash.candidates)),
         )
-        self._tell(notice)
-        self._judge(target, crash, now_s)
+        self._tell((notice, *self._judge(target, crash, now_s)))
 
     def take(self, notice: Notice, now_s: float) -> None:
         """Take what a peer tells.
@@ -170,14 +173,7 @@
                 crash.candidates.update(notice.candidates)
                 self._judge(notice.target, crash, now_s)
             case QuarantineNotice():
-                suspect = self._suspect(notice.fingerprint, now_s)
-                suspect.named_by = notice.target
-                suspect.quarantine_count += 1
-                suspect.targets.add(notice.target)
-                suspect.quarantined_until_s = max(
-                    suspect.quarantined_until_s,
-                    now_s + min(notice.remaining_s, self._longest_s),
-                )
+                self._take_quarantine(notice, now_s)
 
     def take_notices(self) -> tuple[Notice, ...]:
         """Return what peers should hear and have not been told."""
@@ -190,7 +186,7 @@
         return self._settings.max_quarantine_s
 
     def _has_suspect(self, target: str) -> bool:
-        return not self._running.on(target).isdisjoint(self._suspects)
+        return not self._suspects.is_disjoint(self._running.on(target))
 
     def _take_crash(
         self,
@@ -200,7 +196,7 @@
     ) -> Crash:
         crash = self._crash(target, now_s)
         for fingerprint in passengers:
-            suspect = self._suspect(fingerprint, now_s)
+            suspect = self._suspects.add(fingerprint, now_s)
             if suspect.targets - {target}:
                 crash.candidates.add(fingerprint)
             suspect.targets.add(target)
@@ -222,53 +218,64 @@
         }
         return self._crashes.setdefault(target, Crash(now_s))
 
-    def _suspect(self, fingerprint: str, now_s: float) -> Suspect:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None:
-            return suspect
-        if len(self._suspects) >= self._settings.max_suspects:
-            self._suspects.pop(next(iter(self._suspects)))
-        suspect = Suspect(now_s)
-        self._suspects[fingerprint] = suspect
-        return suspect
-
-    def _judge(self, target: str, crash: Crash, now_s: float) -> None:
+    def _take_quarantine(self, notice: QuarantineNotice, now_s: float) -> None:
+        crash = self._crash(notice.target, now_s)
+        crash.candidates.add(notice.fingerprint)
+        suspect = self._suspects.add(notice.fingerprint, now_s)
+        suspect.targets.add(notice.target)
         if len(crash.candidates) > 1:
-            self._lift(target, crash, now_s)
+            self._lift(notice.target, crash, now_s)
             return
-        for fingerprint in crash.candidates:
-            self._quarantine(fingerprint, target, now_s)
+        quarantine_s = min(notice.remaining_s, self._longest_s)
+        suspect.quarantine(notice.target, quarantine_s, now_s)
+
+    def _judge(
+        self,
+        target: str,
+        crash: Crash,
+        now_s: float,
+    ) -> tuple[QuarantineNotice, ...]:
+        """Quarantine the only candidate of a crash, or nobody.
+
+        :returns: a new quarantine, for peers.
+        """
+        if len(crash.candidates) > 1:
+            self._lift(target, crash, now_s)
+            return ()
+        return tuple(
+            notice
+            for fingerprint in crash.candidates
+            for notice in self._quarantine(fingerprint, target, now_s)
+        )
 
     def _lift(self, target: str, crash: Crash, now_s: float) -> None:
         """End quarantines that rest on a crash with several candidates."""
         for fingerprint in crash.candidates:
-            suspect = self._suspect(fingerprint, now_s)
-            if suspect.named_by == target:
-                suspect.named_by = ''
-                suspect.quarantine_count -= 1
-                suspect.quarantined_until_s = now_s
-
-    def _quarantine(self, fingerprint: str, target: str, now_s: float) -> None:
-        suspect = self._suspect(fingerprint, now_s)
-        if now_s < suspect.quarantined_until_s:
-            return
+            self._suspects.add(fingerprint, now_s).lift(target, now_s)
+
+    def _quarantine(
+        self,
+        fingerprint: str,
+        target: str,
+        now_s: float,
+    ) -> tuple[QuarantineNotice, ...]:
+        suspect = self._suspects.add(fingerprint, now_s)
+        if suspect.is_quarantined(now_s):
+            return ()
         doublings = min(suspect.quarantine_count, _MAX_DOUBLINGS)
         quarantine_s = min(
             self._settings.quarantine_s * 2**doublings,
             self._longest_s,
         )
-        suspect.quarantine_count += 1
-        suspect.quarantined_until_s = now_s + quarantine_s
-        suspect.since_s = suspect.quarantined_until_s
-        suspect.named_by = target
+        suspect.quarantine(target, quarantine_s, now_s)
         logger.warning(
             'retries: request quarantined fingerprint=%s target=%s for_s=%.1f',
             fingerprint,
             target,
             quarantine_s,
         )
-        self._tell(QuarantineNotice(fingerprint, target, quarantine_s))
+        return (QuarantineNotice(fingerprint, target, quarantine_s),)
 
-    def _tell(self, notice: Notice) -> None:
-        if len(self._notices) < _MAX_NOTICES:
-            self._notices.append(notice)
+    def _tell(self, notices: Sequence[Notice]) -> None:
+        room = _MAX_NOTICES - len(self._notices)
+        self._notices.extend(notices[:room])
--- a/nutmegspoke/retries/suspects.py
+++ b/nutmegspoke/retries/suspects.py
@@ -5,6 +5,10 @@
 import collections
 import dataclasses
 import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 _DIGEST_BYTES = 12
 _LENGTH_BYTES = 4
@@ -48,6 +52,33 @@
     quarantine_count: int = 0
     named_by: str = ''
 
+    def is_quarantined(self, now_s: float) -> bool:
+        """Tell whether it must not run."""
+        return now_s < self.quarantined_until_s
+
+    def quarantine(self, target: str, for_s: float, now_s: float) -> None:
+        """Keep it from running.
+
+        :param target: target whose crash named it.
+        :param for_s: for how long; a longer present quarantine stays.
+        :param now_s: present time.
+        """
+        if not self.is_quarantined(now_s):
+            self.quarantine_count += 1
+        until_s = max(self.quarantined_until_s, now_s + for_s)
+        self.quarantined_until_s = until_s
+        self.since_s = until_s
+        self.named_by = target
+
+    def lift(self, target: str, now_s: float) -> None:
+        """End a quarantine that rests on a target's crash alone."""
+        if self.named_by != target:
+            return
+        self.named_by = ''
+        self.quarantine_count -= 1
+        self.quarantined_until_s = now_s
+        self.since_s = now_s
+
 
 @dataclasses.dataclass(slots=True)
 class Crash:
@@ -62,6 +93,41 @@
     candidates: set[str] = dataclasses.field(default_factory=set)
 
 
+class SuspectBook:
+    """The requests under suspicion, oldest first."""
+
+    def __init__(self, max_suspects: int) -> None:
+        """Create without suspects.
+
+        :param max_suspects: suspects at most; the oldest gives way.
+        """
+        self._max_suspects = max_suspects
+        self._suspects: dict[str, Suspect] = {}
+
+    def find(self, fingerprint: str) -> Suspect | None:
+        """Return a suspect; ``None`` if the request is none."""
+        return self._suspects.get(fingerprint)
+
+    def add(self, fingerprint: str, now_s: float) -> Suspect:
+        """Return a suspect; a new one if the request was none."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            return suspect
+        if len(self._suspects) >= self._max_suspects:
+            self._suspects.pop(next(iter(self._suspects)))
+        suspect = Suspect(now_s)
+        self._suspects[fingerprint] = suspect
+        return suspect
+
+    def clear(self, fingerprint: str) -> bool:
+        """End the suspicion of a request; ``False`` if there was none."""
+        return self._suspects.pop(fingerprint, None) is not None
+
+    def is_disjoint(self, fingerprints: Collection[str]) -> bool:
+        """Tell whether none of these requests is a suspect."""
+        return self._suspects.keys().isdisjoint(fingerprints)
+
+
 class RunningRequests:
     """The requests in flight on each target."""
 
--- /dev/null
+++ b/tests/claims/test_grouping.py
@@ -0,0 +1,110 @@
+"""Tests of joined claim writes and of the share of the store's writes."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke import outcomes, platform
+from nutmegspoke.claims.grouping import CommitGroups
+from nutmegspoke.claims.share import ShareSettings, WriteShare
+from tests import builders_claims as build
+
+
+def insert(key: str) -> platform.Transaction:
+    """Build the insert of an absent row."""
+    return platform.Transaction(
+        (platform.Condition(key, 0),),
+        (platform.Write(key, b'new'),),
+    )
+
+
+class CommitGroupsTest(unittest.TestCase):
+    """Groups are formed and their results taken apart."""
+
+    def setUp(self) -> None:
+        """Create a store and groups of at most four."""
+        self.store = build.RowStore()
+        self.groups = CommitGroups(max_members=4)
+
+    def run_all(self) -> dict[int, platform.CommitResult]:
+        """Commit groups until none is left."""
+        found = {}
+        while (group := self.groups.take()) is not None:
+            commit = self.store.apply(group.transaction())
+            for part in self.groups.resolve(group, commit):
+                found[part.number] = part.commit
+        return found
+
+    def test_a_failed_member_does_not_fail_its_neighbours(self) -> None:
+        """Only the claim whose row is there gets a conflict, with its row."""
+        self.store.apply(insert('b'))
+        numbers = {key: self.groups.add(insert(key)) for key in 'abc'}
+        found = self.run_all()
+        for key in 'ac':
+            self.assertEqual(
+                [row.key for row in found[numbers[key]].rows], [key]
+            )
+            self.assertIsInstance(found[numbers[key]], platform.Committed)
+        self.assertEqual(
+            found[numbers['b']],
+            platform.Conflict((platform.StoredRow('b', 1, b'new'),)),
+        )
+
+    def test_one_commit_for_a_whole_group(self) -> None:
+        """Nine writes of which none fails take three commits."""
+        numbers = {self.groups.add(insert(key)) for key in 'abcdefghi'}
+        self.assertEqual(set(self.run_all()), numbers)
+        self.assertEqual(self.store.commit_count, 3)
+
+    def test_a_key_is_in_flight_once(self) -> None:
+        """A second write of a key waits for the first one's result."""
+        for _ in range(2):
+            self.groups.add(insert('a'))
+        first = self.groups.take()
+        self.assertEqual(len(first.members), 1)
+        self.assertIsNone(self.groups.take())
+        self.groups.resolve(first, platform.Unavailable('down'))
+        self.assertEqual(len(self.groups.take().members), 1)
+
+    def test_doubt_is_shared_by_all_members(self) -> None:
+        """No member is told that its write failed or took effect."""
+        for key in 'ab':
+            self.groups.add(insert(key))
+        doubt = platform.InDoubt('timeout')
+        parts = self.groups.resolve(self.groups.take(), doubt)
+        self.assertEqual([part.commit for part in parts], [doubt, doubt])
+
+
+class WriteShareTest(unittest.TestCase):
+    """Claims stay inside the daemon's share."""
+
+    def test_all_daemons_together_stay_inside_the_limit(self) -> None:
+        """Ten daemons that claim all they can write 400 rows a second."""
+        shares = [WriteShare(ShareSettings()) for _ in range(10)]
+        writes = 0
+        for share in shares:
+            share.set_daemon_count(10)
+        for tick in range(1000):
+            now_s = 100.0 + tick / 100
+            for share in shares:
+                if share.refusal(now_s) is None:
+                    share.spend(now_s)
+                    share.spend(now_s)
+                    writes += 2
+        self.assertLessEqual(writes, 400 * (10 + 2) + 2 * 10)
+        self.assertGreater(writes, 400 * 10)
+
+    def test_callers_are_told_different_times(self) -> None:
+        """No two refused callers come back for the same turn."""
+        share = WriteShare(ShareSettings(writes_per_s=10.0))
+        while share.refusal(1.0) is None:
+            share.spend(1.0)
+        told = [share.refusal(1.0) for _ in range(5)]
+        waits_s = [refusal.retry_after_s for refusal in told]
+        self.assertEqual(told[0].reason, outcomes.RefusalReason.CLAIM_LIMIT)
+        gaps_s = [
+            later - sooner
+            for sooner, later in zip(waits_s, waits_s[1:], strict=False)
+        ]
+        for gap_s in gaps_s:
+            self.assertAlmostEqual(gap_s, 0.2)
--- /dev/null
+++ b/tests/retries/test_outliers.py
@@ -0,0 +1,91 @@
+"""Tests of retry budgets and of the ejection of outliers."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.retries.budget import RetryBudgets
+from nutmegspoke.retries.outliers import Outliers, OutlierSettings
+from tests import builders_claims as build
+
+_TARGETS = tuple(build.target(name) for name in 'abcdef')
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries are a share of the route's requests."""
+
+    def test_retries_stay_inside_the_share(self) -> None:
+        """While all calls fail, retries add a tenth and a small burst."""
+        budgets = RetryBudgets()
+        retries = 0
+        for _ in range(1000):
+            budget = budgets.note_request('send', 0.1)
+            retries += sum(budget.take() for _ in range(3))
+        self.assertLessEqual(retries, 110)
+        self.assertGreaterEqual(retries, 100)
+
+    def test_routes_do_not_share(self) -> None:
+        """A route without requests of its own gains nothing."""
+        budgets = RetryBudgets()
+        spent = budgets.note_request('a', 0.0)
+        while spent.take():
+            pass
+        self.assertTrue(budgets.note_request('b', 0.0).take())
+        self.assertFalse(budgets.note_request('a', 0.0).take())
+
+
+class OutliersTest(unittest.TestCase):
+    """Targets that answer fast with errors draw no traffic."""
+
+    def setUp(self) -> None:
+        """Create without results."""
+        self.outliers = Outliers(OutlierSettings())
+
+    def note(
+        self, name: str, errors: int, successes: int, now_s: float
+    ) -> None:
+        """Take several results of one target."""
+        for _ in range(errors):
+            self.outliers.note(name, now_s, is_error=True)
+        for _ in range(successes):
+            self.outliers.note(name, now_s, is_error=False)
+
+    def names(self, now_s: float) -> str:
+        """Return the names of the targets in use."""
+        usable = self.outliers.usable(_TARGETS, now_s)
+        return ''.join(target.name for target in usable)
+
+    def test_ejected_for_a_while_and_longer_each_time(self) -> None:
+        """It is ejected, comes back, and is ejected for twice the time."""
+        for name in 'bcdef':
+            self.note(name, 0, 10, 100.0)
+        self.note('a', 10, 0, 100.0)
+        self.assertEqual(self.names(100.0), 'bcdef')
+        self.assertEqual(self.names(104.9), 'bcdef')
+        self.assertEqual(self.names(105.0), 'abcdef')
+        self.note('a', 10, 0, 105.0)
+        self.assertEqual(self.names(105.0), 'bcdef')
+        self.assertEqual(self.names(114.9), 'bcdef')
+        self.assertEqual(self.names(115.0), 'abcdef')
+
+    def test_errors_of_all_eject_none(self) -> None:
+        """If all targets fail alike, the calls are to blame."""
+        for name in 'abcdef':
+            self.note(name, 10, 0, 100.0)
+        self.assertEqual(self.names(100.0), 'abcdef')
+
+    def test_the_ejected_share_is_bounded(self) -> None:
+        """Of six targets no more than two are out."""
+        for name in 'abc':
+            self.note(name, 20, 0, 100.0)
+        for name in 'def':
+            self.note(name, 0, 100, 100.0)
+        self.assertEqual(len(self.names(100.0)), 4)
+        only = (_TARGETS[0],)
+        self.assertEqual(self.outliers.usable(only, 100.0), only)
+
+    def test_few_or_old_errors_eject_none(self) -> None:
+        """Four errors, or many a minute ago, prove nothing."""
+        self.note('a', 4, 0, 100.0)
+        self.note('b', 20, 0, 40.0)
+        self.assertEqual(self.names(100.0), 'abcdef')
