--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -191,7 +191,10 @@
 
 
 def _is_silent(attempt: service_client.Attempt) -> bool:
-    return isinstance(attempt, service_client.Lost) and attempt.is_silent
+    return (
+        isinstance(attempt, service_client.Lost)
+        and attempt.kind is service_client.LossKind.SILENT
+    )
 
 
 def _refused(reason: outcomes.RefusalReason) -> outcomes.NotRun:
--- a/nutmegspoke/border/call_run.py
+++ b/nutmegspoke/border/call_run.py
@@ -155,6 +155,6 @@
 
 def _unknown(lost: service_client.Lost) -> outcomes.Unknown:
     reason = outcomes.UnknownReason.ANSWER_LOST
-    if lost.is_silent:
+    if lost.kind is service_client.LossKind.SILENT:
         reason = outcomes.UnknownReason.ANSWER_TIMEOUT
     return outcomes.Unknown(reason, detail=lost.reason)
--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 from typing import TYPE_CHECKING
 
 import aiohttp
+import yarl
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +22,7 @@
 
 _SERVICE_UNAVAILABLE = 503
 POOLED_IDLE_S = 15.0
-_CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
 _MIN_TIMEOUT_S = 0.001
 _EXECUTED_HEADER = 'Nutmegspoke-Executed'
 _DEFAULT_MEDIA_TYPE = 'application/octet-stream'
@@ -67,16 +69,24 @@
     retry_after_s: float | None
 
 
+class LossKind(enum.StrEnum):
+    """How an answer was lost."""
+
+    SILENT = 'silent'
+    BROKEN = 'broken'
+    UNSAID = 'unsaid'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
     """Bytes of the call may have left, and no whole answer came.
 
-    :param is_silent: the target was silent too long; otherwise the
-        connection broke.
+    :param kind: the target was silent too long, the connection broke, or the
+        target refused without a word on whether it ran the call.
     :param reason: what went wrong.
     """
 
-    is_silent: bool
+    kind: LossKind
     reason: str
 
 
@@ -174,7 +184,7 @@
         try:
             _, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port)),
-                _CONNECT_TIMEOUT_S,
+                CONNECT_TIMEOUT_S,
             )
         except (OSError, ValueError) as error:
             return _is_refusal(error)
@@ -195,12 +205,12 @@
             return NotSent('the client is not started')
         timeout = aiohttp.ClientTimeout(
             total=max(timeout_s, _MIN_TIMEOUT_S),
-            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_connect=CONNECT_TIMEOUT_S,
             sock_read=request.route.progress_timeout_s,
         )
         async with session.request(
             request.method,
-            f'http://{target.address}{request.path}',
+            yarl.URL(f'http://{target.address}{request.path}', encoded=True),
             data=request.body,
             headers=_headers(request),
             timeout=timeout,
@@ -254,8 +264,8 @@
 def _refusal(response: aiohttp.ClientResponse) -> Attempt:
     if response.headers.get(_EXECUTED_HEADER) != 'no':
         return Lost(
-            is_silent=False,
-            reason='status 503 without a word on whether the call ran',
+            LossKind.UNSAID,
+            'status 503 without a word on whether the call ran',
         )
     retry_after = response.headers.get('Retry-After', '')
     return Declined(float(retry_after) if retry_after.isdecimal() else None)
@@ -263,7 +273,7 @@
 
 def _withheld(departure: _Departure) -> Attempt:
     if departure.has_left:
-        return Lost(is_silent=False, reason='connection broke')
+        return Lost(LossKind.BROKEN, 'connection broke')
     return Withheld()
 
 
@@ -271,7 +281,9 @@
     reason = f'{type(error).__name__}: {error}'
     if not departure.has_left:
         return NotSent(reason, is_refused=_is_refusal(error))
-    return Lost(is_silent=isinstance(error, TimeoutError), reason=reason)
+    if isinstance(error, TimeoutError):
+        return Lost(LossKind.SILENT, reason)
+    return Lost(LossKind.BROKEN, reason)
 
 
 def _is_refusal(error: Exception) -> bool:
--- a/nutmegspoke/border/target_health.py
+++ b/nutmegspoke/border/target_health.py
@@ -92,10 +92,8 @@
         elif has_crashed:
             self._quarantine.crashed(target.name)
         self._quarantine.ended(fingerprint, (target.name,))
-        is_lost = isinstance(attempt, service_client.Lost)
-        if is_lost and not (is_fresh or has_crashed):
-            return
-        if not isinstance(attempt, service_client.Withheld):
+        is_stale = _is_broken(attempt) and not (is_fresh or has_crashed)
+        if not (is_stale or isinstance(attempt, service_client.Withheld)):
             self._outliers.note(
                 target.name,
                 self._clock.now_s(),
@@ -107,13 +105,16 @@
         target: Target,
         attempt: service_client.Attempt,
     ) -> bool:
-        match attempt:
-            case service_client.NotSent():
-                return attempt.is_refused
-            case service_client.Lost(is_silent=False):
-                return await self._client.is_refused(target)
-            case _:
-                return False
+        if isinstance(attempt, service_client.NotSent):
+            return attempt.is_refused
+        return _is_broken(attempt) and await self._client.is_refused(target)
+
+
+def _is_broken(attempt: service_client.Attempt) -> bool:
+    return (
+        isinstance(attempt, service_client.Lost)
+        and attempt.kind is service_client.LossKind.BROKEN
+    )
 
 
 def _is_error(attempt: service_client.Attempt) -> bool:
