--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -9,7 +9,11 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
-from nutmegspoke.border.call_run import RETRY_AFTER_S, CallRun
+from nutmegspoke.border.call_run import (
+    MIN_FAILURE_STATUS,
+    RETRY_AFTER_S,
+    CallRun,
+)
 from nutmegspoke.border.target_health import TargetHealth
 from nutmegspoke.claims import steps
 from nutmegspoke.retries.budget import RetryBudgets
@@ -169,18 +173,27 @@
         *,
         is_fresh: bool,
     ) -> service_client.Attempt:
+        sent_s = self._clock.now_s()
         self._in_flight[target.name] += 1
         self._quarantine.started(run.fingerprint, (target.name,))
         try:
-            return await self._client.send(
+            attempt = await self._client.send(
                 run.request,
                 target,
-                run.request.deadline_s - self._clock.now_s(),
+                run.request.deadline_s - sent_s,
                 run.gate.may_leave,
                 is_fresh=is_fresh,
             )
         finally:
             self._in_flight[target.name] -= 1
+        if _is_success(attempt):
+            self._router.observe(
+                target.name,
+                self._clock.now_s() - sent_s,
+                self._in_flight[target.name] + 1,
+                run.request.pool.max_in_flight,
+            )
+        return attempt
 
     def _needs_fresh_connection(self, run: CallRun, target: Target) -> bool:
         return (
@@ -190,6 +203,12 @@
         )
 
 
+def _is_success(attempt: service_client.Attempt) -> bool:
+    if not isinstance(attempt, service_client.Answered):
+        return False
+    return attempt.status < MIN_FAILURE_STATUS
+
+
 def _is_silent(attempt: service_client.Attempt) -> bool:
     return (
         isinstance(attempt, service_client.Lost)
--- a/nutmegspoke/border/call_run.py
+++ b/nutmegspoke/border/call_run.py
@@ -21,7 +21,7 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_S = 1.0
-_MIN_FAILURE_STATUS = 400
+MIN_FAILURE_STATUS = 400
 
 
 class Gate:
@@ -121,7 +121,7 @@
         """
         match attempt:
             case service_client.Answered(status, body, content_type):
-                failed = status >= _MIN_FAILURE_STATUS
+                failed = status >= MIN_FAILURE_STATUS
                 kind = outcomes.Failed if failed else outcomes.Completed
                 return kind(status, body, content_type)
             case service_client.NotSent(reason):
