Find crashes truly and blame nobody who came late

A process that ends resets its connections some milliseconds before its port, so the probe that connected found it alive and the request that had killed it was retried as if innocent; the probe now wants an answer to a load request. And a suspect whose connection was refused by a target that was already dead counted as its passenger and was quarantined; it is taken out before the crash is noted. Ruled out: the order of reports and the choice among suspects.

--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -108,23 +108,24 @@
         self,
         run: CallRun,
     ) -> tuple[Target, ...] | outcomes.NotRun:
-        pool = run.request.pool.name
-        targets = self._targets.usable(pool, self._clock.now_s())
         verdict = self._quarantine.check(run.fingerprint)
         if isinstance(verdict, outcomes.NotRun):
             return verdict
         if not isinstance(verdict, SendAlone):
-            return self._counted(self._health.usable(targets))
-        names = tuple(target.name for target in targets)
+            return self._counted(self._health.usable(self._present(run)))
         allowed = await self._quarantine.turn(
             run.fingerprint,
-            names,
+            lambda: tuple(target.name for target in self._present(run)),
             run.request.deadline_s,
         )
         return self._counted(
-            tuple(target for target in targets if target.name in allowed),
+            tuple(each for each in self._present(run) if each.name in allowed),
         )
 
+    def _present(self, run: CallRun) -> tuple[Target, ...]:
+        pool = run.request.pool.name
+        return self._targets.usable(pool, self._clock.now_s())
+
     def _counted(self, targets: tuple[Target, ...]) -> tuple[Target, ...]:
         return tuple(
             dataclasses.replace(
--- a/nutmegspoke/border/quarantine.py
+++ b/nutmegspoke/border/quarantine.py
@@ -10,7 +10,7 @@
 from nutmegspoke.retries.suspects import QuarantineSettings
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
@@ -18,6 +18,7 @@
     from nutmegspoke.retries.quarantine import Verdict
 
 NAME = 'quarantine'
+_LONGEST_WAIT_S = 0.5
 
 
 class QuarantineService:
@@ -50,25 +51,29 @@
     async def turn(
         self,
         fingerprint: str,
-        targets: Sequence[str],
+        targets: Callable[[], Sequence[str]],
         deadline_s: float,
     ) -> tuple[str, ...]:
         """Wait until a suspect may be sent.
 
         :param fingerprint: digest of the suspect.
-        :param targets: names of the pool's targets that may get new work.
+        :param targets: returns the names of the pool's targets that may get
+            new work now.
         :param deadline_s: when to give up, on the daemon's clock.
         :returns: names of the targets that it may be sent to; none if its
             turn did not come in time.
         """
         while True:
-            allowed = self._quarantine.allowed(fingerprint, targets)
+            allowed = self._quarantine.allowed(fingerprint, targets())
             wait_s = deadline_s - self._clock.now_s()
             if allowed or wait_s <= 0:
                 return allowed
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), wait_s)
+                await asyncio.wait_for(
+                    self._changed.wait(),
+                    min(wait_s, _LONGEST_WAIT_S),
+                )
 
     def started(self, fingerprint: str, targets: Collection[str]) -> None:
         """Note that a request is in flight on targets."""
--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import enum
 import logging
@@ -11,6 +10,8 @@
 import aiohttp
 import yarl
 
+from nutmegspoke.engine_protocol import LOAD_PATH
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import SimpleNamespace
@@ -23,6 +24,7 @@
 _SERVICE_UNAVAILABLE = 503
 POOLED_IDLE_S = 15.0
 CONNECT_TIMEOUT_S = 2.0
+_PROBE_TIMEOUT_S = 1.0
 _MIN_TIMEOUT_S = 0.001
 _EXECUTED_HEADER = 'Nutmegspoke-Executed'
 _DEFAULT_MEDIA_TYPE = 'application/octet-stream'
@@ -178,18 +180,26 @@
         except (aiohttp.ClientError, OSError) as error:
             return _broken(departure, error)
 
-    async def is_refused(self, target: Target) -> bool:
-        """Tell whether a target's host refuses connections now."""
-        host, _, port = target.address.rpartition(':')
+    async def is_gone(self, target: Target) -> bool:
+        """Ask a target for its load, to tell whether its process has ended.
+
+        A process that ends may close its connections before its port, so a
+        connection that comes about proves nothing; an answer does.
+        """
+        if self._fresh is None:
+            return False
+        departure = _Departure(_always)
         try:
-            _, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, int(port)),
-                CONNECT_TIMEOUT_S,
-            )
-        except (OSError, ValueError) as error:
-            return _is_refusal(error)
-        writer.close()
-        return False
+            async with self._fresh.get(
+                f'http://{target.address}{LOAD_PATH}',
+                timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+                trace_request_ctx=departure,
+            ):
+                return False
+        except _WithheldError:
+            return True
+        except (aiohttp.ClientError, OSError) as error:
+            return not isinstance(error, TimeoutError)
 
     async def _exchange(
         self,
@@ -271,6 +281,10 @@
     return Declined(float(retry_after) if retry_after.isdecimal() else None)
 
 
+def _always() -> bool:
+    return True
+
+
 def _withheld(departure: _Departure) -> Attempt:
     if departure.has_left:
         return Lost(LossKind.BROKEN, 'connection broke')
--- a/nutmegspoke/border/target_health.py
+++ b/nutmegspoke/border/target_health.py
@@ -89,7 +89,9 @@
         has_crashed = await self._has_crashed(target, attempt)
         if isinstance(attempt, service_client.Answered):
             self._quarantine.completed(fingerprint, (target.name,))
-        elif has_crashed:
+        if isinstance(attempt, service_client.NotSent):
+            self._quarantine.ended(fingerprint, (target.name,))
+        if has_crashed:
             self._quarantine.crashed(target.name)
         self._quarantine.ended(fingerprint, (target.name,))
         is_stale = _is_broken(attempt) and not (is_fresh or has_crashed)
@@ -107,7 +109,7 @@
     ) -> bool:
         if isinstance(attempt, service_client.NotSent):
             return attempt.is_refused
-        return _is_broken(attempt) and await self._client.is_refused(target)
+        return _is_broken(attempt) and await self._client.is_gone(target)
 
 
 def _is_broken(attempt: service_client.Attempt) -> bool:
--- a/tests/border/test_calls.py
+++ b/tests/border/test_calls.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from nutmegspoke import outcomes
+from nutmegspoke.border.call_parts import CallParts
 from nutmegspoke.border.calls import CallService
 from nutmegspoke.border.clock import SystemClock
 from nutmegspoke.standins.faults import FaultOrder
@@ -43,20 +44,26 @@
                 for number, address in enumerate(addresses, 1)
             ],
         )
-        self.calls = await self.daemon('d1')
+        self.parts = CallParts.new(self.clock, self.directory)
+        self.calls = await self.daemon('d1', self.parts)
 
     async def _serve(self, service: RecordService) -> str:
         runner, address = await serve(service)
         self.addAsyncCleanup(runner.cleanup)
         return address
 
-    async def daemon(self, name: str) -> CallService:
+    async def daemon(
+        self,
+        name: str,
+        parts: CallParts | None = None,
+    ) -> CallService:
         """Start a call service with a name of its own."""
         calls = CallService(
             clock=self.clock,
             tables=self.tables,
             targets=self.directory,
             daemon=name,
+            parts=parts,
         )
         await calls.start()
         self.addAsyncCleanup(calls.stop)
--- a/tests/border/test_calls_faults.py
+++ b/tests/border/test_calls_faults.py
@@ -9,13 +9,15 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
+from nutmegspoke.border.call_run import call_fingerprint
+from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.standins.faults import FaultOrder
 from tests import builders_claims as build
 from tests.border import test_calls
 from tests.raw_target import RawTarget
 
 _Reason = outcomes.RefusalReason
-_BODY = bytes(400_000)
+_PADDING = bytes(400_000)
 
 
 class RawCase(test_calls.CallCase):
@@ -60,7 +62,7 @@
         first, second = await self.raw(fault, 'whole')
         request = self.request(
             method=method,
-            body=_BODY,
+            body=f'{fault}{method}'.encode() + _PADDING,
             progress_timeout_s=0.2,
             idempotency_key=f'{fault}-{method}',
         )
@@ -103,6 +105,21 @@
         told = await self.calls.call(self.request())
         self.assertIsInstance(told, outcomes.Completed)
 
+    async def test_a_dead_target_blames_nobody_who_comes_late(self) -> None:
+        """A suspect whose connection is refused was not in flight there."""
+        request = self.request(repeatable=True)
+        fingerprint = call_fingerprint(request)
+        quarantine = self.parts.quarantine
+        quarantine.started(fingerprint, ('other',))
+        quarantine.crashed('other')
+        with socket.socket() as closed:
+            closed.bind(('127.0.0.1', 0))
+            host, port = closed.getsockname()
+            self.directory.targets = (build.target('gone', f'{host}:{port}'),)
+            told = await self.calls.call(request)
+        self.assertEqual(told.reason, _Reason.TARGET_UNREACHABLE)
+        self.assertIsInstance(quarantine.check(fingerprint), SendAlone)
+
     async def _until_released(self) -> None:
         while not any(
             b'released' in row.body for row in self.tables.store.rows.values()
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass
 class RawTarget:
-    """Reads calls and shows one fault.
+    """Reads calls and shows one fault; its load is always reported.
 
     ``reset_at_once`` resets before it reads; ``reset_mid_body`` after half of
     the body; ``reset_after_run`` and ``silent`` after the call ran. Other
@@ -67,6 +67,9 @@
             writer.transport.abort()
             return False
         head = await reader.readuntil(b'\r\n\r\n')
+        if head.startswith(b'GET /v1/load '):
+            writer.write(_ANSWERS['whole'])
+            return True
         self.heads.append(head)
         size = _content_length(head)
         if self.fault == 'reset_mid_body':
