--- /dev/null
+++ b/tests/border/test_refusals.py
@@ -0,0 +1,275 @@
+"""Every reason for a refusal has a case, and what was refused did not run."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import pathlib
+import unittest
+from typing import Any
+
+import nutmegspoke
+from nutmegspoke import outcomes
+from nutmegspoke.bench import processes
+from nutmegspoke.bench.deployment import Deployment
+from nutmegspoke.border.call_run import call_fingerprint
+from nutmegspoke.border.calls import CallService
+from nutmegspoke.claims.decider import ClaimLimits
+from nutmegspoke.claims.share import ShareSettings
+from nutmegspoke.standins.faults import FaultOrder
+from nutmegspoke.tables.rows import PoolKind, PoolRow, RouteRow, TeamShare
+from tests import deployments
+from tests.border import test_calls
+
+_Reason = outcomes.RefusalReason
+_HERE = 'tests.border.test_refusals'
+_DAEMON = f'{_HERE}.DaemonRefusalsTest'
+_CALLS = f'{_HERE}.CallRefusalsTest'
+_CALLERS = 'tests.border.test_callers.CallersPortTest'
+_UNREPEATABLE = 'tests.border.test_calls.UnrepeatableCallTest'
+_FAULTS = 'tests.border.test_calls_faults.UnrepeatableFaultTest'
+_HOLDER = 'tests.claims.test_decider.OtherHolderTest'
+
+CASES = {
+    _Reason.BAD_REQUEST: f'{_CALLERS}.test_bad_drafts',
+    _Reason.BODY_TOO_LARGE: f'{_DAEMON}.test_refused_on_arrival',
+    _Reason.HEADER_TOO_LARGE: f'{_CALLERS}.test_header_too_large',
+    _Reason.NO_ROUTE: f'{_DAEMON}.test_refused_on_arrival',
+    _Reason.UNKNOWN_MODEL: f'{_CALLERS}.test_bad_drafts',
+    _Reason.METHOD_NOT_ALLOWED: f'{_DAEMON}.test_refused_on_arrival',
+    _Reason.UNKNOWN_TEAM: f'{_DAEMON}.test_refused_on_arrival',
+    _Reason.KEY_REQUIRED: f'{_DAEMON}.test_refused_on_arrival',
+    _Reason.KEY_REUSED: f'{_HOLDER}.test_key_with_another_body',
+    _Reason.KEY_RUNNING: f'{_HOLDER}.test_running_then_unknown',
+    _Reason.QUEUE_FULL: f'{_CALLS}.test_queue_full',
+    _Reason.TEAM_LIMIT: f'{_CALLS}.test_team_limit',
+    _Reason.DEADLINE: f'{_CALLS}.test_deadline',
+    _Reason.NO_TARGET: f'{_CALLS}.test_no_target',
+    _Reason.TARGET_REFUSED: f'{_FAULTS}.test_refused_by_the_target',
+    _Reason.TARGET_UNREACHABLE: f'{_FAULTS}.test_nobody_listens',
+    _Reason.RETRY_BUDGET: f'{_CALLS}.test_retry_budget',
+    _Reason.QUARANTINED: f'{_CALLS}.test_quarantined',
+    _Reason.STORE_UNAVAILABLE: f'{_UNREPEATABLE}.test_no_claim_no_call',
+    _Reason.CLAIM_STALE: f'{_UNREPEATABLE}.test_claim_too_old_at_the_first_byte',
+    _Reason.CLAIM_LIMIT: f'{_CALLS}.test_claim_limit',
+    _Reason.NOT_READY: f'{_DAEMON}.test_not_ready',
+    _Reason.STOPPING: '',
+}
+_NEVER_GIVEN = {_Reason.STOPPING}
+
+
+class CasesTest(unittest.TestCase):
+    """The table of refusal paths is whole."""
+
+    def test_each_reason_has_a_case_that_names_it(self) -> None:
+        """A new reason, or a case that is gone, fails here."""
+        self.assertEqual(set(CASES), set(_Reason))
+        for reason, name in CASES.items():
+            if reason in _NEVER_GIVEN:
+                self.assertEqual(_uses(reason), [])
+                continue
+            with self.subTest(reason=reason):
+                (case,) = unittest.defaultTestLoader.loadTestsFromName(name)
+                method = getattr(case, case.id().rpartition('.')[2])
+                source = inspect.getsource(method).lower()
+                self.assertIn(reason.value, source)
+
+
+def _uses(reason: _Reason) -> list[str]:
+    root = pathlib.Path(nutmegspoke.__file__).parent
+    return [
+        path.name
+        for path in root.rglob('*.py')
+        if f'.{reason.name}' in path.read_text('utf-8')
+        and path.name != 'responses.py'
+    ]
+
+
+class DaemonRefusalsTest(unittest.TestCase):
+    """A daemon refuses before it asks any target."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start one small deployment for all tests."""
+        cls.deployment = Deployment()
+        cls.enterClassContext(cls.deployment)
+        deployments.start_small(cls.deployment)
+        deployments.apply(
+            cls.deployment,
+            f'{deployments.TABLES}\n[route badges]\npath = /badges\n'
+            'pool = records\nteams = press max_in_flight=4\n'
+            'max_body_bytes = 1024\n',
+        )
+        cls.daemon = cls.deployment.daemons['daemon-0']
+        processes.wait_until(
+            lambda: cls.deployment.status(cls.daemon)['revision'] == 2,
+        )
+
+    def test_refused_on_arrival(self) -> None:
+        """Each says that nothing ran, and the journal agrees."""
+        press = {'Nutmegspoke-Team': 'press'}
+        for method, path, body, headers, status, reason in (
+            ('POST', '/nothing', '', {}, 404, 'no_route'),
+            ('GET', '/v1/completions', '', {}, 405, 'method_not_allowed'),
+            ('POST', '/badges', '', {}, 403, 'unknown_team'),
+            ('POST', '/badges', 'x' * 2000, press, 413, 'body_too_large'),
+            ('POST', '/mailings', '', {}, 400, 'key_required'),
+        ):
+            with self.subTest(reason=reason):
+                answer = deployments.call(
+                    self.daemon, method, path, body, headers
+                )
+                self.assertEqual(answer.reason, reason)
+                self.assertEqual(answer.status, status)
+                self.assertEqual(answer.executed, 'no')
+                self.assertNotIn('Retry-After', answer.headers)
+                self.assertEqual(deployments.journal(self.deployment, path), [])
+
+    def test_not_ready(self) -> None:
+        """A daemon that knows no tables says not_ready and when to return."""
+        self.deployment.platform.order_fault('down', path='/tables')
+        try:
+            late = self.deployment.start_daemon('daemon-late')
+            answer = _first_answer(late)
+        finally:
+            self.deployment.platform.order_fault('clear')
+        self.assertEqual(answer.reason, 'not_ready')
+        self.assertEqual((answer.status, answer.executed), (503, 'no'))
+        self.assertIn('Retry-After', answer.headers)
+        self.assertEqual(deployments.journal(self.deployment, '/roster/n'), [])
+
+
+def _first_answer(daemon: Any) -> deployments.Answer:
+    answers = []
+
+    def is_answered() -> bool:
+        try:
+            answers.append(deployments.call(daemon, 'POST', '/roster/n'))
+        except OSError:
+            return False
+        return True
+
+    processes.wait_until(is_answered)
+    return answers[0]
+
+
+class CallRefusalsTest(test_calls.CallCase):
+    """A daemon refuses between arrival and the first byte of the call."""
+
+    def assert_not_run(self, told: outcomes.Outcome, reason: _Reason) -> None:
+        """Check the refusal, its time to come back, and the journals."""
+        self.assertIsInstance(told, outcomes.NotRun)
+        self.assertEqual(told.reason, reason)
+        self.assertGreater(told.retry_after_s, 0)
+        self.assertNotIn('refused', self.bodies())
+
+    def bodies(self) -> set[str]:
+        """Return the bodies that ran."""
+        return {
+            entry.body for service in self.services for entry in service.journal
+        }
+
+    async def crowd(self, **changes: Any) -> list[outcomes.Outcome]:
+        """Send calls of one pool while its targets answer late."""
+        self.directory.targets = self.directory.targets[:1]
+        self.fault('late', delay_s=0.2)
+        requests = [
+            self.request(
+                request_id=f'r{number}',
+                idempotency_key=f'k{number}',
+                body=b'refused' if number == 2 else b'served',
+                **changes,
+            )
+            for number in range(3)
+        ]
+        return await asyncio.gather(*map(self.calls.call, requests))
+
+    async def test_queue_full(self) -> None:
+        """One runs, one waits, the third is refused: QUEUE_FULL."""
+        pool = PoolRow('mail', PoolKind.SERVICE, max_in_flight=1, max_queue=1)
+        told = await self.crowd(pool=pool)
+        self.assert_not_run(told[2], _Reason.QUEUE_FULL)
+
+    async def test_team_limit(self) -> None:
+        """A call that its team's limit keeps waiting gets TEAM_LIMIT."""
+        share = TeamShare('press', weight=1.0, max_in_flight=1)
+        route = RouteRow('send', '/send', 'mail', teams=(share,))
+        self.fault('late', delay_s=1.5)
+        first = asyncio.create_task(
+            self.calls.call(self.request(route=route)),
+        )
+        while not self.runs():
+            await asyncio.sleep(0.01)
+        second = self.request(
+            route=route,
+            request_id='r2',
+            idempotency_key='k2',
+            body=b'refused',
+            deadline_s=self.clock.now_s() + 0.2,
+        )
+        told = await self.calls.call(second)
+        self.assert_not_run(told, _Reason.TEAM_LIMIT)
+        self.assertIsInstance(await first, outcomes.Completed)
+
+    async def test_deadline(self) -> None:
+        """A call that comes too late for its deadline is refused."""
+        late_s = self.clock.now_s() - 1.0
+        request = self.request(deadline_s=late_s, body=b'refused')
+        told = await self.calls.call(request)
+        self.assert_not_run(told, _Reason.DEADLINE)
+
+    async def test_no_target(self) -> None:
+        """No target may get work: NO_TARGET, repeatable or not."""
+        self.directory.targets = ()
+        for repeatable in (True, False):
+            request = self.request(repeatable=repeatable, body=b'refused')
+            told = await self.calls.call(request)
+            self.assert_not_run(told, _Reason.NO_TARGET)
+
+    async def test_retry_budget(self) -> None:
+        """Refused by one target while no retry is left: RETRY_BUDGET."""
+        self.fault('refuse')
+        route = RouteRow(
+            'send', '/send', 'mail', repeatable=True, retry_budget_share=0.0
+        )
+        request = self.request(route=route, body=b'refused')
+        told = [await self.calls.call(request) for _ in range(20)]
+        self.assert_not_run(told[-1], _Reason.RETRY_BUDGET)
+
+    async def test_quarantined(self) -> None:
+        """A request that crashed two targets is refused: QUARANTINED."""
+        request = self.request(body=b'refused')
+        fingerprint = call_fingerprint(request)
+        for target in ('t1', 't2'):
+            self.parts.quarantine.started(fingerprint, (target,))
+            self.parts.quarantine.crashed(target)
+        told = await self.calls.call(request)
+        self.assert_not_run(told, _Reason.QUARANTINED)
+        self.assertEqual(self.tables.store.rows, {})
+
+    async def test_claim_limit(self) -> None:
+        """A second claim is beyond the daemon's share: CLAIM_LIMIT."""
+        limits = ClaimLimits(share=ShareSettings(writes_per_s=1.0))
+        calls = CallService(
+            clock=self.clock,
+            tables=self.tables,
+            targets=self.directory,
+            daemon='d9',
+            limits=limits,
+        )
+        await calls.start()
+        self.addAsyncCleanup(calls.stop)
+        first = await calls.call(self.request())
+        self.assertIsInstance(first, outcomes.Completed)
+        request = self.request(idempotency_key='k2', body=b'refused')
+        told = await calls.call(request)
+        self.assert_not_run(told, _Reason.CLAIM_LIMIT)
+
+    async def test_a_refusal_stays_true(self) -> None:
+        """What was refused does not run later either."""
+        self.fault('refuse', count=1)
+        told = await self.calls.call(self.request(body=b'refused'))
+        self.assert_not_run(told, _Reason.TARGET_REFUSED)
+        self.services[0].board.give(FaultOrder(fault='clear'))
+        await self.calls.stop()
+        self.assertNotIn('refused', self.bodies())
--- a/tests/mutation_list_claims.py
+++ b/tests/mutation_list_claims.py
@@ -7,8 +7,13 @@
 _MACHINE = ('tests.claims.test_machine',)
 _DECIDER = ('tests.claims.test_decider',)
 _CALLS = ('tests.border.test_calls',)
+_FAULTS = ('tests.border.test_calls_faults',)
+_QUARANTINE = ('tests.retries.test_quarantine',)
+_OUTLIERS = ('tests.retries.test_outliers', 'tests.border.test_calls_faults')
+_REFUSALS = ('tests.border.test_refusals.CallRefusalsTest',)
 _CLAIMS = 'nutmegspoke/claims'
 _BORDER = 'nutmegspoke/border'
+_RETRIES = 'nutmegspoke/retries'
 
 CLAIM_MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
@@ -128,4 +133,109 @@
         '    if False:',
         _CALLS,
     ),
+    Mutation(
+        'promise-3 another attempt after a lost answer',
+        f'{_BORDER}/call_run.py',
+        'return self.is_repeatable or self.unknown is None',
+        'return True',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-3 connection refused is told as unknown',
+        f'{_BORDER}/service_client.py',
+        '    if not departure.has_left:\n        return NotSent(',
+        '    if False:\n        return NotSent(',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-3 redirects are followed',
+        f'{_BORDER}/service_client.py',
+        'allow_redirects=False',
+        'allow_redirects=True',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-4 a caller that hangs up ends its call',
+        f'{_BORDER}/calls.py',
+        'return await asyncio.shield(task)',
+        'return await task',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-4 a conflict fails the whole group',
+        f'{_CLAIMS}/grouping.py',
+        'failed = {member: part for member, part in parts.items() if part.rows}',
+        'failed = dict(parts)',
+        ('tests.claims.test_grouping',),
+    ),
+    Mutation(
+        'promise-4 claims beyond the share',
+        f'{_CLAIMS}/share.py',
+        '        if wait_s <= 0:\n',
+        '        if True:\n',
+        ('tests.claims.test_grouping',),
+    ),
+    Mutation(
+        'poison second crash names nobody',
+        f'{_RETRIES}/quarantine.py',
+        '            if suspect.targets - {target}:\n',
+        '            if False:\n',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison suspects share targets',
+        f'{_RETRIES}/quarantine.py',
+        'free = [name for name in targets if not self._has_suspect(name)]',
+        'free = list(targets)',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison several candidates are all blamed',
+        f'{_RETRIES}/quarantine.py',
+        '        if len(crash.candidates) > 1:\n            self._lift(target, crash, now_s)\n            return ()\n',
+        '',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison completion does not clear',
+        f'{_RETRIES}/quarantine.py',
+        'if not self._suspects.clear(fingerprint):',
+        'if True:',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison a refused connection blames',
+        f'{_BORDER}/target_health.py',
+        'if isinstance(attempt, service_client.NotSent):\n            self._quarantine',
+        'if False:\n            self._quarantine',
+        _FAULTS,
+    ),
+    Mutation(
+        'silent service: the target is tried on a new connection',
+        f'{_BORDER}/call_attempts.py',
+        '            run.silent = target\n',
+        '            run.tried.add(target.name)\n',
+        _FAULTS,
+    ),
+    Mutation(
+        'retries: no budget',
+        f'{_RETRIES}/budget.py',
+        '        if self.saved < 1:\n',
+        '        if False:\n',
+        _OUTLIERS,
+    ),
+    Mutation(
+        'retries: outliers stay',
+        f'{_RETRIES}/outliers.py',
+        'if is_new and self._is_outlier(target.name, targets, now_s):',
+        'if False:',
+        _OUTLIERS,
+    ),
+    Mutation(
+        'retries: too many ejected',
+        f'{_RETRIES}/outliers.py',
+        '            if len(ejected) >= limit:\n',
+        '            if False:\n',
+        _OUTLIERS,
+    ),
 )
