--- /dev/null
+++ b/tests/claims/test_settlement.py
@@ -0,0 +1,72 @@
+"""Tests of claims that an operator settles."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke import outcomes, platform
+from nutmegspoke.claims import rows
+from nutmegspoke.claims.settlement import SettleRefusal, Verdict, settle
+from tests import builders_claims as build
+
+
+def stored(**fields: object) -> platform.StoredRow:
+    """Build the stored row of a claim of the daemon ``d1``."""
+    row = rows.ClaimRow(
+        **{
+            'nonce': 'n',
+            'daemon': 'd1',
+            'fingerprint': 'f',
+            'state': rows.ClaimState.INSERTED,
+            **fields,
+        },
+    )
+    return platform.StoredRow(build.KEY, 7, rows.encode_claim(row))
+
+
+class SettleTest(unittest.TestCase):
+    """Only what nobody knows may be settled."""
+
+    def test_refused(self) -> None:
+        """No claim, a known outcome, a release, or a holder that lives."""
+        done = rows.StoredOutcome(rows.OutcomeKind.COMPLETED, 200)
+        for found, live, refusal in (
+            (platform.StoredRow(build.KEY, 0), (), SettleRefusal.NO_CLAIM),
+            (
+                stored(state=rows.ClaimState.DONE, outcome=done),
+                (),
+                SettleRefusal.HAS_OUTCOME,
+            ),
+            (
+                stored(state=rows.ClaimState.RELEASED),
+                (),
+                SettleRefusal.HAS_OUTCOME,
+            ),
+            (stored(), ('d1',), SettleRefusal.HOLDER_LIVES),
+        ):
+            for verdict in Verdict:
+                told = settle(found, verdict, 'ann', live)
+                self.assertEqual(told, refusal)
+
+    def test_settled_on_condition_of_the_row_that_was_seen(self) -> None:
+        """The write names the operator and fails if the row has changed."""
+        lost = rows.StoredOutcome(rows.OutcomeKind.UNKNOWN, reason='x')
+        unknown = stored(state=rows.ClaimState.DONE, outcome=lost)
+        for found, live in ((stored(), ()), (unknown, ('d1',))):
+            write = settle(found, Verdict.RAN, 'ann', live)
+            self.assertEqual(
+                write.conditions,
+                (platform.Condition(build.KEY, 7),),
+            )
+            row = rows.decode_claim(write.writes[0].body)
+            self.assertEqual(row.state, rows.ClaimState.SETTLED)
+            self.assertEqual(row.settled_by, 'ann')
+            told = rows.from_stored(row.outcome)
+            self.assertIsInstance(told, outcomes.Unknown)
+
+    def test_not_run_frees_the_key(self) -> None:
+        """It is released, so that the next call with the key may run."""
+        write = settle(stored(), Verdict.NOT_RUN, 'ann', ())
+        row = rows.decode_claim(write.writes[0].body)
+        self.assertEqual(row.state, rows.ClaimState.RELEASED)
+        self.assertIsNone(row.outcome)
--- a/tests/mutation_list_claims.py
+++ b/tests/mutation_list_claims.py
@@ -44,7 +44,7 @@
             '            self._release(held, now_s)'
         ),
         ('        if False:\n            self._release(held, now_s)'),
-        _MACHINE,
+        _DECIDER,
     ),
     Mutation(
         'promise-4 release deletes the row',
@@ -100,7 +100,7 @@
         f'{_CLAIMS}/settlement.py',
         '    if row.daemon in live_daemons and row.outcome is None:',
         '    if False:',
-        _MACHINE,
+        ('tests.claims.test_settlement',),
     ),
     Mutation(
         'promise-4 stale claim is dispatched',
@@ -122,8 +122,8 @@
     Mutation(
         'promise-4 lost answer counts as not sent',
         f'{_BORDER}/service_client.py',
-        ('    if not departure.has_left:\n        return NotSent(reason)'),
-        ('    if True:\n        return NotSent(reason)'),
+        '    if not departure.has_left:\n        return NotSent(',
+        '    if True:\n        return NotSent(',
         _CALLS,
     ),
     Mutation(
@@ -131,7 +131,7 @@
         f'{_BORDER}/service_client.py',
         "    if response.headers.get(_EXECUTED_HEADER) != 'no':",
         '    if False:',
-        _CALLS,
+        _FAULTS,
     ),
     Mutation(
         'promise-3 another attempt after a lost answer',
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -13,6 +13,7 @@
         'tests.claims.test_machine',
         'tests.claims.test_decider',
         'tests.claims.test_grouping',
+        'tests.claims.test_settlement',
         'tests.border.test_calls.UnrepeatableCallTest',
     ),
     'promise-5': ('tests.membership.test_directory',),
