--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import logging
 from typing import TYPE_CHECKING
 
 import aiohttp
+import yarl
+
+from nutmegspoke.engine_protocol import LOAD_PATH
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,8 +22,9 @@
 logger = logging.getLogger(__name__)
 
 _SERVICE_UNAVAILABLE = 503
-_POOLED_IDLE_S = 15.0
-_CONNECT_TIMEOUT_S = 2.0
+POOLED_IDLE_S = 15.0
+CONNECT_TIMEOUT_S = 2.0
+_PROBE_TIMEOUT_S = 1.0
 _MIN_TIMEOUT_S = 0.001
 _EXECUTED_HEADER = 'Nutmegspoke-Executed'
 _DEFAULT_MEDIA_TYPE = 'application/octet-stream'
@@ -44,9 +49,11 @@
     """No byte of the call left this process for the target.
 
     :param reason: what went wrong.
+    :param is_refused: the target's host refused the connection.
     """
 
     reason: str
+    is_refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,16 +71,24 @@
     retry_after_s: float | None
 
 
+class LossKind(enum.StrEnum):
+    """How an answer was lost."""
+
+    SILENT = 'silent'
+    BROKEN = 'broken'
+    UNSAID = 'unsaid'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lost:
     """Bytes of the call may have left, and no whole answer came.
 
-    :param is_silent: the target was silent too long; otherwise the
-        connection broke.
+    :param kind: the target was silent too long, the connection broke, or the
+        target refused without a word on whether it ran the call.
     :param reason: what went wrong.
     """
 
-    is_silent: bool
+    kind: LossKind
     reason: str
 
 
@@ -124,7 +139,7 @@
     async def start(self) -> None:
         """Open the sessions."""
         self._pooled = _session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=_POOLED_IDLE_S),
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=POOLED_IDLE_S),
         )
         self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
 
@@ -165,6 +180,27 @@
         except (aiohttp.ClientError, OSError) as error:
             return _broken(departure, error)
 
+    async def is_gone(self, target: Target) -> bool:
+        """Ask a target for its load, to tell whether its process has ended.
+
+        A process that ends may close its connections before its port, so a
+        connection that comes about proves nothing; an answer does.
+        """
+        if self._fresh is None:
+            return False
+        departure = _Departure(_always)
+        try:
+            async with self._fresh.get(
+                f'http://{target.address}{LOAD_PATH}',
+                timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+                trace_request_ctx=departure,
+            ):
+                return False
+        except _WithheldError:
+            return True
+        except (aiohttp.ClientError, OSError) as error:
+            return not isinstance(error, TimeoutError)
+
     async def _exchange(
         self,
         request: CallRequest,
@@ -179,12 +215,12 @@
             return NotSent('the client is not started')
         timeout = aiohttp.ClientTimeout(
             total=max(timeout_s, _MIN_TIMEOUT_S),
-            sock_connect=_CONNECT_TIMEOUT_S,
+            sock_connect=CONNECT_TIMEOUT_S,
             sock_read=request.route.progress_timeout_s,
         )
         async with session.request(
             request.method,
-            f'http://{target.address}{request.path}',
+            yarl.URL(f'http://{target.address}{request.path}', encoded=True),
             data=request.body,
             headers=_headers(request),
             timeout=timeout,
@@ -238,21 +274,34 @@
 def _refusal(response: aiohttp.ClientResponse) -> Attempt:
     if response.headers.get(_EXECUTED_HEADER) != 'no':
         return Lost(
-            is_silent=False,
-            reason='status 503 without a word on whether the call ran',
+            LossKind.UNSAID,
+            'status 503 without a word on whether the call ran',
         )
     retry_after = response.headers.get('Retry-After', '')
     return Declined(float(retry_after) if retry_after.isdecimal() else None)
 
 
+def _always() -> bool:
+    return True
+
+
 def _withheld(departure: _Departure) -> Attempt:
     if departure.has_left:
-        return Lost(is_silent=False, reason='connection broke')
+        return Lost(LossKind.BROKEN, 'connection broke')
     return Withheld()
 
 
 def _broken(departure: _Departure, error: Exception) -> Attempt:
     reason = f'{type(error).__name__}: {error}'
     if not departure.has_left:
-        return NotSent(reason)
-    return Lost(is_silent=isinstance(error, TimeoutError), reason=reason)
+        return NotSent(reason, is_refused=_is_refusal(error))
+    if isinstance(error, TimeoutError):
+        return Lost(LossKind.SILENT, reason)
+    return Lost(LossKind.BROKEN, reason)
+
+
+def _is_refusal(error: Exception) -> bool:
+    """Tell whether nobody listens at the address."""
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return isinstance(error.os_error, ConnectionRefusedError)
+    return isinstance(error, ConnectionRefusedError)
