--- a/nutmegspoke/border/draft_runs.py
+++ b/nutmegspoke/border/draft_runs.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
+from nutmegspoke.border import evidence_context
 from nutmegspoke.engine_protocol import RefusalKind, StepRefusal, StepReply
+from nutmegspoke.evidence import records
 from nutmegspoke.pipelines.carrier import Ahead, LossKind, StepLost
 from nutmegspoke.pipelines.losses import LossJudge, Remedy, may_have_run
 from nutmegspoke.pipelines.resume import ResumePoint, stage_records
@@ -29,28 +31,36 @@
     """A draft and what became of its steps.
 
     :param request: the caller's request.
-    :param fingerprint: digest of the request, for event ids.
+    :param mark: digest by which the request is known again.
     :param choice: the first chain.
     :param point: where the caller resumes; ``None`` for a new draft.
+    :param is_first: its team is below its share, so that its steps go first.
     """
 
     def __init__(
         self,
         request: DraftRequest,
-        fingerprint: str,
+        mark: str,
         choice: ChainChoice,
         point: ResumePoint | None,
+        *,
+        is_first: bool = False,
     ) -> None:
         """Prepare a run."""
         self.request = request
         self.choice = choice
+        self.is_first = is_first
         self.avoided: frozenset[str] = frozenset()
         self.has_run = point is not None
         attempt = point.next_attempt if point else FIRST_ATTEMPT
-        self.run = DraftRun(_plan(request, point), choice.chain, attempt)
-        self._fingerprint = fingerprint
+        self.run = DraftRun(
+            _plan(request, point, is_first), choice.chain, attempt
+        )
+        self.mark = mark
         self._point = point
+        self._has_lost = False
         self._judge = LossJudge(attempt)
+        self._note_chain()
 
     def first_step(self) -> SendStep:
         """Return the first step."""
@@ -64,7 +74,9 @@
         :param above_attempt: an attempt that a stage has seen.
         """
         self.choice = choice
-        return self.run.restart(choice.chain, above_attempt)
+        order = self.run.restart(choice.chain, above_attempt)
+        self._note_chain()
+        return order
 
     async def carry(
         self,
@@ -96,8 +108,16 @@
     def judge(self, lost: Loss) -> Remedy:
         """Log a loss and return how to go on."""
         self.has_run = self.has_run or may_have_run(lost)
+        self._has_lost = True
         stage = self.run.awaited_stage
         remedy = self._judge.judge(lost, stage.target, self.run.attempt)
+        evidence_context.note(
+            records.AttemptLost(
+                self.run.attempt,
+                stage.target,
+                loss_text(lost),
+            ),
+        )
         if remedy is Remedy.REPLACE:
             self.avoided = self.avoided | {stage.target}
         logger.warning(
@@ -112,12 +132,18 @@
         )
         return remedy
 
+    def ends_losses(self) -> bool:
+        """Tell whether a new token is the first one after a loss."""
+        has_lost = self._has_lost
+        self._has_lost = False
+        return has_lost
+
     def resume_point(self) -> ResumePoint:
         """Return the point after the last token."""
         run = self.run
         return ResumePoint(
             stream_id=run.plan.stream_id,
-            fingerprint=self._fingerprint,
+            fingerprint=self.mark,
             attempt=run.attempt,
             position=run.position,
             count=run.answer.count,
@@ -127,8 +153,27 @@
             stages=stage_records(run.chain),
         )
 
+    def _note_chain(self) -> None:
+        stages = tuple(
+            records.StageUse(stage.target, str(stage.layers))
+            for stage in self.run.chain
+        )
+        delivered = self.run.answer.count
+        if self._point is not None:
+            delivered = max(delivered, self._point.count)
+        evidence_context.note(
+            records.ChainChosen(self.run.attempt, stages, delivered),
+        )
+
     def log_end(self) -> None:
-        """Log what the draft came to."""
+        """Log what the draft came to and keep its receipts."""
+        evidence_context.note(
+            records.ReceiptsKept(
+                self.run.receipts_digest,
+                self.run.answer.count,
+                self.run.plan.layer_count,
+            ),
+        )
         logger.info(
             'pipelines: draft ended request=%s stream=%s tokens=%d of=%d '
             'attempt=%d receipts=%s',
@@ -185,12 +230,16 @@
     return f'dropped:{lost.reason}'
 
 
-def _plan(request: DraftRequest, point: ResumePoint | None) -> DraftPlan:
+def _plan(
+    request: DraftRequest,
+    point: ResumePoint | None,
+    is_first: bool,
+) -> DraftPlan:
     return DraftPlan(
         stream_id=point.stream_id if point else request.request_id,
         prompt=request.prompt,
         seed=point.seed if point else request.seed,
         layer_count=request.pool.layer_count,
         max_tokens=request.max_tokens,
-        priority=request.route.priority,
+        priority=2 * request.route.priority + is_first,
     )
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -9,11 +9,9 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border.draft_chains import DraftChains
-from nutmegspoke.border.draft_runs import DraftInProgress, tell_directory
+from nutmegspoke.border.draft_runs import DraftInProgress
 from nutmegspoke.border.carriers import new_carrier
 from nutmegspoke.border.settings import read_secret
-from nutmegspoke.border.target_watch import NAME as TARGETS
-from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.pipelines.decisions import AnswerDiffers, SendStep, TokenReady
 from nutmegspoke.pipelines.losses import Remedy
 from nutmegspoke.pipelines.resume import ResumeSigner, fingerprint
@@ -53,8 +51,7 @@
     """Runs drafts.
 
     :param clock: the clock of the process.
-    :param targets: the targets, told of what happens to them.
-    :param carrier: carries steps to them.
+    :param carrier: carries steps to engines.
     :param signer: signs event ids.
     :param chains: lets drafts in and chooses their chains.
     """
@@ -62,14 +59,12 @@
     def __init__(
         self,
         clock: Clock,
-        targets: TargetWatch,
         carrier: StepCarrier,
         signer: ResumeSigner,
         chains: DraftChains,
     ) -> None:
-        """Use a carrier towards the targets."""
+        """Use a carrier towards the engines."""
         self._clock = clock
-        self._targets = targets
         self._carrier = carrier
         self._signer = signer
         self._chains = chains
@@ -95,7 +90,7 @@
         if point is not None and point.count >= request.max_tokens:
             yield outcomes.Completed(status=200)
             return
-        refusal = await self._chains.gate.enter(request)
+        refusal = await self._chains.enter(request, _fingerprint(request))
         if refusal is not None:
             yield refusal
             return
@@ -107,20 +102,26 @@
                     is_served = isinstance(item, outcomes.Completed)
                     yield item
         finally:
-            self._chains.gate.leave(request, is_served=is_served)
+            self._chains.leave(request, is_served=is_served)
 
     async def _stream_admitted(
         self,
         request: DraftRequest,
         point: ResumePoint | None,
     ) -> AsyncIterator[DraftItem]:
-        choice = await self._chains.choose_first(request, point)
+        mark = _fingerprint(request)
+        choice = await self._chains.choose_first(request, mark, point)
         if isinstance(choice, outcomes.NotRun):
             yield choice
             return
-        mark = _fingerprint(request)
-        draft = DraftInProgress(request, mark, choice, point)
-        self._chains.started(choice)
+        draft = DraftInProgress(
+            request,
+            mark,
+            choice,
+            point,
+            is_first=self._chains.is_first(request),
+        )
+        self._chains.started(mark, choice)
         try:
             async for item in self._run(draft):
                 yield item
@@ -135,8 +136,11 @@
             if not isinstance(item, TokenReady):
                 yield item
                 return
+            if draft.ends_losses():
+                self._chains.progressed(draft.mark)
             yield self._token(draft, item)
             following = item.following
+        self._chains.completed(draft.mark, draft.choice)
         yield outcomes.Completed(status=200)
 
     async def _next_token(
@@ -167,8 +171,7 @@
     ) -> SendStep | None:
         remedy = draft.judge(lost)
         if self._clock.now_s() < draft.request.deadline_s:
-            stage = draft.run.awaited_stage
-            tell_directory(self._targets, stage, lost)
+            self._chains.lost(draft.mark, draft.run.awaited_stage, lost)
         if remedy is Remedy.GIVE_UP:
             return None
         if remedy is Remedy.RESEND:
@@ -180,7 +183,7 @@
             return None
         if choice is not draft.choice:
             self._leave(draft, choice.chain)
-            self._chains.started(choice)
+            self._chains.started(draft.mark, choice)
         return draft.restart(choice, getattr(lost, 'attempt', 0))
 
     def _read_point(
@@ -202,7 +205,7 @@
 
     def _leave(self, draft: DraftInProgress, following: Chain = ()) -> None:
         """Count the work as done and end it where it does not go on."""
-        self._chains.finished(draft.request, draft.choice)
+        self._chains.finished(draft.request, draft.mark, draft.choice)
         for stage in draft.run.chain:
             if stage in following:
                 continue
@@ -220,7 +223,6 @@
     """Register the draft service."""
     service = DraftService(
         app.clock,
-        app.kernel.find(TARGETS, TargetWatch),
         new_carrier(app),
         ResumeSigner(read_secret(app.settings.secrets.peers_key)),
         DraftChains.from_application(app),
--- a/tests/builders_pipelines.py
+++ b/tests/builders_pipelines.py
@@ -208,6 +208,10 @@
         """Let it in."""
         self.inside += 1
 
+    def is_below_share(self, request: DraftRequest) -> bool:
+        """Tell that no team is."""
+        return False
+
     def leave(self, request: DraftRequest, *, is_served: bool) -> None:
         """Let it out."""
         self.inside -= 1
@@ -226,6 +230,7 @@
         """Begin without faults."""
         self.held = held
         self.script: list[str] = []
+        self.poison = ''
         self.dead: set[str] = set()
         self.cancelled: list[str] = []
         self._replies: list[StepReply] = []
@@ -240,6 +245,8 @@
     ) -> StepReply | StepRefusal | StepLost:
         """Give a step to its engine, or show the next fault."""
         fault = self.script.pop(0) if self.script else 'ok'
+        if self.poison and self.poison in step.prompt:
+            fault = 'dead' if stage.target not in self.dead else fault
         if fault == 'dead':
             self.dead.add(stage.target)
             return StepLost(LossKind.RESET)
--- /dev/null
+++ b/tests/mutation_list_claims.py
@@ -0,0 +1,241 @@
+"""Mutations of the claims, the call path and the retries."""
+
+from __future__ import annotations
+
+from tests.mutation_types import Mutation
+
+_MACHINE = ('tests.claims.test_machine',)
+_DECIDER = ('tests.claims.test_decider',)
+_CALLS = ('tests.border.test_calls',)
+_FAULTS = ('tests.border.test_calls_faults',)
+_QUARANTINE = ('tests.retries.test_quarantine',)
+_OUTLIERS = ('tests.retries.test_outliers', 'tests.border.test_calls_faults')
+_REFUSALS = ('tests.border.test_refusals.CallRefusalsTest',)
+_CLAIMS = 'nutmegspoke/claims'
+_BORDER = 'nutmegspoke/border'
+_RETRIES = 'nutmegspoke/retries'
+
+CLAIM_MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'promise-4 claim insert has no condition',
+        f'{_CLAIMS}/held.py',
+        '            conditions=(platform.Condition(key, self.version),),',
+        '            conditions=(),',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 absent row read back counts as claimed',
+        f'{_CLAIMS}/decider.py',
+        (
+            '            return self._insert(held, now_s)\n'
+            '        return self._meet(held, found, now_s)'
+        ),
+        (
+            '            return self._hold(held, found.version + 1)\n'
+            '        return self._meet(held, found, now_s)'
+        ),
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 claim given up is not released',
+        f'{_CLAIMS}/decider.py',
+        (
+            '        if held.is_doubtful:\n'
+            '            self._release(held, now_s)'
+        ),
+        ('        if False:\n            self._release(held, now_s)'),
+        _DECIDER,
+    ),
+    Mutation(
+        'promise-4 release deletes the row',
+        f'{_CLAIMS}/held.py',
+        '            writes=(platform.Write(key, rows.encode_claim(self.row)),),',
+        '            writes=(platform.Write(key, None if self.phase is Phase.RELEASING else rows.encode_claim(self.row)),),',
+        _DECIDER,
+    ),
+    Mutation(
+        'promise-4 claim passes to another daemon',
+        f'{_CLAIMS}/decider.py',
+        '            row is not None and row.state is rows.ClaimState.RELEASED',
+        '            row is not None and row.outcome is None',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 unknown outcome releases the claim',
+        f'{_CLAIMS}/decider.py',
+        '        if isinstance(outcome, outcomes.NotRun):',
+        '        if isinstance(outcome, outcomes.NotRun | outcomes.Unknown):',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 refused call keeps its claim',
+        f'{_CLAIMS}/decider.py',
+        ('            self._release(held, now_s)\n            return'),
+        '            return',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 same key on one daemon is not noticed',
+        f'{_CLAIMS}/decider.py',
+        ('        if held is not None:\n            return Answer'),
+        ('        if False:\n            return Answer'),
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 own row after lost answer is not known',
+        f'{_CLAIMS}/decider.py',
+        '        if row is not None and row.nonce == held.row.nonce:',
+        '        if False:',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 key with another body is not noticed',
+        f'{_CLAIMS}/replies.py',
+        '        if row.fingerprint != request.fingerprint:',
+        '        if False:',
+        _MACHINE,
+    ),
+    Mutation(
+        'promise-4 operator settles under a live holder',
+        f'{_CLAIMS}/settlement.py',
+        '    if row.daemon in live_daemons and row.outcome is None:',
+        '    if False:',
+        ('tests.claims.test_settlement',),
+    ),
+    Mutation(
+        'promise-4 stale claim is dispatched',
+        f'{_CLAIMS}/decider.py',
+        (
+            '        if held.age_s(now_s) > self._limits.max_age_s:\n'
+            '            return Answer(replies.claim_stale())'
+        ),
+        ('        if False:\n            return Answer(replies.claim_stale())'),
+        _CALLS,
+    ),
+    Mutation(
+        'promise-4 client sends a second time',
+        f'{_BORDER}/service_client.py',
+        '        if self.has_left or not self.may_leave():',
+        '        if not self.may_leave():',
+        _CALLS,
+    ),
+    Mutation(
+        'promise-4 lost answer counts as not sent',
+        f'{_BORDER}/service_client.py',
+        '    if not departure.has_left:\n        return NotSent(',
+        '    if True:\n        return NotSent(',
+        _CALLS,
+    ),
+    Mutation(
+        'promise-4 unmarked refusal counts as not run',
+        f'{_BORDER}/service_client.py',
+        "    if response.headers.get(_EXECUTED_HEADER) != 'no':",
+        '    if False:',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-3 another attempt after a lost answer',
+        f'{_BORDER}/call_run.py',
+        'return self.is_repeatable or self.unknown is None',
+        'return True',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-3 connection refused is told as unknown',
+        f'{_BORDER}/service_client.py',
+        '    if not departure.has_left:\n        return NotSent(',
+        '    if False:\n        return NotSent(',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-3 redirects are followed',
+        f'{_BORDER}/service_client.py',
+        'allow_redirects=False',
+        'allow_redirects=True',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-4 a caller that hangs up ends its call',
+        f'{_BORDER}/calls.py',
+        'return await asyncio.shield(task)',
+        'return await task',
+        _FAULTS,
+    ),
+    Mutation(
+        'promise-4 a conflict fails the whole group',
+        f'{_CLAIMS}/grouping.py',
+        'failed = {member: part for member, part in parts.items() if part.rows}',
+        'failed = dict(parts)',
+        ('tests.claims.test_grouping',),
+    ),
+    Mutation(
+        'promise-4 claims beyond the share',
+        f'{_CLAIMS}/share.py',
+        '        if wait_s <= 0:\n',
+        '        if True:\n',
+        ('tests.claims.test_grouping',),
+    ),
+    Mutation(
+        'poison second crash names nobody',
+        f'{_RETRIES}/quarantine.py',
+        '            if suspect.targets - {target}:\n',
+        '            if False:\n',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison suspects share targets',
+        f'{_RETRIES}/quarantine.py',
+        'free = [name for name in targets if not self._has_suspect(name)]',
+        'free = list(targets)',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison several candidates are all blamed',
+        f'{_RETRIES}/quarantine.py',
+        '        if len(crash.candidates) > 1:\n            self._lift(target, crash, now_s)\n            return ()\n',
+        '',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison completion does not clear',
+        f'{_RETRIES}/quarantine.py',
+        'if not self._suspects.clear(fingerprint):',
+        'if True:',
+        _QUARANTINE,
+    ),
+    Mutation(
+        'poison a refused connection blames',
+        f'{_BORDER}/target_health.py',
+        'if isinstance(attempt, service_client.NotSent):\n            self._quarantine',
+        'if False:\n            self._quarantine',
+        _FAULTS,
+    ),
+    Mutation(
+        'silent service: the target is tried on a new connection',
+        f'{_BORDER}/call_attempts.py',
+        '            run.silent = target\n',
+        '            run.tried.add(target.name)\n',
+        _FAULTS,
+    ),
+    Mutation(
+        'retries: no budget',
+        f'{_RETRIES}/budget.py',
+        '        if self.saved < 1:\n',
+        '        if False:\n',
+        _OUTLIERS,
+    ),
+    Mutation(
+        'retries: outliers stay',
+        f'{_RETRIES}/outliers.py',
+        'if is_new and self._is_outlier(target.name, targets, now_s):',
+        'if False:',
+        _OUTLIERS,
+    ),
+    Mutation(
+        'retries: too many ejected',
+        f'{_RETRIES}/outliers.py',
+        '            if len(ejected) >= limit:\n',
+        '            if False:\n',
+        _OUTLIERS,
+    ),
+)
--- a/tests/mutation_list_pipelines.py
+++ b/tests/mutation_list_pipelines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.mutation_list import Mutation
+from tests.mutation_types import Mutation
 
 _RUN = ('tests.pipelines.test_run',)
 _RECEIPTS = ('tests.pipelines.test_receipts',)
