--- a/nutmegspoke/bench/stage_loss.py
+++ b/nutmegspoke/bench/stage_loss.py
@@ -142,7 +142,7 @@
         self._number += 1
         name = f'b{self._number}'
         engine = self._start(name, '4-8')
-        processes.wait_for(f'{engine.url}/v1/load')
+        processes.wait_for(f'{engine.url}/v1/load', process=engine)
         processes.wait_until(lambda: self._is_live(name))
 
     def _is_live(self, name: str) -> bool:
