Join quarantine and claims to the exchange between daemons

Crashes and quarantines are announced to peers, so that a request sent again to another daemon stops after two crashes. A claim's holder is its daemon's name and start number; a later start that is live proves that the holder is gone. The share of claim writes follows the live daemons. A stop that can't wait keeps a cut call's outcome as unknown.

--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
 from nutmegspoke.border.call_attempts import CallAttempts
+from nutmegspoke.border.claim_holders import PeerHolders, holder_name
 from nutmegspoke.border.claim_keeper import ClaimKeeper
 from nutmegspoke.border.call_parts import CallParts
 from nutmegspoke.border.call_run import call_fingerprint
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
+from nutmegspoke.border.peers import NAME as PEERS
+from nutmegspoke.border.peers import Peers
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.claims import steps
@@ -31,7 +33,6 @@
 
 NAME = 'calls'
 _STOP_LIMIT_S = 10.0
-_START_ID_BYTES = 6
 
 
 class CallService:
@@ -77,16 +78,20 @@
         await self._claims.start()
 
     async def stop(self) -> None:
-        """Finish the calls in flight and write their outcomes."""
+        """Finish the calls in flight and write their outcomes.
+
+        A call that runs on after a limit is given up: its outcome is kept as
+        unknown.
+        """
         if self._running:
-            await asyncio.wait(tuple(self._running))
+            await asyncio.wait(tuple(self._running), timeout=_STOP_LIMIT_S)
+        late = tuple(self._running)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
         await self._claims.stop(_STOP_LIMIT_S)
         await self._client.stop()
 
-    def set_daemon_count(self, daemon_count: int) -> None:
-        """Take the number of live daemons, which share the claims."""
-        self._claims.set_daemon_count(daemon_count)
-
     async def call(self, request: CallRequest) -> outcomes.Outcome:
         """Run a call.
 
@@ -126,22 +131,34 @@
         claim = await self._claims.acquire(request)
         if not isinstance(claim, str):
             return claim
-        outcome = await self._attempts.run(
-            request,
-            lambda: self._claims.dispatch(claim),
-        )
+        outcome = await self._run_claimed(request, claim)
         self._claims.finish(claim, outcome)
         return outcome
 
+    async def _run_claimed(
+        self,
+        request: CallRequest,
+        key: str,
+    ) -> outcomes.Outcome:
+        try:
+            return await self._attempts.run(
+                request,
+                lambda: self._claims.dispatch(key),
+            )
+        except asyncio.CancelledError:
+            logger.warning('calls: call cut request=%s', request.request_id)
+            return outcomes.Unknown(outcomes.UnknownReason.STOP_LIMIT)
+
 
 def setup(app: Application) -> None:
     """Register the call service."""
-    start_id = secrets.token_hex(_START_ID_BYTES)
+    peers = app.kernel.find(PEERS, Peers)
     service = CallService(
         clock=app.clock,
         tables=app.kernel.find(SESSIONS, HttpSessions).platform.tables,
         targets=app.kernel.find(TARGETS, TargetWatch),
-        daemon=f'{app.settings.daemon.name}.{start_id}',
+        daemon=holder_name(peers.name, peers.start_number),
+        holders=PeerHolders(peers),
         parts=CallParts.from_kernel(app.kernel),
     )
     app.kernel.register(NAME, service)
--- a/nutmegspoke/border/claim_keeper.py
+++ b/nutmegspoke/border/claim_keeper.py
@@ -72,10 +72,6 @@
                 return_exceptions=True,
             )
 
-    def set_daemon_count(self, daemon_count: int) -> None:
-        """Take the number of daemons that share the table service."""
-        self._decider.share.set_daemon_count(daemon_count)
-
     async def acquire(self, request: CallRequest) -> str | Outcome:
         """Claim a call.
 
--- a/nutmegspoke/border/quarantine.py
+++ b/nutmegspoke/border/quarantine.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import TYPE_CHECKING
 
+from nutmegspoke.border.peers import NAME as PEERS
+from nutmegspoke.border.peers import Peers
+from nutmegspoke.retries import notices
 from nutmegspoke.retries.quarantine import Quarantine
 from nutmegspoke.retries.suspects import QuarantineSettings
 
@@ -14,15 +18,18 @@
 
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.retries.notices import Notice
     from nutmegspoke.retries.quarantine import Verdict
 
+logger = logging.getLogger(__name__)
 NAME = 'quarantine'
 _LONGEST_WAIT_S = 0.5
 
 
 class QuarantineService:
-    """Holds the quarantine of the daemon and those who wait for a turn."""
+    """Holds the quarantine of the daemon and those who wait for a turn.
+
+    :ivar announce: tells the peers a notice, encoded as text.
+    """
 
     def __init__(
         self,
@@ -37,6 +44,7 @@
         self._clock = clock
         self._quarantine = Quarantine(settings or QuarantineSettings())
         self._changed = asyncio.Event()
+        self.announce: Callable[[str], None] | None = None
 
     async def start(self) -> None:
         """Do nothing."""
@@ -89,21 +97,37 @@
         now_s = self._clock.now_s()
         self._quarantine.completed(fingerprint, targets, now_s)
         self._changed.set()
+        self._tell_peers()
 
     def crashed(self, target: str) -> None:
         """Note that a target crashed."""
         self._quarantine.crashed(target, self._clock.now_s())
         self._changed.set()
+        self._tell_peers()
+
+    def hear(self, text: str, age_s: float) -> None:
+        """Take what a peer tells.
 
-    def take(self, notice: Notice) -> None:
-        """Take what a peer tells."""
-        self._quarantine.take(notice, self._clock.now_s())
+        :param text: a notice, encoded.
+        :param age_s: how long ago it was announced.
+        """
+        notice = notices.decode_notice(text)
+        if notice is None:
+            logger.warning('retries: notice of a peer is not readable')
+            return
+        self._quarantine.take(notice, age_s, self._clock.now_s())
+        self._changed.set()
 
-    def take_notices(self) -> tuple[Notice, ...]:
-        """Return what peers should hear and have not been told."""
-        return self._quarantine.take_notices()
+    def _tell_peers(self) -> None:
+        for notice in self._quarantine.take_notices():
+            if self.announce is not None:
+                self.announce(notices.encode_notice(notice))
 
 
 def setup(app: Application) -> None:
-    """Register the quarantine."""
-    app.kernel.register(NAME, QuarantineService(app.clock))
+    """Register the quarantine and join it to the exchange with peers."""
+    service = QuarantineService(app.clock)
+    peers = app.kernel.find(PEERS, Peers)
+    service.announce = peers.announce_quarantine
+    peers.on_quarantine = service.hear
+    app.kernel.register(NAME, service)
--- a/nutmegspoke/claims/decider.py
+++ b/nutmegspoke/claims/decider.py
@@ -52,8 +52,6 @@
     The caller of the decider carries out each step and reports its result
     through the method of that name, until the step is ``Proceed`` or
     ``Answer``.
-
-    :ivar share: this daemon's share of the table service's writes.
     """
 
     def __init__(
@@ -68,8 +66,9 @@
         :param holders: knows which daemons live.
         :param limits: bounds of the decider.
         """
-        self.share = WriteShare(limits.share)
+        self._share = WriteShare(limits.share)
         self._daemon = daemon
+        self._holders = holders
         self._limits = limits
         self._open: dict[str, HeldClaim] = {}
         self._pending = PendingWrites(limits.retry_s, limits.max_retry_s)
@@ -91,7 +90,8 @@
             return Answer(replies.for_local(held, request))
         if len(self._open) >= self._limits.max_open:
             return Answer(replies.store_unavailable())
-        refusal = self.share.refusal(now_s)
+        self._share.set_daemon_count(self._holders.daemon_count(now_s))
+        refusal = self._share.refusal(now_s)
         if refusal is not None:
             return Answer(refusal)
         held = HeldClaim.from_request(request, self._daemon)
@@ -192,7 +192,7 @@
         """
         pending = self._pending.due(now_s)
         for _ in pending:
-            self.share.spend(now_s)
+            self._share.spend(now_s)
         return pending
 
     def next_due_s(self) -> float | None:
@@ -219,7 +219,7 @@
         if too_old or held.insert_count >= self._limits.max_inserts:
             return self._refuse(held, replies.store_unavailable(), now_s)
         held.insert_count += 1
-        self.share.spend(now_s)
+        self._share.spend(now_s)
         return held.write()
 
     def _meet(
--- a/nutmegspoke/claims/steps.py
+++ b/nutmegspoke/claims/steps.py
@@ -78,6 +78,9 @@
     def is_gone(self, daemon: str, now_s: float) -> bool:
         """Tell whether a daemon is known to have ended."""
 
+    def daemon_count(self, now_s: float) -> int:
+        """Return how many daemons share the table service, with this one."""
+
 
 class UnknownHolders:
     """Knows nothing of other daemons."""
@@ -85,3 +88,7 @@
     def is_gone(self, daemon: str, now_s: float) -> bool:
         """Return ``False``: no daemon is known to have ended."""
         return False
+
+    def daemon_count(self, now_s: float) -> int:
+        """Return 1: this daemon."""
+        return 1
--- a/nutmegspoke/retries/notices.py
+++ b/nutmegspoke/retries/notices.py
@@ -32,3 +32,16 @@
 
 
 Notice = CrashNotice | QuarantineNotice
+
+
+def encode_notice(notice: Notice) -> str:
+    """Return a notice as text, for the exchange between daemons."""
+    return msgspec.json.encode(notice).decode()
+
+
+def decode_notice(text: str) -> Notice | None:
+    """Return the notice of a text; ``None`` if it can't be read."""
+    try:
+        return msgspec.json.decode(text, type=CrashNotice | QuarantineNotice)
+    except msgspec.MsgspecError:
+        return None
--- a/nutmegspoke/retries/quarantine.py
+++ b/nutmegspoke/retries/quarantine.py
@@ -160,20 +160,23 @@
         )
         self._tell((notice, *self._judge(target, crash, now_s)))
 
-    def take(self, notice: Notice, now_s: float) -> None:
+    def take(self, notice: Notice, age_s: float, now_s: float) -> None:
         """Take what a peer tells.
 
         :param notice: what it found.
+        :param age_s: how long ago it found it.
         :param now_s: present time.
         """
         match notice:
             case CrashNotice():
+                if age_s > self._settings.crash_window_s:
+                    return
                 passengers = set(notice.passengers)
                 crash = self._take_crash(notice.target, passengers, now_s)
                 crash.candidates.update(notice.candidates)
                 self._judge(notice.target, crash, now_s)
             case QuarantineNotice():
-                self._take_quarantine(notice, now_s)
+                self._take_quarantine(notice, age_s, now_s)
 
     def take_notices(self) -> tuple[Notice, ...]:
         """Return what peers should hear and have not been told."""
@@ -218,7 +221,14 @@
         }
         return self._crashes.setdefault(target, Crash(now_s))
 
-    def _take_quarantine(self, notice: QuarantineNotice, now_s: float) -> None:
+    def _take_quarantine(
+        self,
+        notice: QuarantineNotice,
+        age_s: float,
+        now_s: float,
+    ) -> None:
+        if age_s >= notice.remaining_s:
+            return
         crash = self._crash(notice.target, now_s)
         crash.candidates.add(notice.fingerprint)
         suspect = self._suspects.add(notice.fingerprint, now_s)
@@ -226,7 +236,7 @@
         if len(crash.candidates) > 1:
             self._lift(notice.target, crash, now_s)
             return
-        quarantine_s = min(notice.remaining_s, self._longest_s)
+        quarantine_s = min(notice.remaining_s - age_s, self._longest_s)
         suspect.quarantine(notice.target, quarantine_s, now_s)
 
     def _judge(
--- a/tests/border/test_calls_faults.py
+++ b/tests/border/test_calls_faults.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from nutmegspoke import outcomes
-from nutmegspoke.border import service_client
+from nutmegspoke.border import calls, service_client
 from nutmegspoke.border.call_run import call_fingerprint
 from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.standins.faults import FaultOrder
@@ -165,6 +165,19 @@
         self.assertIsInstance(again, outcomes.Completed)
         self.assertTrue(again.replayed)
 
+    async def test_a_stop_that_cannot_wait_keeps_the_outcome(self) -> None:
+        """A call that is cut is unknown, for its caller and for repeats."""
+        (only,) = await self.raw('silent')
+        with mock.patch.object(calls, '_STOP_LIMIT_S', 0.1):
+            call = asyncio.create_task(self.calls.call(self.request()))
+            while not only.run_count:
+                await asyncio.sleep(0.01)
+            await self.calls.stop()
+        cut = await call
+        again = await (await self.daemon('d2')).call(self.request())
+        for told in (cut, again):
+            self.assertEqual(told.reason, outcomes.UnknownReason.STOP_LIMIT)
+
     async def test_two_daemons_at_once(self) -> None:
         """Of thirty calls with ten keys at three daemons, ten run."""
         daemons = [await self.daemon(f'e{number}') for number in range(3)]
--- a/tests/claims/test_decider.py
+++ b/tests/claims/test_decider.py
@@ -13,7 +13,7 @@
 _NOW_S = 1000.0
 
 
-class Gone:
+class Gone(steps.UnknownHolders):
     """Knows that all other daemons have ended."""
 
     def is_gone(self, daemon: str, now_s: float) -> bool:
--- a/tests/retries/test_quarantine.py
+++ b/tests/retries/test_quarantine.py
@@ -6,6 +6,7 @@
 import unittest
 
 from nutmegspoke import outcomes
+from nutmegspoke.retries import notices
 from nutmegspoke.retries.quarantine import Clear, Quarantine, SendAlone
 from nutmegspoke.retries.suspects import QuarantineSettings
 
@@ -137,7 +138,8 @@
             for notice in daemon.take_notices():
                 for other in self.daemons:
                     if other is not daemon:
-                        other.take(notice, now_s)
+                        text = notices.encode_notice(notice)
+                        other.take(notices.decode_notice(text), 0.1, now_s)
 
     def test_crashes_seen_by_two_daemons(self) -> None:
         """The caller sends it to another daemon: two crashes are enough."""
@@ -169,6 +171,16 @@
         for daemon in self.daemons:
             self.assertIsInstance(daemon.check('x', 2.2), SendAlone)
 
+    def test_old_news_is_no_news(self) -> None:
+        """A daemon that joins late learns of no crash and no past quarantine."""
+        late = self.daemons[0]
+        late.take(notices.CrashNotice('t0', ('x',), ()), 60.0, 100.0)
+        late.take(notices.QuarantineNotice('x', 't0', 60.0), 60.0, 100.0)
+        self.assertEqual(late.check('x', 100.0), Clear())
+        late.take(notices.QuarantineNotice('x', 't0', 60.0), 50.0, 100.0)
+        self.assertAlmostEqual(late.check('x', 100.0).retry_after_s, 10.0)
+        self.assertIsNone(notices.decode_notice('{"type":"other"}'))
+
     def test_random_traffic_with_one_poison(self) -> None:
         """Poison stops after two crashes; the fellows all complete."""
         for seed in range(200):
