--- a/nutmegspoke/border/peer_sockets.py
+++ b/nutmegspoke/border/peer_sockets.py
@@ -66,23 +66,31 @@
         self._task = asyncio.create_task(self._serve(self._socket))
 
     async def stop(self) -> None:
-        """Listen no more."""
+        """Listen no more.
+
+        The library may lose a cancellation that meets the end of an
+        operation, so the socket is closed instead.
+        """
         if self._task is None or self._socket is None:
             return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
         self._socket.close()
+        await self._task
 
     async def _serve(self, socket: pynng.Rep0) -> None:
-        while True:
-            answer = self._answer(await socket.arecv())
-            if answer is None:
-                continue
-            try:
-                await socket.asend(answer)
-            except pynng.NNGException as error:
-                logger.info('peers: answer lost error=%s', error)
+        with contextlib.suppress(pynng.Closed):
+            while True:
+                await self._serve_one(socket)
+
+    async def _serve_one(self, socket: pynng.Rep0) -> None:
+        answer = self._answer(await socket.arecv())
+        if answer is None:
+            return
+        try:
+            await socket.asend(answer)
+        except pynng.Closed:
+            raise
+        except pynng.NNGException as error:
+            logger.info('peers: answer lost error=%s', error)
 
 
 class PeerLink:
@@ -106,8 +114,9 @@
     async def request(self, message: bytes, now_s: float) -> bytes | None:
         """Send a request and return the answer.
 
-        If an open connection gives none, a new one is tried, because something
-        between the two ends may have lost track of the old one.
+        If an open connection gives none, a new one is tried: something between
+        the two ends may have lost track of the old one, or the peer may have
+        been restarted.
 
         :returns: ``None`` if a new connection gave no answer either.
         """
@@ -117,8 +126,7 @@
                 answer = await self._ask(self._socket, message)
                 if answer is not None:
                     return answer
-                if self._lost_connection():
-                    return None
+                self.close()
             self._open(now_s)
             return await self._ask(self._socket, message)
 
@@ -132,12 +140,6 @@
         if now_s - self._opened_s > _MAX_LINK_AGE_S:
             self.close()
 
-    def _lost_connection(self) -> bool:
-        """Close the connection; tell whether the peer had closed it."""
-        is_lost = self._socket is not None and not self._socket.pipes
-        self.close()
-        return is_lost
-
     def _open(self, now_s: float) -> None:
         timeout_ms = int(_REQUEST_TIMEOUT_S * _MS_PER_S)
         self._socket = pynng.Req0(
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -2,27 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-
-_SCENARIO = 'tests.scenarios.test_scenarios.ScenariosTest.test_'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Mutation:
-    """A change of one line that takes a mechanism out.
-
-    :param name: what is taken out.
-    :param path: file of the line.
-    :param old: the line as it is.
-    :param new: the line without the mechanism.
-    :param tests: tests of which at least one must fail.
-    """
-
-    name: str
-    path: str
-    old: str
-    new: str
-    tests: tuple[str, ...]
+from tests.mutation_list_claims import CLAIM_MUTATIONS
+from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
+from tests.mutation_types import Mutation
 
 
 MUTATIONS: tuple[Mutation, ...] = (
@@ -40,11 +22,6 @@
         'if may_retry or method:',
         ('tests.border.test_platform_client',),
     ),
-    Mutation(
-        'promise-6 wait for requests in work',
-        'nutmegspoke/cmd/daemon.py',
-        'idle = asyncio.create_task(in_flight.wait_idle())',
-        'idle = asyncio.create_task(asyncio.sleep(0))',
-        (f'{_SCENARIO}stop_cuts_no_request',),
-    ),
+    *CLAIM_MUTATIONS,
+    *MEMBERSHIP_MUTATIONS,
 )
--- /dev/null
+++ b/tests/mutation_list_membership.py
@@ -0,0 +1,196 @@
+"""Mechanisms of membership and placement, each with a line that breaks it."""
+
+from __future__ import annotations
+
+from tests.mutation_types import Mutation
+
+_SCENARIO = 'tests.scenarios.test_scenarios.ScenariosTest.test_'
+_MEMBERSHIP = 'nutmegspoke/membership'
+_PLACEMENT = 'nutmegspoke/placement'
+_DIRECTORY_TESTS = ('tests.membership.test_directory',)
+_GOSSIP_TESTS = ('tests.membership.test_gossip',)
+_LEASE_TESTS = (
+    'tests.placement.test_lease',
+    'tests.placement.test_lease_machine',
+)
+_ORDER_TESTS = ('tests.placement.test_orders',)
+_STOP_TESTS = ('tests.membership.test_stopping',)
+
+MEMBERSHIP_MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'promise-5 a lagging host list undoes no mark',
+        f'{_MEMBERSHIP}/records.py',
+        '        if self.leaving is None or absent_since_s is None:\n',
+        '        if self.leaving is not None:\n            return True\n'
+        '        if self.leaving is None or absent_since_s is None:\n',
+        _DIRECTORY_TESTS,
+    ),
+    Mutation(
+        'promise-5 a lagging report undoes no mark',
+        f'{_MEMBERSHIP}/directory.py',
+        '        return report.start_id != marked_start\n',
+        '        return not report.leaving\n',
+        _DIRECTORY_TESTS,
+    ),
+    Mutation(
+        'promise-5 an old report sends no work',
+        f'{_MEMBERSHIP}/records.py',
+        'is_old = now_s - self.asked_s > max_report_age_s',
+        'is_old = False',
+        _DIRECTORY_TESTS,
+    ),
+    Mutation(
+        'promise-5 a refusal tells',
+        f'{_MEMBERSHIP}/directory.py',
+        'return _mark(self._record(address), Source.REFUSAL, now_s)',
+        'return None',
+        _DIRECTORY_TESTS,
+    ),
+    Mutation(
+        'promise-5 peers tell',
+        f'{_MEMBERSHIP}/notices.py',
+        '        self._news.push(key)\n',
+        '',
+        _GOSSIP_TESTS,
+    ),
+    Mutation(
+        'promise-5 an old word of a peer is not heard',
+        f'{_MEMBERSHIP}/directory.py',
+        '        if _is_of_earlier_start(record, note, said_s):\n',
+        '        if said_s < 0:\n',
+        _DIRECTORY_TESTS,
+    ),
+    Mutation(
+        'promise-6 wait for requests in work',
+        f'{_MEMBERSHIP}/stopping.py',
+        '        if not request_ids:\n',
+        '        if now_s >= 0:\n',
+        (f'{_SCENARIO}stop_cuts_no_request',),
+    ),
+    Mutation(
+        'promise-6 accept until the balancer has noticed',
+        f'{_MEMBERSHIP}/stopping.py',
+        'and passed_s >= notice_s:',
+        'and passed_s >= 0:',
+        _STOP_TESTS,
+    ),
+    Mutation(
+        'peers: a daemon that does not answer is told of',
+        f'{_MEMBERSHIP}/gossip.py',
+        '        self.announce(notice, now_s)\n        return True\n',
+        '        return True\n',
+        _GOSSIP_TESTS,
+    ),
+    Mutation(
+        'peers: a suspected daemon may contradict',
+        f'{_MEMBERSHIP}/gossip.py',
+        '            self.own.raise_sequence(now_s)\n',
+        '            return False\n',
+        _GOSSIP_TESTS,
+    ),
+    Mutation(
+        'peers: a message counts once',
+        'nutmegspoke/border/peer_wire.py',
+        'if not self._guard.accept(sender, envelope.number):',
+        'if not envelope.number:',
+        ('tests.border.test_peer_wire',),
+    ),
+    Mutation(
+        'peers: a silent connection is replaced',
+        'nutmegspoke/border/peer_sockets.py',
+        '                self.close()\n            self._open',
+        '                return None\n            self._open',
+        ('tests.border.test_peers',),
+    ),
+    Mutation(
+        'promise-7 rows of a peer match their digest',
+        f'{_MEMBERSHIP}/table_passing.py',
+        '        if codec.rows_digest(bodies) != reply.digest:\n',
+        '        if not reply.digest:\n',
+        ('tests.membership.test_table_passing',),
+    ),
+    Mutation(
+        'leases: a contender waits the whole duration',
+        f'{_PLACEMENT}/lease.py',
+        'return now_s >= self._first_seen_s + self.seen.duration_s',
+        'return now_s >= self._first_seen_s + self.seen.duration_s / 2',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'leases: a doubt counts as not renewed',
+        f'{_PLACEMENT}/lease.py',
+        '        self._in_doubt.append(sent)\n',
+        '        self._in_doubt.append(sent)\n        self._hold(sent, now_s)\n',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'leases: counted from before the write',
+        f'{_PLACEMENT}/lease.py',
+        'self._held_until_s = sent.sent_s + duration_s',
+        'self._held_until_s = now_s + duration_s',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'leases: the fencing number rises',
+        f'{_PLACEMENT}/lease.py',
+        'self._fencing() + 1',
+        'self._fencing()',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'leases: an order does not outlast its lease',
+        f'{_PLACEMENT}/lease.py',
+        ' or ends_s >= self._held_until_s:',
+        ':',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'leases: earlier orders run out first',
+        f'{_PLACEMENT}/lease.py',
+        'if now_s < self._orders_from_s or ',
+        'if ',
+        _LEASE_TESTS,
+    ),
+    Mutation(
+        'orders: a record needs the lease row unchanged',
+        f'{_PLACEMENT}/orders.py',
+        '                    Condition(lease.key, lease.version),\n',
+        '',
+        (*_ORDER_TESTS, 'tests.placement.test_lease_machine'),
+    ),
+    Mutation(
+        'orders: one record for a layer range',
+        f'{_PLACEMENT}/orders.py',
+        '                    Condition(self.row.key, base_version),\n',
+        '',
+        _ORDER_TESTS,
+    ),
+    Mutation(
+        'orders: a record in doubt is read back',
+        f'{_PLACEMENT}/orders.py',
+        '                self.state = OrderState.IN_DOUBT\n',
+        '                self.state = OrderState.RECORDED\n',
+        _ORDER_TESTS,
+    ),
+    Mutation(
+        'orders: none under another number',
+        f'{_PLACEMENT}/orders.py',
+        '        if number != self.row.fencing_number:\n',
+        '        if not number:\n',
+        _ORDER_TESTS,
+    ),
+    Mutation(
+        'orders: one in doubt is not sent again',
+        f'{_PLACEMENT}/orders.py',
+        '            self.state = OrderState.SENT\n            self._sent_s',
+        '            self.state = OrderState.RECORDED\n            self._sent_s',
+        _ORDER_TESTS,
+    ),
+    Mutation(
+        'orders: lost layers are found',
+        f'{_PLACEMENT}/spares.py',
+        'gaps.append(LayerRange(position, layer_count))',
+        'gaps.clear()',
+        ('tests.placement.test_spares',),
+    ),
+)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -9,7 +9,8 @@
 import sys
 import tempfile
 
-from tests.mutation_list import MUTATIONS, Mutation
+from tests.mutation_list import MUTATIONS
+from tests.mutation_types import Mutation
 
 _ROOT = pathlib.Path(__file__).parents[1]
 _COPIED = ('nutmegspoke', 'tests', 'examples', 'unittest.cfg')
