--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 from tests.mutation_list_claims import CLAIM_MUTATIONS
+from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
 from tests.mutation_types import Mutation
 
-_SCENARIO = 'tests.scenarios.test_scenarios.ScenariosTest.test_'
-
 
 MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
@@ -23,12 +22,6 @@
         'if may_retry or method:',
         ('tests.border.test_platform_client',),
     ),
-    Mutation(
-        'promise-6 wait for requests in work',
-        'nutmegspoke/cmd/daemon.py',
-        'idle = asyncio.create_task(in_flight.wait_idle())',
-        'idle = asyncio.create_task(asyncio.sleep(0))',
-        (f'{_SCENARIO}stop_cuts_no_request',),
-    ),
     *CLAIM_MUTATIONS,
+    *MEMBERSHIP_MUTATIONS,
 )
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -16,13 +16,27 @@
         'tests.claims.test_settlement',
         'tests.border.test_calls.UnrepeatableCallTest',
     ),
-    'promise-5': ('tests.membership.test_directory',),
-    'promise-6': (),
-    'promise-7': (),
+    'promise-5': (
+        'tests.membership.test_directory',
+        'tests.membership.test_gossip',
+    ),
+    'promise-6': ('tests.membership.test_stopping',),
+    'promise-7': (
+        'tests.membership.test_table_passing',
+        'tests.tables',
+    ),
     'silent-connections': (
+        'tests.border.test_peers',
         'tests.border.test_calls_faults.RepeatableFaultTest',
+        'tests.border.test_platform_client',
     ),
     'poison': ('tests.retries.test_quarantine',),
-    'leases': (),
-    'orders': (),
+    'leases': (
+        'tests.placement.test_lease',
+        'tests.placement.test_lease_machine',
+    ),
+    'orders': (
+        'tests.placement.test_orders',
+        'tests.placement.test_spares',
+    ),
 }
