--- a/nutmegspoke/bench/idle_cost.py
+++ b/nutmegspoke/bench/idle_cost.py
@@ -17,6 +17,7 @@
 _TARGET_BYTES_PER_S = 19_000
 _TARGET_COUNTS = (10, 100, 300)
 _ROW_COUNTS = (1, 100, 700)
+_DAEMON_COUNTS = (1, 5, 9, 20)
 _TARGETS_AT_SIZE = 12_000
 _ROUTES_AT_SIZE = 640
 _WINDOW_S = 8.0
@@ -45,12 +46,22 @@
 """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Size:
+    """What a deployment holds."""
+
+    targets: int = _TARGET_COUNTS[0]
+    routes: int = 1
+    daemons: int = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class IdleCost:
     """What an idle daemon used.
 
     :param targets: targets that it watched.
     :param routes: rows of its table of routes.
+    :param daemons: daemons that exchange state, itself included.
     :param core_share: processor time as a share of one core.
     :param rss_bytes: resident memory.
     :param bytes_per_s: bytes read and written a second.
@@ -58,6 +69,7 @@
 
     targets: int
     routes: int
+    daemons: int
     core_share: float
     rss_bytes: int
     bytes_per_s: float
@@ -70,15 +82,18 @@
     """
     window_s = _WINDOW_S / 2 if is_quick else _WINDOW_S
     counts = _TARGET_COUNTS[:2] if is_quick else _TARGET_COUNTS
-    by_targets = [_cost(count, 1, window_s) for count in counts]
+    by_targets = [_cost(_Size(targets=count), window_s) for count in counts]
     rows = _ROW_COUNTS[:2] if is_quick else _ROW_COUNTS
-    by_routes = [_cost(counts[0], count, window_s) for count in rows]
+    by_routes = [_cost(_Size(routes=count), window_s) for count in rows]
+    peers = _DAEMON_COUNTS[:2] if is_quick else _DAEMON_COUNTS
+    by_daemons = [_cost(_Size(daemons=count), window_s) for count in peers]
     return Section(
         'idle daemon',
-        _results(by_targets, by_routes),
+        _results(by_targets, by_routes, by_daemons),
         {
             'by_targets': [dataclasses.asdict(each) for each in by_targets],
             'by_routes': [dataclasses.asdict(each) for each in by_routes],
+            'by_daemons': [dataclasses.asdict(each) for each in by_daemons],
         },
     )
 
@@ -86,7 +101,10 @@
 def _results(
     by_targets: list[IdleCost],
     by_routes: list[IdleCost],
+    by_daemons: list[IdleCost],
 ) -> list[Result]:
+    peer_core = _line(by_daemons, 'core_share', 'daemons')
+    peer_rss = _line(by_daemons, 'rss_bytes', 'daemons')
     core = _line(by_targets, 'core_share')
     rss = _line(by_targets, 'rss_bytes')
     traffic = _line(by_targets, 'bytes_per_s')
@@ -99,6 +117,8 @@
         Result('rss_bytes_per_target', rss.slope),
         Result('bytes_per_s_per_target', traffic.slope),
         Result('rss_bytes_per_route', route_rss.slope),
+        Result('core_share_per_daemon', peer_core.slope),
+        Result('rss_bytes_per_daemon', peer_rss.slope),
         Result('core_share_base', core.intercept),
         Result('rss_bytes_base', rss.intercept),
         Result('bytes_per_s_base', traffic.intercept),
@@ -136,31 +156,29 @@
     return line.intercept + line.slope * size
 
 
-def _cost(targets: int, routes: int, window_s: float) -> IdleCost:
+def _cost(size: _Size, window_s: float) -> IdleCost:
     with Deployment() as deployment:
-        _start_farm(deployment, targets)
-        _apply(deployment, routes)
+        _start_farm(deployment, size.targets)
+        _apply(deployment, size.routes)
         options = DaemonOptions(poll_interval_s=1.0)
-        daemon = deployment.start_daemon('idle', options)
+        for number in range(size.daemons):
+            deployment.start_daemon(f'idle-{number}', options)
         deployment.wait_ready()
-        deployment.wait_targets(daemon, targets)
+        daemon = deployment.daemons['idle-0']
+        deployment.wait_targets(daemon, size.targets)
         time.sleep(_SETTLE_S)
-        return _observe(daemon, targets, routes, window_s)
+        return _observe(daemon, size, window_s)
 
 
-def _observe(
-    daemon: Daemon,
-    targets: int,
-    routes: int,
-    window_s: float,
-) -> IdleCost:
+def _observe(daemon: Daemon, size: _Size, window_s: float) -> IdleCost:
     pid = daemon.process.popen.pid
     before = usage_of(pid)
     time.sleep(window_s)
     after = usage_of(pid)
     return IdleCost(
-        targets=targets,
-        routes=routes,
+        targets=size.targets,
+        routes=size.routes,
+        daemons=size.daemons,
         core_share=(after.cpu_s - before.cpu_s) / window_s,
         rss_bytes=after.rss_bytes,
         bytes_per_s=(after.io_bytes - before.io_bytes) / window_s,
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -23,7 +23,9 @@
     'promise-6': ('tests.membership.test_stopping',),
     'promise-7': (
         'tests.membership.test_table_passing',
-        'tests.tables',
+        'tests.tables.test_revisions',
+        'tests.tables.test_interleavings',
+        'tests.border.test_apply',
     ),
     'silent-connections': (
         'tests.border.test_peers',
--- a/tests/scenarios/stage.py
+++ b/tests/scenarios/stage.py
@@ -138,10 +138,18 @@
             options = DaemonOptions(notice_s=float(notice_s))
             self._deployment.start_daemon(name, options)
 
-    def do_apply(self, text: str = '') -> None:
-        """Apply the usual tables with a text appended: ``apply [TEXT]``."""
-        tables = f'{deployments.TABLES}{text.replace("|", chr(10))}\n'
-        deployments.apply(self._deployment, tables)
+    def do_apply(self, text: str = '', leaving: str = '') -> None:
+        """Apply the usual tables: ``apply [TEXT] [leaving=TARGET]``.
+
+        TEXT is appended, with ``|`` for line ends; TARGET is taken out of the
+        pool of engines by its row.
+        """
+        tables = deployments.TABLES
+        if leaving:
+            row = 'selector = drafting\n'
+            tables = tables.replace(row, f'{row}leaving = {leaving}\n')
+        more = text.replace('|', '\n')
+        deployments.apply(self._deployment, f'{tables}{more}\n')
 
     def do_ready(self, targets: str = '') -> None:
         """Wait until all answer and each daemon sees the targets."""
