--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -5,16 +5,28 @@
 PROOFS: dict[str, tuple[str, ...]] = {
     'promise-1': (),
     'promise-2': (),
-    'promise-3': (),
-    'promise-4': (),
+    'promise-3': (
+        'tests.border.test_refusals',
+        'tests.border.test_calls_faults.UnrepeatableFaultTest',
+    ),
+    'promise-4': (
+        'tests.claims.test_machine',
+        'tests.claims.test_decider',
+        'tests.claims.test_grouping',
+        'tests.claims.test_settlement',
+        'tests.border.test_calls.UnrepeatableCallTest',
+    ),
     'promise-5': (
         'tests.membership.test_directory',
         'tests.membership.test_gossip',
     ),
     'promise-6': ('tests.membership.test_stopping',),
     'promise-7': ('tests.membership.test_table_passing',),
-    'silent-connections': ('tests.border.test_peers',),
-    'poison': (),
+    'silent-connections': (
+        'tests.border.test_calls_faults.RepeatableFaultTest',
+        'tests.border.test_peers',
+    ),
+    'poison': ('tests.retries.test_quarantine',),
     'leases': (
         'tests.placement.test_lease',
         'tests.placement.test_lease_machine',
