--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -21,10 +21,14 @@
         'tests.membership.test_gossip',
     ),
     'promise-6': ('tests.membership.test_stopping',),
-    'promise-7': ('tests.membership.test_table_passing',),
+    'promise-7': (
+        'tests.membership.test_table_passing',
+        'tests.tables',
+    ),
     'silent-connections': (
-        'tests.border.test_calls_faults.RepeatableFaultTest',
         'tests.border.test_peers',
+        'tests.border.test_calls_faults.RepeatableFaultTest',
+        'tests.border.test_platform_client',
     ),
     'poison': ('tests.retries.test_quarantine',),
     'leases': (
