Let only a contradiction clear a suspicion between daemons

An entry that an ended daemon had made before, still under way, cleared the suspicion, and daemons that held a newer entry than the accuser did not believe it. Entries now count refutations apart from heartbeats. A suspected daemon that speaks is told, so that one which was cut off for long can contradict.

--- a/nutmegspoke/membership/gossip.py
+++ b/nutmegspoke/membership/gossip.py
@@ -125,6 +125,7 @@
             for notice in digest.notices
             if self._take_notice(notice, now_s)
         )
+        self._accuse_again(entries, now_s)
         return Heard(joined, notices, self._highest_revision)
 
     def answer(self, now_s: float) -> Digest:
@@ -142,21 +143,14 @@
 
         :returns: whether it was not suspected before.
         """
-        member = self.news.members.find((peer.name, peer.start))
+        key = (peer.name, peer.start)
+        member = self.news.members.find(key)
         if member is None:
             return False
-        sequence = member.entry.sequence
-        key = (peer.name, peer.start)
-        if not self.news.members.suspect(key, sequence, now_s):
+        refutations = member.entry.refutations
+        if not self.news.members.suspect(key, refutations, now_s):
             return False
-        notice = Notice(
-            NoticeKind.SUSPECTED_DAEMON,
-            peer.name,
-            str(peer.start),
-            0.0,
-            sequence,
-        )
-        self.announce(notice, now_s)
+        self.announce(_accusation(member.entry), now_s)
         return True
 
     def live(self, now_s: float) -> tuple[Member, ...]:
@@ -202,11 +196,19 @@
             return False
         key = (notice.subject, int(notice.detail))
         if key == self.own.key:
-            self.own.raise_sequence(now_s)
+            self.own.contradict(notice.number, now_s)
         else:
             self.news.members.suspect(key, notice.number, now_s)
         return False
 
+    def _accuse_again(self, entries: list[DaemonEntry], now_s: float) -> None:
+        """Let a suspected daemon that speaks know, so that it contradicts."""
+        if not entries:
+            return
+        member = self.news.members.find(_key(entries[0]))
+        if member is not None and member.suspected_s is not None:
+            self.news.notices.take(_accusation(member.entry), now_s)
+
     def _scale(self, now_s: float) -> None:
         self.news.forget_silent(now_s)
         members = self.news.members
@@ -217,6 +219,16 @@
         members.forget_after_s = _FORGET_AFTER_S + members.suspect_after_s
 
 
+def _accusation(entry: DaemonEntry) -> Notice:
+    return Notice(
+        NoticeKind.SUSPECTED_DAEMON,
+        entry.name,
+        str(entry.start),
+        0.0,
+        entry.refutations,
+    )
+
+
 def _key(entry: DaemonEntry) -> tuple[str, int]:
     return entry.name, entry.start
 
--- a/nutmegspoke/membership/members.py
+++ b/nutmegspoke/membership/members.py
@@ -58,9 +58,10 @@
             return True
         if entry.sequence <= member.entry.sequence:
             return False
+        if entry.refutations > member.entry.refutations:
+            member.suspected_s = None
         member.entry = entry
         member.heard_s = now_s
-        member.suspected_s = None
         return True
 
     def take_demand(self, demand: DemandEntry) -> bool:
@@ -74,16 +75,18 @@
         member.demand = demand
         return True
 
-    def suspect(self, key: MemberKey, sequence: int, now_s: float) -> bool:
+    def suspect(self, key: MemberKey, refutations: int, now_s: float) -> bool:
         """Note that a member did not answer; tell whether it is news.
 
-        :param sequence: sequence that the accuser had seen of it. A newer
-            entry shows that the member answered somebody since.
+        Entries that were under way when it ended don't clear it, only one by
+        which the member itself contradicts.
+
+        :param refutations: refutations that the accuser had heard of.
         """
         member = self._members.get(key)
         if member is None or member.suspected_s is not None:
             return False
-        if member.entry.sequence > sequence:
+        if member.entry.refutations > refutations:
             return False
         member.suspected_s = now_s
         return True
--- a/nutmegspoke/membership/messages.py
+++ b/nutmegspoke/membership/messages.py
@@ -42,6 +42,7 @@
     :param revision: highest revision of the tables that it has seen.
     :param is_store_reachable: whether the table service answers it.
     :param is_stopping: it takes no new callers.
+    :param refutations: raised each time it contradicts a suspicion.
     """
 
     name: str
@@ -52,6 +53,7 @@
     revision: int = 0
     is_store_reachable: bool = False
     is_stopping: bool = False
+    refutations: int = 0
 
 
 class TeamDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -89,7 +91,7 @@
     :param subject: address, fingerprint or daemon that it is about.
     :param detail: start of the subject, if that matters; may be empty.
     :param age_s: time since it was first said.
-    :param number: sequence of a suspected daemon; else 0.
+    :param number: refutations that the accuser had heard of; else 0.
     """
 
     kind: int
--- a/nutmegspoke/membership/news.py
+++ b/nutmegspoke/membership/news.py
@@ -133,7 +133,7 @@
     match part:
         case DaemonEntry(name, _, _, address, zone):
             texts = len(name) + len(address) + len(zone)
-            return texts + 3 * _NUMBER_BYTES + 3 * _FIELD_BYTES
+            return texts + 3 * _NUMBER_BYTES + 4 * _FIELD_BYTES
         case DemandEntry(name, _, _, teams):
             rows = (len(row.route) + len(row.team) for row in teams)
             texts = len(name) + sum(rows)
--- a/nutmegspoke/membership/own_entries.py
+++ b/nutmegspoke/membership/own_entries.py
@@ -70,6 +70,19 @@
         )
         self._made_s = now_s
 
+    def contradict(self, refutations: int, now_s: float) -> None:
+        """Answer a suspicion, unless a later entry has done so.
+
+        :param refutations: refutations that the accuser had heard of.
+        """
+        if refutations < self.entry.refutations:
+            return
+        self.entry = msgspec.structs.replace(
+            self.entry,
+            refutations=refutations + 1,
+        )
+        self.raise_sequence(now_s)
+
     def confirmed_age_s(self, now_s: float) -> float | None:
         """Return the age of the store's own confirmation, if there is one."""
         if self._confirmed_s is None:
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import msgspec
+
 from nutmegspoke.membership.gossip_types import OwnState
 from nutmegspoke.membership.messages import (
     Digest,
@@ -135,7 +137,7 @@
         self.assertEqual(member.entry.revision, 7)
 
     def test_a_suspected_daemon_contradicts_with_a_new_entry(self) -> None:
-        """It makes one at once; an entry made before does not count."""
+        """Its other entries may have been made before it ended."""
         self._hear(5, 0.0)
         self.daemon.due(0.0)
         accusation = Notice(
@@ -143,19 +145,35 @@
             'daemon-2',
             '1',
             0.0,
-            5,
         )
         self.daemon.receive(Digest(notices=(accusation,)), 0.1)
         self.assertEqual(len(self.daemon.live(0.2)), 1)
         self.assertEqual(self.daemon.live(3.0), ())
-        self._hear(5, 3.0)
-        self.assertEqual(self.daemon.live(3.0), ())
         self._hear(6, 3.0)
+        self.assertEqual(self.daemon.live(3.0), ())
+        self.assertIn(accusation, self._notices(3.0))
+        contradiction = msgspec.structs.replace(
+            build.entry(2, 1, 7),
+            refutations=1,
+        )
+        self.daemon.receive(Digest((contradiction,)), 3.0)
         self.assertEqual(len(self.daemon.live(3.0)), 1)
-        sequence = self.daemon.own.entry.sequence
-        accused = Notice(NoticeKind.SUSPECTED_DAEMON, 'daemon-1', '1', 0.0, 9)
-        self.daemon.receive(Digest(notices=(accused,)), 3.1)
-        self.assertGreater(self.daemon.own.entry.sequence, sequence)
+        self.daemon.receive(Digest(notices=(accusation,)), 9.0)
+        self.assertEqual(len(self.daemon.live(3.1)), 1)
+
+    def test_an_accused_daemon_contradicts_once(self) -> None:
+        """A later copy of the accusation changes nothing."""
+        accused = Notice(NoticeKind.SUSPECTED_DAEMON, 'daemon-1', '1', 0.0)
+        for heard_s in (3.0, 6.0):
+            self.daemon.receive(Digest(notices=(accused,)), heard_s)
+            self.assertEqual(self.daemon.own.entry.refutations, 1)
+        self.assertEqual(self.daemon.own.entry.sequence, 2)
+
+    def _notices(self, now_s: float) -> list[Notice]:
+        return [
+            msgspec.structs.replace(notice, age_s=0.0)
+            for notice in self.daemon.answer(now_s).notices
+        ]
 
     def test_the_peer_ahead_is_asked_for_tables(self) -> None:
         """The live peer with the highest revision is named."""
--- a/tests/mutation_list_membership.py
+++ b/tests/mutation_list_membership.py
@@ -84,7 +84,7 @@
     Mutation(
         'peers: a suspected daemon may contradict',
         f'{_MEMBERSHIP}/gossip.py',
-        '            self.own.raise_sequence(now_s)\n',
+        '            self.own.contradict(notice.number, now_s)\n',
         '            return False\n',
         _GOSSIP_TESTS,
     ),
