--- a/tests/mutation_list_membership.py
+++ b/tests/mutation_list_membership.py
@@ -77,8 +77,15 @@
     Mutation(
         'peers: a daemon that does not answer is told of',
         f'{_MEMBERSHIP}/gossip.py',
-        '        self.announce(notice, now_s)\n        return True\n',
-        '        return True\n',
+        '        self.announce(_accusation(member.entry), now_s)\n',
+        '',
+        _GOSSIP_TESTS,
+    ),
+    Mutation(
+        'peers: only a contradiction clears a suspicion',
+        f'{_MEMBERSHIP}/members.py',
+        '        if entry.refutations > member.entry.refutations:\n',
+        '        if entry.sequence:\n',
         _GOSSIP_TESTS,
     ),
     Mutation(
