--- a/nutmegspoke/bench/deployment.py
+++ b/nutmegspoke/bench/deployment.py
@@ -57,6 +57,7 @@
     poll_interval_s: float = 0.25
     notice_s: float = 0.2
     finish_limit_s: float = 30.0
+    peers_key: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -218,7 +219,7 @@
             tracer,
             **{
                 OPERATORS_TOKEN_VARIABLE: self.token,
-                PEERS_KEY_VARIABLE: self._peers_key,
+                PEERS_KEY_VARIABLE: chosen.peers_key or self._peers_key,
             },
         )
         self._all.append(process)
--- a/tests/scenarios/stage.py
+++ b/tests/scenarios/stage.py
@@ -132,10 +132,21 @@
         """Start a record service: ``service NAME``."""
         self._deployment.start_target(name, 'service', 'records', 'pnw-a')
 
-    def do_daemon(self, *names: str, notice_s: str = '0.2') -> None:
-        """Start daemons: ``daemon NAME ...``."""
+    def do_daemon(
+        self,
+        *names: str,
+        notice_s: str = '0.2',
+        peers_key: str = '',
+    ) -> None:
+        """Start daemons: ``daemon NAME ...``.
+
+        One with another ``peers_key`` is cut off from its peers.
+        """
         for name in names:
-            options = DaemonOptions(notice_s=float(notice_s))
+            options = DaemonOptions(
+                notice_s=float(notice_s),
+                peers_key=peers_key,
+            )
             self._deployment.start_daemon(name, options)
 
     def do_apply(self, text: str = '') -> None:
