Let daemons refuse while nothing confirms their tables

TablesWatch keeps a RevisionTracker; peers' answers confirm it, by the time when they were asked. The peers asked are a random sample, so an outage is told by a majority of those asked: a majority of all daemons can't be asked within the limit when there are hundreds.

--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -160,12 +160,12 @@
                     'this daemon is stopping',
                 ),
             )
-        if not self._tables.is_ready:
+        if not await self._tables.confirm():
             return _Served(
                 outcomes.NotRun(
                     outcomes.RefusalReason.NOT_READY,
                     _NOT_READY_RETRY_AFTER_S,
-                    'no tables known yet',
+                    'the tables in force can not be confirmed now',
                 ),
             )
         matched = await read_and_match(
--- a/nutmegspoke/border/peer_exchange.py
+++ b/nutmegspoke/border/peer_exchange.py
@@ -38,6 +38,12 @@
     def take_tables(self, reply: TablesReply) -> None:
         """Take rows that a peer passed on."""
 
+    def answered(self, digest: Digest, asked_s: float) -> None:
+        """Take what a peer answered about its revision."""
+
+    def unanswered(self, peer: PeerAddress, asked_s: float) -> None:
+        """Take that a peer did not answer."""
+
 
 class PeerExchange:
     """Sends requests to peers and answers theirs."""
@@ -105,11 +111,13 @@
 
     async def _request(self, link: PeerLink, send: Send) -> None:
         number = self.wire.next_number()
+        asked_s = self._clock.now_s()
         sealed = self.wire.seal(send.message, send.peer.start, number)
         self._gossip.budget.spend(len(sealed), self._clock.now_s())
         received = await link.request(sealed, self._clock.now_s())
         if received is None:
             self._unanswered(send.peer)
+            self._handler.unanswered(send.peer, asked_s)
             return
         opened = self.wire.open_answer(received, number)
         if not isinstance(opened, Opened):
@@ -121,6 +129,8 @@
         if send.peer.start not in {0, opened.envelope.sender_start}:
             self._unanswered(send.peer)
         self._take(opened.message)
+        if isinstance(opened.message, Digest):
+            self._handler.answered(opened.message, asked_s)
 
     def _unanswered(self, peer: PeerAddress) -> None:
         if self._gossip.unanswered(peer, self._clock.now_s()):
--- a/nutmegspoke/border/peers.py
+++ b/nutmegspoke/border/peers.py
@@ -20,6 +20,7 @@
     Send,
 )
 from nutmegspoke.membership.states import LeavingNote, Source
+from nutmegspoke.tables.revisions import PeerReport
 from nutmegspoke.targets import TargetState
 
 if TYPE_CHECKING:
@@ -31,8 +32,9 @@
     from nutmegspoke.border.tables_watch import TablesWatch
     from nutmegspoke.border.target_watch import TargetWatch
     from nutmegspoke.membership.gossip import Gossip
+    from nutmegspoke.membership.gossip_types import PeerAddress
     from nutmegspoke.membership.members import Member
-    from nutmegspoke.membership.messages import TeamDemand
+    from nutmegspoke.membership.messages import Digest, TeamDemand
     from nutmegspoke.membership.states import StateChange
 
 logger = logging.getLogger(__name__)
@@ -118,6 +120,25 @@
         if heard.revision > self._tables.current.revision:
             self._periodic.hurry()
 
+    def answered(self, digest: Digest, asked_s: float) -> None:
+        """Take what a peer answered about its revision."""
+        if not digest.entries:
+            return
+        own = digest.entries[0]
+        self._tables.tracker.hear(
+            PeerReport(
+                own.address,
+                own.revision,
+                asked_s,
+                digest.confirmed_age_s,
+                own.is_store_reachable,
+            ),
+        )
+
+    def unanswered(self, peer: PeerAddress, asked_s: float) -> None:
+        """Take that a peer did not answer."""
+        self._tables.tracker.unanswered(peer.address, asked_s)
+
     async def _round(self) -> None:
         now_s = self._clock.now_s()
         self.gossip.renew(self._own_state(), now_s)
--- a/nutmegspoke/border/tables_watch.py
+++ b/nutmegspoke/border/tables_watch.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
+from nutmegspoke.border.evidence_log import NAME as EVIDENCE
+from nutmegspoke.border.evidence_log import EvidenceLog
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
 from nutmegspoke.border.periodic import Periodic
@@ -12,6 +15,12 @@
 from nutmegspoke.membership.table_passing import EncodedTables, TableHistory
 from nutmegspoke.platform import Unavailable
 from nutmegspoke.tables import codec
+from nutmegspoke.tables.revisions import (
+    Ignored,
+    IgnoredReason,
+    RevisionTracker,
+    Source,
+)
 from nutmegspoke.tables.rows import Tables
 from nutmegspoke.tables.snapshot import TablesSnapshot, decode_bodies
 
@@ -33,17 +42,33 @@
         tables: TableService,
         clock: Clock,
         interval_s: float,
+        evidence: EvidenceLog,
     ) -> None:
         """Start from empty tables."""
-        self.current = Tables()
+        self._evidence = evidence
         self.history = TableHistory()
-        self.is_ready = False
+        self.tracker = RevisionTracker()
         self.is_store_reachable = False
-        self.confirmed_s: float | None = None
+        self._confirming: asyncio.Task[None] | None = None
         self._tables = tables
         self._clock = clock
         self._periodic = Periodic(NAME, interval_s, self.poll)
 
+    @property
+    def current(self) -> Tables:
+        """Return the tables in force."""
+        return self.tracker.current
+
+    @property
+    def confirmed_s(self) -> float | None:
+        """Return when the table service last confirmed the revision."""
+        return self.tracker.store_confirmed_s
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a decision may lean on the tables now."""
+        return self.tracker.is_confirmed(self._clock.now_s())
+
     async def start(self) -> None:
         """Begin to poll."""
         self._periodic.start()
@@ -59,16 +84,33 @@
         self.is_store_reachable = revision is not None
         if revision is None:
             return
-        if revision == self.current.revision:
-            self.confirmed_s = asked_s
-        if revision <= self.current.revision:
-            self.is_ready = True
-            return
+        if revision > self.current.revision:
+            await self._read_rows()
+        ignored = self.tracker.confirm(revision, asked_s)
+        if ignored is not None:
+            logger.warning(
+                'tables: lower revision read revision=%d in_force=%d',
+                revision,
+                self.current.revision,
+            )
+
+    async def confirm(self) -> bool:
+        """Ask the store now if nothing confirms the tables.
+
+        :returns: whether a decision may lean on them.
+        """
+        if not self.is_ready:
+            if self._confirming is None or self._confirming.done():
+                self._confirming = asyncio.create_task(self.poll())
+            await asyncio.shield(self._confirming)
+        return self.is_ready
+
+    async def _read_rows(self) -> None:
         snapshot = await read_snapshot(self._tables)
         if isinstance(snapshot, TablesSnapshot):
             revision = snapshot.tables.revision
             encoded = EncodedTables(revision, snapshot.bodies())
-            self._take(snapshot.tables, encoded, 'store')
+            self._take(snapshot.tables, encoded, Source.STORE)
         else:
             logger.warning('tables: rows not read result=%s', snapshot)
 
@@ -82,7 +124,7 @@
             return
         tables = decode_bodies(encoded.revision, dict(encoded.bodies))
         if isinstance(tables, Tables):
-            self._take(tables, encoded, 'peer')
+            self._take(tables, encoded, Source.PEER)
         else:
             logger.warning(
                 'tables: row of a peer unreadable key=%s', tables.key
@@ -92,13 +134,14 @@
         self,
         tables: Tables,
         encoded: EncodedTables,
-        source: str,
+        source: Source,
     ) -> None:
-        if tables.revision <= self.current.revision:
+        told = self.tracker.offer(tables, source, self._clock.now_s())
+        if isinstance(told, Ignored):
+            _report_ignored(told)
             return
-        self.current = tables
         self.history.keep(encoded)
-        self.is_ready = True
+        self._evidence.adopted(told.revision, told.previous, source.value)
         logger.info(
             'tables: revision in force revision=%d source=%s routes=%d '
             'pools=%d',
@@ -117,6 +160,20 @@
         return head.revision if head is not None else None
 
 
+def _report_ignored(ignored: Ignored) -> None:
+    level = logging.INFO
+    if ignored.reason is IgnoredReason.DIFFERS:
+        level = logging.ERROR
+    logger.log(
+        level,
+        'tables: offer ignored reason=%s revision=%d in_force=%d source=%s',
+        ignored.reason,
+        ignored.offered,
+        ignored.in_force,
+        ignored.source,
+    )
+
+
 def setup(app: Application) -> None:
     """Register the watch."""
     sessions = app.kernel.find(SESSIONS, HttpSessions)
@@ -124,5 +181,6 @@
         sessions.platform.tables,
         app.clock,
         app.settings.platform.poll_interval_s,
+        app.kernel.find(EVIDENCE, EvidenceLog),
     )
     app.kernel.register(NAME, watch)
--- a/nutmegspoke/tables/revisions.py
+++ b/nutmegspoke/tables/revisions.py
@@ -112,6 +112,7 @@
         self._confirmed_s: float | None = None
         self._store_confirmed_s: float | None = None
         self._reports: dict[str, PeerReport] = {}
+        self._unanswered_s: dict[str, float] = {}
 
     @property
     def highest_heard(self) -> int:
@@ -178,55 +179,73 @@
                 report.asked_s - report.confirmed_age_s,
             )
 
-    def forget(self, peer: str) -> None:
-        """Drop a peer that has left."""
-        self._reports.pop(peer, None)
+    def unanswered(self, peer: str, asked_s: float) -> None:
+        """Note that a peer did not answer.
+
+        :param peer: name of the peer.
+        :param asked_s: when it was asked.
+        """
+        self._unanswered_s[peer] = asked_s
 
     def confirmation_age_s(self, now_s: float) -> float | None:
         """Return the age of the confirmation; ``None`` if there is none."""
         return None if self._confirmed_s is None else now_s - self._confirmed_s
 
-    def store_confirmation_age_s(self, now_s: float) -> float | None:
-        """Return the age of the store's own confirmation, to tell peers."""
-        if self._store_confirmed_s is None:
-            return None
-        return now_s - self._store_confirmed_s
+    @property
+    def store_confirmed_s(self) -> float | None:
+        """Return up to when the store itself confirmed, to tell peers."""
+        return self._store_confirmed_s
 
-    def standing(self, now_s: float, member_count: int = 1) -> Standing:
+    def standing(self, now_s: float) -> Standing:
         """Tell what is known of the revision in force.
 
         :param now_s: the present time.
-        :param member_count: live daemons of the last known membership, this
-            one included.
         """
         age_s = self.confirmation_age_s(now_s)
         if age_s is not None and age_s <= self._limits.confirmation_s:
             return Standing.CONFIRMED
         if self.highest_heard > self.current.revision:
             return Standing.BEHIND
-        if self.current.revision and self._is_outage(now_s, member_count):
+        if self.current.revision and self._is_outage(now_s):
             return Standing.OUTAGE
         return Standing.CUT_OFF if self.current.revision else Standing.NEW
 
-    def is_confirmed(self, now_s: float, member_count: int = 1) -> bool:
+    def is_confirmed(self, now_s: float) -> bool:
         """Tell whether a decision may lean on the revision in force.
 
         During an outage of the store no change can be accepted, so the
-        highest revision known to a majority stays in force.
+        highest revision known stays in force.
         """
-        standing = self.standing(now_s, member_count)
-        return standing in {Standing.CONFIRMED, Standing.OUTAGE}
+        return self.standing(now_s) in {Standing.CONFIRMED, Standing.OUTAGE}
+
+    def _is_outage(self, now_s: float) -> bool:
+        """Tell whether most peers asked lately answer without the store.
 
-    def _is_outage(self, now_s: float, member_count: int) -> bool:
+        The peers asked are a random sample of all daemons, so a zone that is
+        cut off whole finds most of them silent.
+        """
         since_s = now_s - self._limits.confirmation_s
-        fresh = [
-            report
-            for report in self._reports.values()
-            if report.asked_s >= since_s
-        ]
-        if any(report.sees_store for report in fresh):
+        self._drop_before(since_s)
+        if any(report.sees_store for report in self._reports.values()):
             return False
-        return bool(fresh) and 2 * (len(fresh) + 1) > member_count
+        silent = sum(
+            peer not in self._reports or self._reports[peer].asked_s < asked_s
+            for peer, asked_s in self._unanswered_s.items()
+        )
+        answered = len(self._reports)
+        return bool(answered) and answered + 1 > silent
+
+    def _drop_before(self, since_s: float) -> None:
+        self._reports = {
+            peer: report
+            for peer, report in self._reports.items()
+            if report.asked_s >= since_s
+        }
+        self._unanswered_s = {
+            peer: asked_s
+            for peer, asked_s in self._unanswered_s.items()
+            if asked_s >= since_s
+        }
 
 
 def _later(known_s: float | None, offered_s: float) -> float:
--- a/tests/border/test_peers.py
+++ b/tests/border/test_peers.py
@@ -24,6 +24,7 @@
 )
 from nutmegspoke.membership.messages import (
     DaemonEntry,
+    Digest,
     TablesReply,
     TablesRequest,
 )
@@ -50,6 +51,8 @@
         self.history = TableHistory()
         self.heard_something = asyncio.Event()
         self.took_tables = asyncio.Event()
+        self.answered_by: list[str] = []
+        self.silent: list[str] = []
         wire = PeerWire(b'a key that all daemons share', name, number)
         self.exchange = PeerExchange(self.gossip, wire, SystemClock(), self)
 
@@ -66,6 +69,14 @@
         """Answer from the history."""
         return self.history.reply(request.revision)
 
+    def answered(self, digest: Digest, asked_s: float) -> None:
+        """Keep who answered."""
+        self.answered_by.append(digest.entries[0].name)
+
+    def unanswered(self, peer: PeerAddress, asked_s: float) -> None:
+        """Keep who did not answer."""
+        self.silent.append(peer.name)
+
     def take_tables(self, reply: TablesReply) -> None:
         """Keep what was passed on."""
         tables = self.history.apply(reply)
@@ -103,6 +114,7 @@
         """The library has started few threads for it."""
         await self._greet(self.second.peer())
         self.assertEqual(self._names(self.first), {2})
+        self.assertEqual(self.first.answered_by, ['daemon-2'])
         self.assertEqual(self._names(self.second), {1})
         await self._greet(self.second.peer(2))
         threads = [
