--- a/nutmegspoke/border/admission_gate.py
+++ b/nutmegspoke/border/admission_gate.py
@@ -117,6 +117,11 @@
         line = self._line(request.pool)
         line.leave(request.request_id, is_served=is_served)
 
+    def is_below_share(self, request: DraftRequest) -> bool:
+        """Tell whether a running draft's team has less than its share."""
+        line = self._line(request.pool)
+        return line.queue.is_below_share(self._ticket(request))
+
     def waiting_count(self, pool: str) -> int:
         """Return the number of requests that wait for a pool."""
         line = self._lines.get(pool)
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -4,19 +4,19 @@
 
 import asyncio
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
-from nutmegspoke.border.admission_gate import NAME as ADMISSION
-from nutmegspoke.border.admission_gate import AdmissionGate
 from nutmegspoke.border.call_attempts import CallAttempts
+from nutmegspoke.border.claim_holders import PeerHolders, holder_name
 from nutmegspoke.border.claim_keeper import ClaimKeeper
+from nutmegspoke.border.call_parts import CallParts
+from nutmegspoke.border.call_run import call_fingerprint
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
-from nutmegspoke.border.router import NAME as ROUTER
-from nutmegspoke.border.router import Router, RouterOptions
+from nutmegspoke.border.peers import NAME as PEERS
+from nutmegspoke.border.peers import Peers
 from nutmegspoke.border.target_watch import NAME as TARGETS
 from nutmegspoke.border.target_watch import TargetWatch
 from nutmegspoke.claims import steps
@@ -33,7 +33,6 @@
 
 NAME = 'calls'
 _STOP_LIMIT_S = 10.0
-_START_ID_BYTES = 6
 
 
 class CallService:
@@ -48,8 +47,7 @@
         daemon: str,
         holders: steps.Holders | None = None,
         limits: ClaimLimits | None = None,
-        router: Router | None = None,
-        gate: AdmissionGate | None = None,
+        parts: CallParts | None = None,
     ) -> None:
         """Create the service.
 
@@ -59,11 +57,11 @@
         :param daemon: name of this process, not used by any earlier one.
         :param holders: knows which daemons live.
         :param limits: bounds of the claims.
-        :param router: chooses the targets; a new one by default.
-        :param gate: lets calls into their pool; a new one by default.
+        :param parts: services on the way; new ones by default.
         """
-        router = router or Router(clock, targets, RouterOptions())
-        self._gate = gate or AdmissionGate(clock, router, seed=0)
+        parts = parts or CallParts.new(clock, targets)
+        self._gate = parts.gate
+        self._quarantine = parts.quarantine
         decider = ClaimDecider(
             daemon,
             holders or steps.UnknownHolders(),
@@ -71,7 +69,7 @@
         )
         self._claims = ClaimKeeper(clock, tables, decider)
         self._client = service_client.ServiceClient()
-        self._attempts = CallAttempts(clock, targets, self._client, router)
+        self._attempts = CallAttempts(clock, targets, self._client, parts)
         self._running: set[asyncio.Task[outcomes.Outcome]] = set()
 
     async def start(self) -> None:
@@ -80,9 +78,17 @@
         await self._claims.start()
 
     async def stop(self) -> None:
-        """Finish the calls in flight and write their outcomes."""
+        """Finish the calls in flight and write their outcomes.
+
+        A call that runs on after a limit is given up: its outcome is kept as
+        unknown.
+        """
         if self._running:
-            await asyncio.wait(tuple(self._running))
+            await asyncio.wait(tuple(self._running), timeout=_STOP_LIMIT_S)
+        late = tuple(self._running)
+        for task in late:
+            task.cancel()
+        await asyncio.gather(*late, return_exceptions=True)
         await self._claims.stop(_STOP_LIMIT_S)
         await self._client.stop()
 
@@ -105,6 +111,9 @@
                 outcomes.RefusalReason.KEY_REQUIRED,
                 detail='the route needs an Idempotency-Key header',
             )
+        verdict = self._quarantine.check(call_fingerprint(request))
+        if isinstance(verdict, outcomes.NotRun):
+            return verdict
         refusal = await self._gate.enter(request)
         if refusal is not None:
             return refusal
@@ -118,7 +127,7 @@
 
     async def _run_admitted(self, request: CallRequest) -> outcomes.Outcome:
         if request.route.repeatable:
-            return await self._attempts.run_repeatable(request)
+            return await self._attempts.run(request)
         claim = await self._claims.acquire(request)
         if not isinstance(claim, str):
             return claim
@@ -131,21 +140,25 @@
         request: CallRequest,
         key: str,
     ) -> outcomes.Outcome:
-        return await self._attempts.run_once(
-            request,
-            lambda: self._claims.dispatch(key),
-        )
+        try:
+            return await self._attempts.run(
+                request,
+                lambda: self._claims.dispatch(key),
+            )
+        except asyncio.CancelledError:
+            logger.warning('calls: call cut request=%s', request.request_id)
+            return outcomes.Unknown(outcomes.UnknownReason.STOP_LIMIT)
 
 
 def setup(app: Application) -> None:
     """Register the call service."""
-    start_id = secrets.token_hex(_START_ID_BYTES)
+    peers = app.kernel.find(PEERS, Peers)
     service = CallService(
         clock=app.clock,
         tables=app.kernel.find(SESSIONS, HttpSessions).platform.tables,
         targets=app.kernel.find(TARGETS, TargetWatch),
-        daemon=f'{app.settings.daemon.name}.{start_id}',
-        router=app.kernel.find(ROUTER, Router),
-        gate=app.kernel.find(ADMISSION, AdmissionGate),
+        daemon=holder_name(peers.name, peers.start_number),
+        holders=PeerHolders(peers),
+        parts=CallParts.from_kernel(app.kernel),
     )
     app.kernel.register(NAME, service)
--- a/tests/admission/test_queueing.py
+++ b/tests/admission/test_queueing.py
@@ -97,6 +97,14 @@
             queue.offer(ticket('ok', deadline_s=6), 0), Queued
         )
 
+    def test_refuses_what_takes_longer_than_it_has_on_a_busy_pool(self) -> None:
+        """On an idle pool it is tried, as the estimate may be old."""
+        queue = _queue(capacity=2)
+        short = ticket('short', deadline_s=0.5)
+        self.assertEqual(queue.offer(short, 0), Admitted(short))
+        refused = queue.offer(ticket('next', deadline_s=0.5), 0)
+        self.assertEqual(refused.reason, RefusalReason.DEADLINE)
+
     def test_a_waiting_request_is_refused_once_it_cannot_make_it(self) -> None:
         """The event time tells when, and the answer comes then."""
         queue = _queue()
@@ -128,6 +136,19 @@
         )
         self.assertEqual(none.reason, RefusalReason.TEAM_LIMIT)
 
+    def test_tells_a_team_that_runs_less_than_its_share(self) -> None:
+        """A small team beside a flood is below; a team alone never is."""
+        queue = _queue(capacity=30)
+        alone = ticket('alone', 'large')
+        queue.offer(alone, 0)
+        self.assertFalse(queue.is_below_share(alone))
+        for number in range(10):
+            queue.offer(ticket(f'flood{number}', 'large'), 0)
+        small = ticket('small', 'small')
+        queue.offer(small, 0)
+        self.assertTrue(queue.is_below_share(small))
+        self.assertFalse(queue.is_below_share(alone))
+
     def test_a_put_back_request_goes_first_after_a_pause(self) -> None:
         """No loop of starts while no target has room."""
         queue = _queue(capacity=2)
@@ -141,6 +162,21 @@
         names = [each.request_id for each in started]
         self.assertEqual(names, ['first', 'second'])
 
+    def test_forgets_teams_that_are_idle(self) -> None:
+        """Callers may send any team name; state stays bounded."""
+        queue = _queue(capacity=1, max_queue=0)
+        queue.offer(ticket('run', 'first'), 0)
+        for number in range(3000):
+            name = f't{number}'
+            self.assertIsInstance(
+                queue.offer(ticket(name, name, return_key=name), 100 * number),
+                NotRun,
+            )
+        self.assertLessEqual(len(queue._order.teams), 1025)
+        self.assertLessEqual(len(queue._returns._last_slot_s), 1025)
+        self.assertLessEqual(len(queue._returns._promises), 1025)
+        self.assertIn('first', queue._order.teams)
+
     def test_broken_invariants_are_raised(self) -> None:
         """A ticket offered twice or finished twice is a fault of ours."""
         queue = _queue()
@@ -191,6 +227,22 @@
         self.assertEqual(run.served, run.arrived)
         self.assertGreater(run.served / run.ended_s, 0.9 * run.capacity_per_s)
 
+    def test_callers_who_never_come_back_do_not_push_others_away(self) -> None:
+        """The slots of those who stay away are given out again."""
+        queue = _queue(capacity=1, max_queue=0)
+        running = ticket('run0')
+        queue.offer(running, 0)
+        told = []
+        for second in range(1, 600):
+            queue.finish(running, second)
+            running = ticket(f'run{second}')
+            queue.offer(running, second)
+            for number in range(3):
+                name = f'{second}-{number}'
+                answer = queue.offer(ticket(name, return_key=name), second)
+                told.append(answer.retry_after_s)
+        self.assertLess(max(told[-30:]), 120)
+
     def test_two_callers_are_not_told_the_same_time(self) -> None:
         """Slots and jitter spread the callers out."""
         queue = _queue(max_queue=0)
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -5,13 +5,38 @@
 PROOFS: dict[str, tuple[str, ...]] = {
     'promise-1': (),
     'promise-2': (),
-    'promise-3': (),
-    'promise-4': (),
-    'promise-5': ('tests.membership.test_directory',),
-    'promise-6': (),
-    'promise-7': (),
-    'silent-connections': (),
-    'poison': (),
-    'leases': (),
-    'orders': (),
+    'promise-3': (
+        'tests.border.test_refusals',
+        'tests.border.test_calls_faults.UnrepeatableFaultTest',
+    ),
+    'promise-4': (
+        'tests.claims.test_machine',
+        'tests.claims.test_decider',
+        'tests.claims.test_grouping',
+        'tests.claims.test_settlement',
+        'tests.border.test_calls.UnrepeatableCallTest',
+    ),
+    'promise-5': (
+        'tests.membership.test_directory',
+        'tests.membership.test_gossip',
+    ),
+    'promise-6': ('tests.membership.test_stopping',),
+    'promise-7': (
+        'tests.membership.test_table_passing',
+        'tests.tables',
+    ),
+    'silent-connections': (
+        'tests.border.test_peers',
+        'tests.border.test_calls_faults.RepeatableFaultTest',
+        'tests.border.test_platform_client',
+    ),
+    'poison': ('tests.retries.test_quarantine',),
+    'leases': (
+        'tests.placement.test_lease',
+        'tests.placement.test_lease_machine',
+    ),
+    'orders': (
+        'tests.placement.test_orders',
+        'tests.placement.test_spares',
+    ),
 }
