Tell the directory what calls find out about targets

A target that refuses as leaving, is silent on a new connection or refuses connections was known to the call that met it and to nobody else.

--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -5,7 +5,7 @@
 import collections
 import dataclasses
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
@@ -14,11 +14,12 @@
     RETRY_AFTER_S,
     CallRun,
 )
-from nutmegspoke.border.target_health import TargetHealth
+from nutmegspoke.border.target_health import TargetHealth, TargetReports
 from nutmegspoke.claims import steps
 from nutmegspoke.retries.budget import RetryBudgets
 from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.routing.choices import TargetChoice
+from nutmegspoke.targets import TargetDirectory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +27,7 @@
     from nutmegspoke.border.call_parts import CallParts
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.requests import CallRequest
-    from nutmegspoke.targets import Target, TargetDirectory
+    from nutmegspoke.targets import Target
 
 logger = logging.getLogger(__name__)
 
@@ -34,13 +35,17 @@
 _Reason = outcomes.RefusalReason
 
 
+class ServiceTargets(TargetDirectory, TargetReports, Protocol):
+    """Knows the targets of each pool and hears what calls find out."""
+
+
 class CallAttempts:
     """Picks targets and sends calls to them."""
 
     def __init__(
         self,
         clock: Clock,
-        targets: TargetDirectory,
+        targets: ServiceTargets,
         client: service_client.ServiceClient,
         parts: CallParts,
     ) -> None:
@@ -56,7 +61,7 @@
         self._client = client
         self._router = parts.router
         self._quarantine = parts.quarantine
-        self._health = TargetHealth(clock, client, parts.quarantine)
+        self._health = TargetHealth(clock, client, parts.quarantine, targets)
         self._budgets = RetryBudgets()
         self._in_flight: collections.Counter[str] = collections.Counter()
 
@@ -186,7 +191,7 @@
                 is_fresh=is_fresh,
             )
         finally:
-            self._in_flight[target.name] -= 1
+            self._in_flight -= collections.Counter((target.name,))
         if _is_success(attempt):
             self._router.observe(
                 target.name,
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -8,7 +8,7 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.border import service_client
-from nutmegspoke.border.call_attempts import CallAttempts
+from nutmegspoke.border.call_attempts import CallAttempts, ServiceTargets
 from nutmegspoke.border.claim_holders import PeerHolders, holder_name
 from nutmegspoke.border.claim_keeper import ClaimKeeper
 from nutmegspoke.border.call_parts import CallParts
@@ -27,7 +27,6 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.platform import TableService
     from nutmegspoke.requests import CallRequest
-    from nutmegspoke.targets import TargetDirectory
 
 logger = logging.getLogger(__name__)
 
@@ -43,7 +42,7 @@
         *,
         clock: Clock,
         tables: TableService,
-        targets: TargetDirectory,
+        targets: ServiceTargets,
         daemon: str,
         holders: steps.Holders | None = None,
         limits: ClaimLimits | None = None,
--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -27,6 +27,8 @@
 _PROBE_TIMEOUT_S = 1.0
 _MIN_TIMEOUT_S = 0.001
 _EXECUTED_HEADER = 'Nutmegspoke-Executed'
+_REASON_HEADER = 'Nutmegspoke-Reason'
+_LEAVING = 'leaving'
 _DEFAULT_MEDIA_TYPE = 'application/octet-stream'
 
 
@@ -66,9 +68,11 @@
     """The target refused the call and says that it did not run it.
 
     :param retry_after_s: when the target wants to be asked again.
+    :param is_leaving: the target takes no more new work.
     """
 
     retry_after_s: float | None
+    is_leaving: bool = False
 
 
 class LossKind(enum.StrEnum):
@@ -278,7 +282,10 @@
             'status 503 without a word on whether the call ran',
         )
     retry_after = response.headers.get('Retry-After', '')
-    return Declined(float(retry_after) if retry_after.isdecimal() else None)
+    return Declined(
+        float(retry_after) if retry_after.isdecimal() else None,
+        is_leaving=response.headers.get(_REASON_HEADER) == _LEAVING,
+    )
 
 
 def _always() -> bool:
--- a/nutmegspoke/border/target_health.py
+++ b/nutmegspoke/border/target_health.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke.border import service_client
 from nutmegspoke.retries.outliers import Outliers, OutlierSettings
@@ -20,6 +20,19 @@
 _MIN_ERROR_STATUS = 500
 
 
+class TargetReports(Protocol):
+    """Hears what calls find out about targets, by address."""
+
+    def refused_as_leaving(self, address: str) -> None:
+        """Note that a target refused work because it is leaving."""
+
+    def connection_failed(self, address: str, *, refused: bool) -> None:
+        """Note a connection that was refused or reset."""
+
+    def connection_silent(self, address: str, *, is_new: bool) -> None:
+        """Note a connection that gave no answer in its time."""
+
+
 class TargetHealth:
     """Judges targets and connections by what became of attempts."""
 
@@ -28,13 +41,16 @@
         clock: Clock,
         client: service_client.ServiceClient,
         quarantine: QuarantineService,
+        reports: TargetReports,
     ) -> None:
         """Create without results.
 
         :param clock: the process's clock.
         :param client: asks a target whether it still listens.
         :param quarantine: hears of crashes.
+        :param reports: hears of targets that leave or fail.
         """
+        self._reports = reports
         self._clock = clock
         self._client = client
         self._quarantine = quarantine
@@ -87,6 +103,7 @@
         :param is_fresh: whether it had a connection of its own.
         """
         has_crashed = await self._has_crashed(target, attempt)
+        self._report(target, attempt, has_crashed=has_crashed)
         if isinstance(attempt, service_client.Answered):
             self._quarantine.completed(fingerprint, (target.name,))
         if isinstance(attempt, service_client.NotSent):
@@ -102,6 +119,24 @@
                 is_error=_is_error(attempt),
             )
 
+    def _report(
+        self,
+        target: Target,
+        attempt: service_client.Attempt,
+        *,
+        has_crashed: bool,
+    ) -> None:
+        address = target.address
+        match attempt:
+            case service_client.Declined(is_leaving=True):
+                self._reports.refused_as_leaving(address)
+            case service_client.Lost(kind=service_client.LossKind.SILENT):
+                self._reports.connection_silent(address, is_new=True)
+            case service_client.NotSent():
+                self._reports.connection_failed(address, refused=has_crashed)
+            case _ if has_crashed:
+                self._reports.connection_failed(address, refused=True)
+
     async def _has_crashed(
         self,
         target: Target,
--- a/nutmegspoke/retries/budget.py
+++ b/nutmegspoke/retries/budget.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from collections.abc import Collection
 
 _BURST = 10.0
+_MAX_ROUTES = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,16 +49,10 @@
         """
         budget = self._budgets.get(route)
         if budget is None:
+            if len(self._budgets) >= _MAX_ROUTES:
+                self._budgets.pop(next(iter(self._budgets)))
             budget = RetryBudget(share)
             self._budgets[route] = budget
         budget.share = share
         budget.note_request()
         return budget
-
-    def keep_only(self, routes: Collection[str]) -> None:
-        """Forget the budgets of routes that are no more."""
-        self._budgets = {
-            route: budget
-            for route, budget in self._budgets.items()
-            if route in routes
-        }
--- a/nutmegspoke/retries/outliers.py
+++ b/nutmegspoke/retries/outliers.py
@@ -27,6 +27,7 @@
     :param half_life_s: time in which a result loses half its weight.
     :param ejection_s: first ejection; each further one takes twice as long.
     :param max_ejection_s: longest ejection.
+    :param max_targets: targets of which results are kept, at most.
     """
 
     min_results: float = 5.0
@@ -36,6 +37,7 @@
     half_life_s: float = 10.0
     ejection_s: float = 5.0
     max_ejection_s: float = 120.0
+    max_targets: int = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,7 +101,9 @@
         :param now_s: present time.
         :param is_error: an error of the target's own, or no answer.
         """
-        record = self._records.setdefault(target, _Record(counted_s=now_s))
+        record = self._records.get(target)
+        if record is None:
+            record = self._add(target, now_s)
         record.count(now_s, self._settings.half_life_s, is_error=is_error)
         is_sound = record.errors < 1
         if is_sound and record.successes >= self._settings.min_results:
@@ -126,19 +130,22 @@
                 ejected.add(target.name)
         return tuple(each for each in targets if each.name not in ejected)
 
+    def _add(self, target: str, now_s: float) -> _Record:
+        if len(self._records) >= self._settings.max_targets:
+            oldest = min(self._records, key=self._counted_s)
+            self._records.pop(oldest)
+        record = _Record(counted_s=now_s)
+        self._records[target] = record
+        return record
+
+    def _counted_s(self, target: str) -> float:
+        return self._records[target].counted_s
+
     def _max_ejected(self, target_count: int) -> int:
         if target_count < 2:
             return 0
         return max(1, int(target_count * self._settings.max_ejected_share))
 
-    def keep_only(self, targets: Sequence[str]) -> None:
-        """Forget targets that are no more."""
-        self._records = {
-            name: record
-            for name, record in self._records.items()
-            if name in targets
-        }
-
     def _still_ejected(
         self,
         targets: Sequence[Target],
--- a/nutmegspoke/standins/service.py
+++ b/nutmegspoke/standins/service.py
@@ -66,7 +66,10 @@
             return web.json_response(
                 {'error': 'leaving'},
                 status=503,
-                headers=dict(faults.NOT_EXECUTED),
+                headers={
+                    **dict(faults.NOT_EXECUTED),
+                    'Nutmegspoke-Reason': 'leaving',
+                },
             )
         entry = JournalEntry(
             request_id=request.headers.get('Nutmegspoke-Request-Id', ''),
--- a/tests/border/test_calls_faults.py
+++ b/tests/border/test_calls_faults.py
@@ -126,6 +126,24 @@
         ):
             await asyncio.sleep(0.01)
 
+    async def test_what_is_found_out_is_told(self) -> None:
+        """A target that leaves, is silent or gone gets no more new work."""
+        self.fault('leave')
+        await self.calls.call(self.request())
+        await self.raw('silent')
+        await self.calls.call(
+            self.request(idempotency_key='k2', progress_timeout_s=0.2),
+        )
+        with socket.socket() as closed:
+            closed.bind(('127.0.0.1', 0))
+            host, port = closed.getsockname()
+            self.directory.targets = (build.target('gone', f'{host}:{port}'),)
+            await self.calls.call(self.request(idempotency_key='k3'))
+        self.assertEqual(
+            self.directory.told,
+            ['leaving', 'leaving', 'silent', 'gone'],
+        )
+
     async def test_connection_that_does_not_come_about(self) -> None:
         """The target's host answers no connect; no byte left."""
         with socket.socket() as full:
@@ -214,6 +232,7 @@
             self.services[0].board.give(FaultOrder(fault='silence'))
             told = await self.calls.call(request)
             self.assertIsInstance(told, outcomes.Completed, number)
+        self.assertEqual(self.directory.told, [])
 
     async def test_retries_stay_inside_the_budget(self) -> None:
         """While all targets lose answers, calls bring few retries."""
--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -122,16 +122,29 @@
 
 
 class FakeDirectory:
-    """Fixed targets."""
+    """Fixed targets; keeps what it is told of them."""
 
     def __init__(self, targets: Sequence[Target]) -> None:
         """Create a directory."""
         self.targets = tuple(targets)
+        self.told: list[str] = []
 
     def usable(self, pool: str, now_s: float) -> tuple[Target, ...]:
         """Return the targets, whatever the pool."""
         return self.targets
 
+    def refused_as_leaving(self, address: str) -> None:
+        """Keep the report."""
+        self.told.append('leaving')
+
+    def connection_failed(self, address: str, *, refused: bool) -> None:
+        """Keep the report."""
+        self.told.append('gone' if refused else 'failed')
+
+    def connection_silent(self, address: str, *, is_new: bool) -> None:
+        """Keep the report."""
+        self.told.append('silent')
+
 
 def claim_request(nonce: str = 'n1', **changes: object) -> ClaimRequest:
     """Build a call that needs a claim."""
--- a/tests/retries/test_outliers.py
+++ b/tests/retries/test_outliers.py
@@ -84,6 +84,15 @@
         only = (_TARGETS[0],)
         self.assertEqual(self.outliers.usable(only, 100.0), only)
 
+    def test_memory_is_bounded(self) -> None:
+        """The target heard of least lately is forgotten."""
+        outliers = Outliers(OutlierSettings(max_targets=2))
+        for second, name in enumerate('abca'):
+            for _ in range(5):
+                outliers.note(name, 100.0 + second, is_error=name == 'b')
+        usable = outliers.usable(_TARGETS, 104.0)
+        self.assertEqual(len(usable), len(_TARGETS))
+
     def test_few_or_old_errors_eject_none(self) -> None:
         """Four errors, or many a minute ago, prove nothing."""
         self.note('a', 4, 0, 100.0)
