--- a/nutmegspoke/bench/demo.py
+++ b/nutmegspoke/bench/demo.py
@@ -90,7 +90,7 @@
         first_id = _send_drafts(deployment, tally)
         _read_record(deployment, tally)
         doubled = _send_mailing(deployment, tally)
-        print(f'first request: {first_id}')
+        _explain(deployment, first_id)
     lost = tally.requests - tally.complete
     print(
         f'demo: {tally.requests} requests, {tally.complete} complete, '
--- /dev/null
+++ b/nutmegspoke/border/draft_runs.py
@@ -0,0 +1,245 @@
+"""One draft on its way: its run, its losses and what targets are told."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.border import evidence_context
+from nutmegspoke.engine_protocol import RefusalKind, StepRefusal, StepReply
+from nutmegspoke.evidence import records
+from nutmegspoke.pipelines.carrier import Ahead, LossKind, StepLost
+from nutmegspoke.pipelines.losses import LossJudge, Remedy, may_have_run
+from nutmegspoke.pipelines.resume import ResumePoint, stage_records
+from nutmegspoke.pipelines.run import DraftPlan, DraftRun
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.target_watch import TargetWatch
+    from nutmegspoke.layers import Stage
+    from nutmegspoke.pipelines.carrier import Loss, StepCarrier
+    from nutmegspoke.pipelines.decisions import RunDecision, SendStep
+    from nutmegspoke.requests import DraftRequest
+    from nutmegspoke.routing.choices import ChainChoice
+
+logger = logging.getLogger(__name__)
+FIRST_ATTEMPT = 1
+RETRY_AFTER_S = 2.0
+
+
+class DraftInProgress:
+    """A draft and what became of its steps.
+
+    :param request: the caller's request.
+    :param mark: digest by which the request is known again.
+    :param choice: the first chain.
+    :param point: where the caller resumes; ``None`` for a new draft.
+    :param is_first: its team is below its share, so that its steps go first.
+    """
+
+    def __init__(
+        self,
+        request: DraftRequest,
+        mark: str,
+        choice: ChainChoice,
+        point: ResumePoint | None,
+        *,
+        is_first: bool = False,
+    ) -> None:
+        """Prepare a run."""
+        self.request = request
+        self.choice = choice
+        self.is_first = is_first
+        self.avoided: frozenset[str] = frozenset()
+        self.has_run = point is not None
+        attempt = point.next_attempt if point else FIRST_ATTEMPT
+        self.run = DraftRun(
+            _plan(request, point, is_first), choice.chain, attempt
+        )
+        self.mark = mark
+        self._point = point
+        self._has_lost = False
+        self._judge = LossJudge(attempt)
+        self._note_chain()
+
+    def first_step(self) -> SendStep:
+        """Return the first step."""
+        if self._point is None:
+            return self.run.begin()
+        return self.run.resume(self._point)
+
+    def restart(self, choice: ChainChoice, above_attempt: int) -> SendStep:
+        """Go on over a chain.
+
+        :param above_attempt: an attempt that a stage has seen.
+        """
+        self.choice = choice
+        order = self.run.restart(choice.chain, above_attempt)
+        self._note_chain()
+        return order
+
+    async def carry(
+        self,
+        carrier: StepCarrier,
+        order: SendStep,
+        limit_s: float,
+    ) -> RunDecision | StepLost | StepRefusal:
+        """Send a step and return the run's decision, or what was lost.
+
+        :param limit_s: time left for the whole draft.
+        """
+        progress_timeout_s = self.request.route.progress_timeout_s
+        result = await carrier.carry(
+            order.stage,
+            order.step,
+            min(progress_timeout_s, limit_s),
+            self._ahead(),
+        )
+        if not isinstance(result, StepReply):
+            return result
+        self.has_run = True
+        self._judge.progressed()
+        return self.run.accept(result)
+
+    def _ahead(self) -> Ahead:
+        left = self.request.max_tokens - self.run.answer.run_count
+        return Ahead(self.run.chain, left)
+
+    def judge(self, lost: Loss) -> Remedy:
+        """Log a loss and return how to go on."""
+        self.has_run = self.has_run or may_have_run(lost)
+        self._has_lost = True
+        stage = self.run.awaited_stage
+        remedy = self._judge.judge(lost, stage.target, self.run.attempt)
+        evidence_context.note(
+            records.AttemptLost(
+                self.run.attempt,
+                stage.target,
+                loss_text(lost),
+            ),
+        )
+        if remedy is Remedy.REPLACE:
+            self.avoided = self.avoided | {stage.target}
+        logger.warning(
+            'pipelines: step lost request=%s target=%s attempt=%d '
+            'position=%d loss=%s remedy=%s',
+            self.request.request_id,
+            stage.target,
+            self.run.attempt,
+            self.run.position,
+            loss_text(lost),
+            remedy.value,
+        )
+        return remedy
+
+    def ends_losses(self) -> bool:
+        """Tell whether a new token is the first one after a loss."""
+        has_lost = self._has_lost
+        self._has_lost = False
+        return has_lost
+
+    def resume_point(self) -> ResumePoint:
+        """Return the point after the last token."""
+        run = self.run
+        return ResumePoint(
+            stream_id=run.plan.stream_id,
+            fingerprint=self.mark,
+            attempt=run.attempt,
+            position=run.position,
+            count=run.answer.count,
+            last_token=run.last_token,
+            digest=run.answer.digest,
+            seed=run.plan.seed,
+            stages=stage_records(run.chain),
+        )
+
+    def _note_chain(self) -> None:
+        stages = tuple(
+            records.StageUse(stage.target, str(stage.layers))
+            for stage in self.run.chain
+        )
+        delivered = self.run.answer.count
+        if self._point is not None:
+            delivered = max(delivered, self._point.count)
+        evidence_context.note(
+            records.ChainChosen(self.run.attempt, stages, delivered),
+        )
+
+    def log_end(self) -> None:
+        """Log what the draft came to and keep its receipts."""
+        evidence_context.note(
+            records.ReceiptsKept(
+                self.run.receipts_digest,
+                self.run.answer.count,
+                self.run.plan.layer_count,
+            ),
+        )
+        logger.info(
+            'pipelines: draft ended request=%s stream=%s tokens=%d of=%d '
+            'attempt=%d receipts=%s',
+            self.request.request_id,
+            self.run.plan.stream_id,
+            self.run.answer.count,
+            self.request.max_tokens,
+            self.run.attempt,
+            self.run.receipts_digest,
+        )
+
+    def give_up(
+        self,
+        reason: outcomes.UnknownReason,
+    ) -> outcomes.NotRun | outcomes.Unknown:
+        """Return the final answer of a draft that can't go on."""
+        if self.has_run:
+            return outcomes.Unknown(reason, RETRY_AFTER_S)
+        if reason is outcomes.UnknownReason.ANSWER_TIMEOUT:
+            return outcomes.NotRun(
+                outcomes.RefusalReason.DEADLINE,
+                RETRY_AFTER_S,
+            )
+        return outcomes.NotRun(
+            outcomes.RefusalReason.TARGET_UNREACHABLE,
+            RETRY_AFTER_S,
+        )
+
+
+def tell_directory(targets: TargetWatch, stage: Stage, lost: Loss) -> None:
+    """Tell the directory what a loss says of its target."""
+    if isinstance(lost, StepRefusal):
+        if lost.reason == RefusalKind.LEAVING:
+            targets.refused_as_leaving(stage.address)
+        return
+    if not isinstance(lost, StepLost):
+        return
+    if lost.kind is LossKind.UNREACHABLE:
+        targets.connection_failed(stage.address, refused=True)
+    elif lost.kind is LossKind.RESET:
+        targets.connection_failed(stage.address, refused=False)
+    elif lost.kind is LossKind.CONNECTION_SILENT:
+        targets.connection_silent(stage.address, is_new=False)
+    elif lost.kind is LossKind.TARGET_SILENT:
+        targets.connection_silent(stage.address, is_new=True)
+
+
+def loss_text(lost: Loss) -> str:
+    """Return a loss for the log."""
+    if isinstance(lost, StepLost):
+        return lost.kind.value
+    if isinstance(lost, StepRefusal):
+        return f'refused:{lost.reason}'
+    return f'dropped:{lost.reason}'
+
+
+def _plan(
+    request: DraftRequest,
+    point: ResumePoint | None,
+    is_first: bool,
+) -> DraftPlan:
+    return DraftPlan(
+        stream_id=point.stream_id if point else request.request_id,
+        prompt=request.prompt,
+        seed=point.seed if point else request.seed,
+        layer_count=request.pool.layer_count,
+        max_tokens=request.max_tokens,
+        priority=2 * request.route.priority + is_first,
+    )
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -3,43 +3,31 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
-import logging
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
-from nutmegspoke.border.admission_gate import NAME as ADMISSION
-from nutmegspoke.border.admission_gate import AdmissionGate
-from nutmegspoke.border.engine_client import RelayCarrier
-from nutmegspoke.border.http_sessions import NAME as SESSIONS
-from nutmegspoke.border.http_sessions import HttpSessions
-from nutmegspoke.border.router import NAME as ROUTER
-from nutmegspoke.border.router import Router
-from nutmegspoke.border.target_watch import NAME as TARGETS
-from nutmegspoke.border.target_watch import TargetWatch
-from nutmegspoke.engine_protocol import StepRefusal, StepReply
-from nutmegspoke.pipelines.carrier import LossKind, StepLost
-from nutmegspoke.pipelines.run import (
-    DraftPlan,
-    DraftRun,
-    ReplyDropped,
-    SendStep,
-    TokenReady,
-)
-from nutmegspoke.routing.choices import ChainChoice, NoChain, NoChoiceReason
+from nutmegspoke.border.draft_chains import DraftChains
+from nutmegspoke.border.draft_runs import DraftInProgress
+from nutmegspoke.border.carriers import new_carrier
+from nutmegspoke.border.settings import read_secret
+from nutmegspoke.pipelines.decisions import AnswerDiffers, SendStep, TokenReady
+from nutmegspoke.pipelines.losses import Remedy
+from nutmegspoke.pipelines.resume import ResumeSigner, fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.pipelines.carrier import StepCarrier
+    from nutmegspoke.layers import Chain
+    from nutmegspoke.pipelines.carrier import Loss, StepCarrier
+    from nutmegspoke.pipelines.resume import ResumePoint
     from nutmegspoke.requests import DraftRequest
+    from nutmegspoke.routing.choices import ChainChoice
 
-logger = logging.getLogger(__name__)
 NAME = 'drafts'
-_MAX_ATTEMPTS = 6
-_NO_TARGET_RETRY_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,26 +48,26 @@
 
 
 class DraftService:
-    """Runs drafts."""
+    """Runs drafts.
+
+    :param clock: the clock of the process.
+    :param carrier: carries steps to engines.
+    :param signer: signs event ids.
+    :param chains: lets drafts in and chooses their chains.
+    """
 
     def __init__(
         self,
         clock: Clock,
-        targets: TargetWatch,
         carrier: StepCarrier,
-        router: Router,
-        gate: AdmissionGate,
+        signer: ResumeSigner,
+        chains: DraftChains,
     ) -> None:
-        """Use a carrier towards the targets.
-
-        :param router: chooses the chains.
-        :param gate: lets drafts into their pool.
-        """
+        """Use a carrier towards the engines."""
         self._clock = clock
-        self._targets = targets
         self._carrier = carrier
-        self._router = router
-        self._gate = gate
+        self._signer = signer
+        self._chains = chains
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -95,99 +83,132 @@
 
         :returns: the tokens in order, then one outcome.
         """
-        refusal = await self._gate.enter(request)
+        point = self._read_point(request)
+        if isinstance(point, outcomes.NotRun):
+            yield point
+            return
+        if point is not None and point.count >= request.max_tokens:
+            yield outcomes.Completed(status=200)
+            return
+        refusal = await self._chains.enter(request, _fingerprint(request))
         if refusal is not None:
             yield refusal
             return
         is_served = False
+        admitted = self._stream_admitted(request, point)
         try:
-            async for item in self._stream_admitted(request):
-                is_served = isinstance(item, outcomes.Completed)
-                yield item
+            async with contextlib.aclosing(admitted):
+                async for item in admitted:
+                    is_served = isinstance(item, outcomes.Completed)
+                    yield item
         finally:
-            self._gate.leave(request, is_served=is_served)
+            self._chains.leave(request, is_served=is_served)
 
     async def _stream_admitted(
         self,
         request: DraftRequest,
+        point: ResumePoint | None,
     ) -> AsyncIterator[DraftItem]:
-        choice = await self._choose_first(request)
+        mark = _fingerprint(request)
+        choice = await self._chains.choose_first(request, mark, point)
         if isinstance(choice, outcomes.NotRun):
             yield choice
             return
-        draft = _Draft(
+        draft = DraftInProgress(
             request,
+            mark,
             choice,
-            self._carrier,
-            self._targets,
-            is_first=self._gate.is_below_share(request),
+            point,
+            is_first=self._chains.is_first(request),
         )
+        self._chains.started(mark, choice)
         try:
             async for item in self._run(draft):
                 yield item
         finally:
-            self._router.finish_chain(request.pool, draft.choice)
-            self._cancel(draft)
+            self._leave(draft)
+            draft.log_end()
 
-    async def _choose_first(
-        self,
-        request: DraftRequest,
-    ) -> ChainChoice | outcomes.NotRun:
-        """Choose a chain, and wait while all targets are at their limits."""
-        while True:
-            choice = self._router.choose_chain(
-                request,
-                frozenset(),
-                is_first=self._gate.is_below_share(request),
-            )
-            if isinstance(choice, ChainChoice):
-                return choice
-            if choice.reason is not NoChoiceReason.IN_FLIGHT_LIMIT:
-                return _no_target(request)
-            refusal = await self._gate.wait_again(request)
-            if refusal is not None:
-                return refusal
-
-    async def _run(self, draft: _Draft) -> AsyncIterator[DraftItem]:
-        following: SendStep | None = draft.run.begin()
+    async def _run(self, draft: DraftInProgress) -> AsyncIterator[DraftItem]:
+        following: SendStep | None = draft.first_step()
         while following is not None:
-            if self._clock.now_s() > draft.request.deadline_s:
-                yield _given_up(outcomes.UnknownReason.ANSWER_TIMEOUT)
+            item = await self._next_token(draft, following)
+            if not isinstance(item, TokenReady):
+                yield item
                 return
-            decision = await draft.carry(following)
-            if isinstance(decision, TokenReady):
-                yield _token(draft.request, decision)
-                following = decision.following
-            elif isinstance(decision, SendStep):
-                following = decision
-            else:
-                following = self._recover(draft, decision)
-                if following is None:
-                    yield draft.give_up()
-                    return
+            if draft.ends_losses():
+                self._chains.progressed(draft.mark)
+            yield self._token(draft, item)
+            following = item.following
+        self._chains.completed(draft.mark, draft.choice)
         yield outcomes.Completed(status=200)
 
-    def _recover(
+    async def _next_token(
+        self,
+        draft: DraftInProgress,
+        order: SendStep,
+    ) -> TokenReady | outcomes.NotRun | outcomes.Unknown:
+        """Carry steps until a token is complete or the draft can't go on."""
+        while True:
+            left_s = draft.request.deadline_s - self._clock.now_s()
+            if left_s <= 0:
+                return draft.give_up(outcomes.UnknownReason.ANSWER_TIMEOUT)
+            decision = await draft.carry(self._carrier, order, left_s)
+            if isinstance(decision, TokenReady):
+                return decision
+            if isinstance(decision, AnswerDiffers):
+                return draft.give_up(outcomes.UnknownReason.RESUME_MISMATCH)
+            if not isinstance(decision, SendStep):
+                decision = await self._recover(draft, decision)
+            if decision is None:
+                return draft.give_up(outcomes.UnknownReason.STREAM_LOST)
+            order = decision
+
+    async def _recover(
         self,
-        draft: _Draft,
-        lost: StepLost | StepRefusal | ReplyDropped,
+        draft: DraftInProgress,
+        lost: Loss,
     ) -> SendStep | None:
-        draft.note_loss(lost)
-        if draft.run.attempt >= _MAX_ATTEMPTS:
+        remedy = draft.judge(lost)
+        if self._clock.now_s() < draft.request.deadline_s:
+            self._chains.lost(draft.mark, draft.run.awaited_stage, lost)
+        if remedy is Remedy.GIVE_UP:
             return None
-        choice = self._router.choose_chain(
-            draft.request,
-            draft.avoided,
-            is_first=draft.is_first,
-        )
-        if isinstance(choice, NoChain):
+        if remedy is Remedy.RESEND:
+            return draft.run.resend()
+        choice: ChainChoice | None = draft.choice
+        if remedy is Remedy.REPLACE:
+            choice = await self._chains.choose_again(draft)
+        if choice is None:
             return None
-        self._router.finish_chain(draft.request.pool, draft.choice)
-        return draft.restart(choice)
+        if choice is not draft.choice:
+            self._leave(draft, choice.chain)
+            self._chains.started(draft.mark, choice)
+        return draft.restart(choice, getattr(lost, 'attempt', 0))
 
-    def _cancel(self, draft: _Draft) -> None:
+    def _read_point(
+        self,
+        request: DraftRequest,
+    ) -> ResumePoint | outcomes.NotRun | None:
+        if not request.resume_from:
+            return None
+        point = self._signer.read(request.resume_from)
+        if point is None:
+            return _bad_resume('the event id is none of ours')
+        if point.fingerprint != _fingerprint(request):
+            return _bad_resume('the event id is of another request')
+        return point
+
+    def _token(self, draft: DraftInProgress, ready: TokenReady) -> DraftToken:
+        event_id = self._signer.sign(draft.resume_point())
+        return DraftToken(ready.number, ready.text, event_id)
+
+    def _leave(self, draft: DraftInProgress, following: Chain = ()) -> None:
+        """Count the work as done and end it where it does not go on."""
+        self._chains.finished(draft.request, draft.mark, draft.choice)
         for stage in draft.run.chain:
-            self._targets.finished(stage.address)
+            if stage in following:
+                continue
             cancel = self._carrier.cancel(
                 stage,
                 draft.run.plan.stream_id,
@@ -198,123 +219,25 @@
             task.add_done_callback(self._cancels.discard)
 
 
-class _Draft:
-    """One draft on its way."""
-
-    def __init__(
-        self,
-        request: DraftRequest,
-        choice: ChainChoice,
-        carrier: StepCarrier,
-        targets: TargetWatch,
-        *,
-        is_first: bool,
-    ) -> None:
-        self.request = request
-        self.is_first = is_first
-        self.choice = choice
-        self.avoided: frozenset[str] = frozenset()
-        self.has_run = False
-        self._carrier = carrier
-        self._targets = targets
-        plan = DraftPlan(
-            stream_id=request.request_id,
-            prompt=request.prompt,
-            seed=request.seed,
-            layer_count=request.pool.layer_count,
-            max_tokens=request.max_tokens,
-            priority=2 * request.route.priority + is_first,
-        )
-        self.run = DraftRun(plan, choice.chain, attempt=1)
-        self._last_sent: SendStep | None = None
-        self._note_started()
-
-    async def carry(
-        self,
-        order: SendStep,
-    ) -> SendStep | TokenReady | StepLost | StepRefusal | ReplyDropped:
-        """Send a step and return the run's decision, or what was lost."""
-        self._last_sent = order
-        result = await self._carrier.carry(
-            order.stage,
-            order.step,
-            self.request.route.progress_timeout_s,
-        )
-        if isinstance(result, StepReply):
-            self.has_run = True
-            return self.run.accept(result)
-        if isinstance(result, StepLost):
-            self.has_run = (
-                self.has_run or result.kind is not LossKind.UNREACHABLE
-            )
-        return result
-
-    def note_loss(self, lost: StepLost | StepRefusal | ReplyDropped) -> None:
-        """Log a loss and avoid its target if the target is to blame."""
-        if self._last_sent is None:
-            return
-        target = self._last_sent.stage.target
-        logger.warning(
-            'pipelines: step lost request=%s target=%s attempt=%d loss=%s',
-            self.request.request_id,
-            target,
-            self.run.attempt,
-            lost,
-        )
-        if not _is_connection_only(lost):
-            self.avoided = self.avoided | {target}
-
-    def restart(self, choice: ChainChoice) -> SendStep:
-        """Begin a new attempt over another chain."""
-        for stage in self.run.chain:
-            self._targets.finished(stage.address)
-        self.choice = choice
-        self._note_started()
-        return self.run.restart(choice.chain)
-
-    def give_up(self) -> outcomes.NotRun | outcomes.Unknown:
-        """Return the final answer of a draft that found no way on."""
-        if self.has_run:
-            return _given_up(outcomes.UnknownReason.STREAM_LOST)
-        return outcomes.NotRun(
-            outcomes.RefusalReason.TARGET_UNREACHABLE,
-            _NO_TARGET_RETRY_AFTER_S,
-        )
-
-    def _note_started(self) -> None:
-        for stage in self.choice.chain:
-            self._targets.started(stage.address)
-
-
 def setup(app: Application) -> None:
     """Register the draft service."""
-    sessions = app.kernel.find(SESSIONS, HttpSessions)
-    carrier = RelayCarrier(sessions.targets, sessions.fresh)
-    targets = app.kernel.find(TARGETS, TargetWatch)
-    router = app.kernel.find(ROUTER, Router)
-    gate = app.kernel.find(ADMISSION, AdmissionGate)
-    service = DraftService(app.clock, targets, carrier, router, gate)
-    app.kernel.register(NAME, service)
-
-
-def _is_connection_only(lost: StepLost | StepRefusal | ReplyDropped) -> bool:
-    return (
-        isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT
+    service = DraftService(
+        app.clock,
+        new_carrier(app),
+        ResumeSigner(read_secret(app.settings.secrets.peers_key)),
+        DraftChains.from_application(app),
     )
+    app.kernel.register(NAME, service)
 
 
-def _token(request: DraftRequest, ready: TokenReady) -> DraftToken:
-    event_id = f'{request.request_id}:{ready.number}'
-    return DraftToken(ready.number, ready.text, event_id)
-
-
-def _no_target(request: DraftRequest) -> outcomes.NotRun:
-    return outcomes.NotRun(
-        outcomes.RefusalReason.NO_TARGET,
-        _NO_TARGET_RETRY_AFTER_S,
-        f'no chain of targets in pool {request.pool.name}',
+def _fingerprint(request: DraftRequest) -> str:
+    return fingerprint(
+        request.team,
+        request.pool.model,
+        request.prompt,
+        request.max_tokens,
     )
 
 
-def _given_up(reason: outcomes.UnknownReason) -> outcomes.Unknown:
-    return outcomes.Unknown(reason, _NO_TARGET_RETRY_AFTER_S)
+def _bad_resume(detail: str) -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.RefusalReason.BAD_REQUEST, detail=detail)
--- a/nutmegspoke/pipelines/carrier.py
+++ b/nutmegspoke/pipelines/carrier.py
@@ -6,9 +6,11 @@
 import enum
 from typing import TYPE_CHECKING, Protocol
 
+from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
+from nutmegspoke.pipelines.decisions import ReplyDropped
+
 if TYPE_CHECKING:
-    from nutmegspoke.engine_protocol import StepRefusal, StepReply, StepRequest
-    from nutmegspoke.layers import Stage
+    from nutmegspoke.layers import Chain, Stage
 
 
 class LossKind(enum.StrEnum):
@@ -33,6 +35,22 @@
     detail: str = ''
 
 
+Loss = StepLost | StepRefusal | ReplyDropped
+CarryResult = StepReply | StepRefusal | StepLost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ahead:
+    """What follows a step if all goes well.
+
+    :param chain: the whole chain of the step.
+    :param token_count: tokens to generate from this step on.
+    """
+
+    chain: Chain
+    token_count: int
+
+
 class StepCarrier(Protocol):
     """Carries steps to stages."""
 
@@ -41,8 +59,12 @@
         stage: Stage,
         step: StepRequest,
         progress_timeout_s: float,
-    ) -> StepReply | StepRefusal | StepLost:
-        """Send a step and return what became of it."""
+        ahead: Ahead | None = None,
+    ) -> CarryResult:
+        """Send a step and return what became of it.
+
+        :param ahead: what follows, for carriers that can send it along.
+        """
 
     async def cancel(self, stage: Stage, stream_id: str, attempt: int) -> None:
         """Tell a stage that a stream has ended; failures are ignored."""
--- a/nutmegspoke/standins/engine.py
+++ b/nutmegspoke/standins/engine.py
@@ -14,6 +14,7 @@
 from nutmegspoke.layers import LayerRange
 from nutmegspoke.standins import faults, serving
 from nutmegspoke.standins.pace import Pace
+from nutmegspoke.standins.passing import PassingEngine
 from nutmegspoke.standins.streams import StreamCaches
 
 _encode = msgspec.msgpack.encode
@@ -32,10 +33,12 @@
         model: str,
         version: str,
         activation_bytes: int,
+        cache_bytes: int = 0,
     ) -> None:
         """Create an engine.
 
         :param activation_bytes: bytes of one position between two stages.
+        :param cache_bytes: bytes of the KV cache of one position and layer.
         """
         self.board = faults.FaultBoard()
         self._caches = caches
@@ -43,6 +46,7 @@
         self._model = model
         self._version = version
         self._activation_bytes = activation_bytes
+        self._cache_bytes = cache_bytes
         self._in_flight = 0
         self._highest_fencing_number = 0
         self._start_id = secrets.token_hex(8)
@@ -55,7 +59,10 @@
             client_max_size=_MAX_BODY_BYTES,
         )
         app.router.add_post(protocol.STEPS_PATH, self._step)
+        PassingEngine(self._run_step, self.board).add_to(app)
         app.router.add_post(protocol.CANCEL_PATH, self._cancel)
+        app.router.add_get(protocol.CACHES_PATH, self._export)
+        app.router.add_put(protocol.CACHES_PATH, self._import)
         app.router.add_post(protocol.ORDERS_PATH, self._order)
         app.router.add_get(protocol.LOAD_PATH, self._load)
         app.router.add_get('/v1/streams', self._streams)
@@ -63,12 +70,25 @@
 
     async def _step(self, request: web.Request) -> web.Response:
         step = _decode(await request.read(), type=protocol.StepRequest)
+        result = await self._run_step(step)
+        if isinstance(result, protocol.StepRefusal):
+            is_leaving = result.reason == protocol.RefusalKind.LEAVING
+            return _refuse(result, status=503 if is_leaving else 409)
+        return web.Response(
+            body=_encode(result),
+            content_type=protocol.MEDIA_TYPE,
+        )
+
+    async def _run_step(
+        self,
+        step: protocol.StepRequest,
+    ) -> protocol.StepReply | protocol.StepRefusal:
         self._crash_if_poison(step)
         if self._is_leaving() and step.position == 0:
-            return _refuse(protocol.StepRefusal('leaving'), status=503)
+            return protocol.StepRefusal(protocol.RefusalKind.LEAVING)
         refusal = self._caches.admit(step)
         if refusal is not None:
-            return _refuse(refusal, status=409)
+            return refusal
         reply = self._caches.run(step)
         self._in_flight += 1
         try:
@@ -79,16 +99,36 @@
             )
         finally:
             self._in_flight -= 1
-        return web.Response(
-            body=_encode(reply),
-            content_type=protocol.MEDIA_TYPE,
-        )
+        return reply
 
     async def _cancel(self, request: web.Request) -> web.Response:
         order = _decode(await request.read(), type=protocol.CancelRequest)
         self._caches.cancel(order.stream_id, order.attempt)
         return web.Response(status=204)
 
+    async def _export(self, request: web.Request) -> web.Response:
+        """Return the KV cache of the stream that the query names."""
+        block = self._caches.export(
+            request.query['stream_id'],
+            int(request.query['first_layer']),
+            int(request.query['stop_layer']),
+        )
+        if block is None:
+            return web.Response(status=404)
+        positions = sum(len(digests) - 1 for digests in block.digests)
+        block.padding = bytes(positions * self._cache_bytes)
+        await self._pace.work(0, len(block.padding))
+        return web.Response(
+            body=_encode(block),
+            content_type=protocol.MEDIA_TYPE,
+        )
+
+    async def _import(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        await self._pace.work(0, len(body))
+        is_taken = self._caches.take(_decode(body, type=protocol.CacheBlock))
+        return web.Response(status=204 if is_taken else 409)
+
     async def _order(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(
             await request.read(),
@@ -162,6 +202,7 @@
     layer_tokens_per_s: float = 8_000.0,
     link_bytes_per_s: float = 0.0,
     activation_bytes: int = 16_384,
+    cache_bytes: int = 4_096,
 ) -> None:
     """Run the engine stand-in.
 
@@ -174,7 +215,14 @@
         raise typer.BadParameter('layers are START-STOP or none')
     caches = StreamCaches(name, held.start, held.stop, layer_count)
     pace = Pace(layer_tokens_per_s, link_bytes_per_s, time.monotonic)
-    engine = Engine(caches, pace, model, version, activation_bytes)
+    engine = Engine(
+        caches,
+        pace,
+        model,
+        version,
+        activation_bytes,
+        cache_bytes,
+    )
     ports = (
         (engine.app(), port),
         (faults.control_app(engine.board), control_port),
