--- a/tests/border/test_calls_faults.py
+++ b/tests/border/test_calls_faults.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from nutmegspoke import outcomes
-from nutmegspoke.border import service_client
+from nutmegspoke.border import calls, service_client
 from nutmegspoke.border.call_run import call_fingerprint
 from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.standins.faults import FaultOrder
@@ -126,6 +126,24 @@
         ):
             await asyncio.sleep(0.01)
 
+    async def test_what_is_found_out_is_told(self) -> None:
+        """A target that leaves, is silent or gone gets no more new work."""
+        self.fault('leave')
+        await self.calls.call(self.request())
+        await self.raw('silent')
+        await self.calls.call(
+            self.request(idempotency_key='k2', progress_timeout_s=0.2),
+        )
+        with socket.socket() as closed:
+            closed.bind(('127.0.0.1', 0))
+            host, port = closed.getsockname()
+            self.directory.targets = (build.target('gone', f'{host}:{port}'),)
+            await self.calls.call(self.request(idempotency_key='k3'))
+        self.assertEqual(
+            self.directory.told,
+            ['leaving', 'leaving', 'silent', 'gone'],
+        )
+
     async def test_connection_that_does_not_come_about(self) -> None:
         """The target's host answers no connect; no byte left."""
         with socket.socket() as full:
@@ -165,6 +183,19 @@
         self.assertIsInstance(again, outcomes.Completed)
         self.assertTrue(again.replayed)
 
+    async def test_a_stop_that_cannot_wait_keeps_the_outcome(self) -> None:
+        """A call that is cut is unknown, for its caller and for repeats."""
+        (only,) = await self.raw('silent')
+        with mock.patch.object(calls, '_STOP_LIMIT_S', 0.1):
+            call = asyncio.create_task(self.calls.call(self.request()))
+            while not only.run_count:
+                await asyncio.sleep(0.01)
+            await self.calls.stop()
+        cut = await call
+        again = await (await self.daemon('d2')).call(self.request())
+        for told in (cut, again):
+            self.assertEqual(told.reason, outcomes.UnknownReason.STOP_LIMIT)
+
     async def test_two_daemons_at_once(self) -> None:
         """Of thirty calls with ten keys at three daemons, ten run."""
         daemons = [await self.daemon(f'e{number}') for number in range(3)]
@@ -201,6 +232,7 @@
             self.services[0].board.give(FaultOrder(fault='silence'))
             told = await self.calls.call(request)
             self.assertIsInstance(told, outcomes.Completed, number)
+        self.assertEqual(self.directory.told, [])
 
     async def test_retries_stay_inside_the_budget(self) -> None:
         """While all targets lose answers, calls bring few retries."""
