--- a/tests/border/test_drafts.py
+++ b/tests/border/test_drafts.py
@@ -219,6 +219,21 @@
         self.assertEqual(sorted(self.carrier.cancelled), ['a', 'b', 'c'])
         self.assert_nothing_left()
 
+    async def test_slow_reader_gets_no_step_ahead(self) -> None:
+        """The next step is sent when the caller has taken its token."""
+        stream = self.drafts.stream(build.draft_request())
+        for count in range(1, 8):
+            await anext(stream)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            lengths = {
+                self.held[name].export('r1', layer, layer + 1).digests
+                for name, layer in (('a', 0), ('b', 2), ('c', 4))
+            }
+            held = {len(digests[0]) - 1 for digests in lengths}
+            self.assertEqual(held, {len(build.PROMPT.split()) + count - 1})
+        await stream.aclose()
+
     async def test_resume_at_each_token(self) -> None:
         """Held by the stages, lost by some, or cancelled by a hang-up."""
         for count in range(1, 9):
--- a/tests/pipelines/test_processes.py
+++ b/tests/pipelines/test_processes.py
@@ -10,7 +10,7 @@
 from urllib import parse
 
 from nutmegspoke.bench import processes
-from nutmegspoke.bench.deployment import Daemon, Deployment
+from nutmegspoke.bench.deployment import Daemon, DaemonOptions, Deployment
 from nutmegspoke.standins.arithmetic import token_text
 from tests import builders_pipelines as build
 from tests import deployments
@@ -42,6 +42,9 @@
 )
 
 
+_DAEMONS = (('d1', 'relay'), ('d2', 'relay'), ('d3', 'pass_on'))
+
+
 class Caller:
     """A caller that reads a streamed answer event by event."""
 
@@ -118,7 +121,8 @@
                 '800',
             )
         cls.daemons = [
-            cls.deployment.start_daemon(name) for name in ('d1', 'd2', 'd3')
+            cls.deployment.start_daemon(name, DaemonOptions(carrier=carrier))
+            for name, carrier in _DAEMONS
         ]
         deployments.apply(cls.deployment, _TABLES)
         cls.deployment.wait_ready()
@@ -201,7 +205,7 @@
         self.assert_ends()
 
     def test_killed_daemon_then_killed_engine(self) -> None:
-        """Resumed elsewhere, and whole after an engine's death too."""
+        """Passed on, resumed by relay, whole after an engine's death too."""
         killed = self.daemons[2]
         caller = Caller(killed.url)
         first = list(caller.read(5))
