--- a/nutmegspoke/bench/carrier_cost.py
+++ b/nutmegspoke/bench/carrier_cost.py
@@ -16,6 +16,7 @@
 import typer
 
 from nutmegspoke.bench import processes
+from nutmegspoke.bench.results import Result, Section
 from nutmegspoke.border.engine_client import RelayCarrier
 from nutmegspoke.border.pass_on import PassOnCarrier
 from nutmegspoke.engine_protocol import LOAD_PATH, StepReply
@@ -32,6 +33,7 @@
 _LAYER_COUNT = 12
 _LAYER_TOKENS_PER_S = 10_000_000.0
 _TIMEOUT_S = 30.0
+_STREAMS = 10
 _PROMPT = 'notes of the club for this issue'
 _CARRIERS = types.MappingProxyType(
     {'relay': RelayCarrier, 'pass_on': PassOnCarrier},
@@ -96,8 +98,35 @@
     }
 
 
-def main(streams: int = 10, token_count: int = 400, rounds: int = 3) -> None:
+def measure(*, is_quick: bool) -> Section:
+    """Return the daemon's cost of a token with both carriers.
+
+    :param is_quick: one short round.
+    """
+    figures = _figures(_STREAMS, 100 if is_quick else 400, 1 if is_quick else 3)
+    results = [
+        Result(
+            f'{name}_cpu_us_per_token',
+            sorted(each['cpu_us_per_token'] for each in rounds)[
+                len(rounds) // 2
+            ],
+        )
+        for name, rounds in figures.items()
+    ]
+    return Section('carriers', results, details=figures)
+
+
+def main(
+    streams: int = _STREAMS,
+    token_count: int = 400,
+    rounds: int = 3,
+) -> None:
     """Print the cost of each carrier, in rounds that alternate."""
+    figures = _figures(streams, token_count, rounds)
+    print(json.dumps(figures, indent=2))
+
+
+def _figures(streams: int, token_count: int, rounds: int) -> dict[str, Any]:
     with tempfile.TemporaryDirectory(prefix='nutmegspoke-') as directory:
         engines = [
             processes.start_standin(
@@ -113,7 +142,7 @@
         ]
         try:
             for engine in engines:
-                processes.wait_for(f'{engine.url}{LOAD_PATH}')
+                processes.wait_for(f'{engine.url}{LOAD_PATH}', process=engine)
             chain = tuple(
                 Stage(
                     engine.name,
@@ -122,11 +151,10 @@
                 )
                 for engine, layers in zip(engines, _HOPS, strict=True)
             )
-            figures = _all_rounds(chain, streams, token_count, rounds)
+            return _all_rounds(chain, streams, token_count, rounds)
         finally:
             for engine in engines:
                 engine.end()
-    print(json.dumps(figures, indent=2))
 
 
 def _all_rounds(
--- a/nutmegspoke/bench/measure.py
+++ b/nutmegspoke/bench/measure.py
@@ -10,10 +10,12 @@
 import typer
 
 from nutmegspoke.bench import (
+    carrier_cost,
     changes_cost,
     idle_cost,
     policies,
     request_cost,
+    stage_loss,
     throughput,
 )
 
@@ -24,6 +26,8 @@
     policies,
     throughput,
     request_cost,
+    carrier_cost,
+    stage_loss,
     changes_cost,
     idle_cost,
 )
--- a/nutmegspoke/bench/stage_loss.py
+++ b/nutmegspoke/bench/stage_loss.py
@@ -20,6 +20,7 @@
 
 from nutmegspoke.bench import processes
 from nutmegspoke.bench.deployment import Daemon, DaemonOptions, Deployment
+from nutmegspoke.bench.results import Result, Section
 
 _TABLES = """\
 [route drafts]
@@ -43,6 +44,7 @@
 _PROMPT_WORDS = 100
 _TOKENS = 40
 _LOST_AFTER = 10
+_ROUNDS = 20
 _OUTER = (('a1', '0-4'), ('c1', '8-12'))
 
 
@@ -187,15 +189,38 @@
     }
 
 
-def main(rounds: int = 20, carrier: str = 'relay') -> None:
+def measure(*, is_quick: bool) -> Section:
+    """Return the largest gaps after a stage's loss, beside their targets.
+
+    :param is_quick: two rounds of each loss.
+    """
+    figures = _figures(2 if is_quick else _ROUNDS, 'relay')
+    return Section(
+        'stage lost',
+        [
+            Result.at_most(
+                f'next_token_after_stage_{kind}_max_s',
+                each['gap_max_s'],
+                each['target_s'],
+            )
+            for kind, each in figures.items()
+        ],
+        details=figures,
+    )
+
+
+def main(rounds: int = _ROUNDS, carrier: str = 'relay') -> None:
     """Print the gaps after losses as JSON."""
-    figures = {}
+    print(json.dumps({carrier: _figures(rounds, carrier)}, indent=2))
+
+
+def _figures(rounds: int, carrier: str) -> dict[str, Any]:
     with Deployment() as deployment:
         bench = _Bench(deployment, carrier)
-        for kind in ('killed', 'silent'):
-            done = [bench.round(kind) for _ in range(rounds)]
-            figures[kind] = summary(kind, done)
-    print(json.dumps({carrier: figures}, indent=2))
+        return {
+            kind: summary(kind, [bench.round(kind) for _ in range(rounds)])
+            for kind in ('killed', 'silent')
+        }
 
 
 if __name__ == '__main__':
