Tell a broken connection from a crashed engine

Cause: a scenario that loses one reply of each of two engines ended its draft with stream_lost: each reset counted as a crash, and the second one put the request into quarantine, although both engines lived. Ruled out: the recovery itself (the chain was replaced as it should).

--- a/nutmegspoke/border/target_calls.py
+++ b/nutmegspoke/border/target_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import types
 from typing import TYPE_CHECKING, TypeVar
@@ -23,6 +24,7 @@
 
 HEADERS = types.MappingProxyType({'Content-Type': protocol.MEDIA_TYPE})
 NO_TIMEOUT = aiohttp.ClientTimeout()
+_BREAK_PROBE_TIMEOUT_S = 0.3
 _CANCEL_TIMEOUT_S = 2.0
 _CALL_ERRORS = (
     aiohttp.ClientError,
@@ -86,7 +88,7 @@
         except TimeoutError:
             return self._tell_silence(address, probe)
         except _CALL_ERRORS as error:
-            return StepLost(_loss_kind(error), str(error))
+            return await self._tell_break(address, error)
         finally:
             probe.stop()
 
@@ -108,6 +110,23 @@
                 error,
             )
 
+    async def _tell_break(self, address: str, error: Exception) -> StepLost:
+        """Tell a connection that broke from a target that has crashed.
+
+        A target whose process has ended answers no new connection.
+        """
+        kind = _loss_kind(error)
+        if kind is LossKind.RESET and await self._still_answers(address):
+            kind = LossKind.CONNECTION_RESET
+        return StepLost(kind, str(error))
+
+    async def _still_answers(self, address: str) -> bool:
+        probe = _Probe(self._fresh_session, address)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_BREAK_PROBE_TIMEOUT_S):
+                await probe.ask()
+        return probe.is_answered
+
     def _tell_silence(self, address: str, probe: _Probe) -> StepLost:
         self._fresh_until_s[address] = _loop_s() + self._keepalive_s
         if probe.is_answered:
@@ -144,9 +163,10 @@
             self._task.cancel()
 
     def _start(self) -> None:
-        self._task = asyncio.create_task(self._ask())
+        self._task = asyncio.create_task(self.ask())
 
-    async def _ask(self) -> None:
+    async def ask(self) -> None:
+        """Ask for the load and note whether an answer came."""
         url = f'http://{self._address}{protocol.LOAD_PATH}'
         try:
             async with self._session.get(url) as response:
--- a/nutmegspoke/pipelines/carrier.py
+++ b/nutmegspoke/pipelines/carrier.py
@@ -18,6 +18,7 @@
 
     UNREACHABLE = 'unreachable'
     RESET = 'reset'
+    CONNECTION_RESET = 'connection_reset'
     CONNECTION_SILENT = 'connection_silent'
     TARGET_SILENT = 'target_silent'
     BAD_REPLY = 'bad_reply'
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -22,6 +22,16 @@
         'if may_retry or method:',
         ('tests.border.test_platform_client',),
     ),
+    Mutation(
+        'promise-1 a broken connection is no crash of a living target',
+        'nutmegspoke/border/target_calls.py',
+        'if kind is LossKind.RESET and await self._still_answers(address):',
+        'if False:',
+        (
+            'tests.scenarios.test_scenarios.ScenariosTest.'
+            'test_stage_reply_lost_mid_answer',
+        ),
+    ),
     *CLAIM_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
 )
