Refuse to settle a claim whose holder may still run it

Cause: claims resolve passed no live daemons, so an operator could settle a running call as not run, and the next call under its key would have been a second run.

--- a/nutmegspoke/border/claim_reads.py
+++ b/nutmegspoke/border/claim_reads.py
@@ -5,7 +5,9 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from nutmegspoke.border.claim_holders import holder_name
 from nutmegspoke.claims import rows, settlement
+from nutmegspoke.membership.daemon_rows import ROW_PREFIX, decode_daemon_row
 from nutmegspoke.platform import Committed, Conflict, InDoubt, Unavailable
 
 if TYPE_CHECKING:
@@ -76,6 +78,27 @@
     )
 
 
+async def holders(
+    tables: TableService,
+) -> tuple[str, ...] | Unavailable:
+    """Return the names of all holders whose daemon has a row.
+
+    The row of a daemon that stopped as planned is gone; that of one that
+    crashed stays for a while.
+
+    :param tables: the table service.
+    """
+    found = await tables.scan(ROW_PREFIX)
+    if isinstance(found, Unavailable):
+        return found
+    daemons = (decode_daemon_row(row) for row in found)
+    return tuple(
+        holder_name(daemon.name, daemon.start)
+        for daemon in daemons
+        if daemon is not None
+    )
+
+
 async def settle(
     tables: TableService,
     key: str,
--- a/nutmegspoke/cmd/cli_claims.py
+++ b/nutmegspoke/cmd/cli_claims.py
@@ -67,21 +67,37 @@
             help='Whether the call ran, as you found out at the service.',
         ),
     ],
+    holder_is_gone: Annotated[
+        bool,
+        typer.Option(
+            '--holder-is-gone',
+            help='You made sure that the daemon that holds it has ended.',
+        ),
+    ] = False,
     json: JsonOption = False,
 ) -> None:
     """Settle a claim whose outcome is not known.
 
+    A claim of a daemon that has a row in the platform is not settled, since
+    its call may still be running, unless you say that the daemon has ended.
+
     With --not-run the next call under the same key runs. If the call did run
     after all, it then runs twice: look at the service's own journal first.
     """
     printer = Printer(json)
 
     async def settle(client: PlatformClient) -> claim_reads.SettleResult:
+        live: tuple[str, ...] | Unavailable = ()
+        if not holder_is_gone:
+            live = await claim_reads.holders(client.tables)
+        if isinstance(live, Unavailable):
+            return live
         return await claim_reads.settle(
             client.tables,
             key,
             operator,
             Verdict.RAN if ran else Verdict.NOT_RUN,
+            live,
         )
 
     told = run(platform, settle)
--- a/nutmegspoke/membership/daemon_rows.py
+++ b/nutmegspoke/membership/daemon_rows.py
@@ -86,7 +86,9 @@
             is_same = version == row.version
             seen[row.key] = (row.version, since_s if is_same else now_s)
         self._first_seen = seen
-        decoded = [_decoded(row) for row in rows if row.key != self._key()]
+        decoded = [
+            decode_daemon_row(row) for row in rows if row.key != self._key()
+        ]
         return tuple(
             PeerAddress(row.address, row.name, row.start)
             for row in decoded
@@ -114,7 +116,8 @@
         return f'{ROW_PREFIX}{self.own.name}'
 
 
-def _decoded(row: StoredRow) -> DaemonRow | None:
+def decode_daemon_row(row: StoredRow) -> DaemonRow | None:
+    """Return the content of a daemon's row; ``None`` if it can't be read."""
     try:
         return msgspec.msgpack.decode(row.body, type=DaemonRow)
     except msgspec.MsgspecError:
--- a/tests/cmd/test_cli_processes.py
+++ b/tests/cmd/test_cli_processes.py
@@ -12,6 +12,7 @@
 from nutmegspoke.bench.deployment import Deployment
 from nutmegspoke.cmd.cli_output import ExitCode
 from tests import deployments
+from tests.scenarios.stage import Exchange
 
 
 class CliProcessesTest(unittest.TestCase):
@@ -50,6 +51,31 @@
         (other,) = answer['others']
         self.assertEqual(other['sections'][0]['section'], 'route drafts')
 
+    def test_claim_of_a_running_daemon_is_not_settled(self) -> None:
+        """Only a holder that has ended lets its claim be settled."""
+        daemon = self.deployment.daemons['daemon-0']
+        service = self.deployment.targets['records-1']
+        service.order_fault('lose_answer', count=1, path='/mailings')
+        key = {'Idempotency-Key': 'issue-7'}
+        answer = deployments.call(daemon, 'POST', '/mailings', '', key)
+        self.assertEqual(answer.executed, 'unknown')
+        service.order_fault('late', count=1, path='/mailings', delay_s=2.0)
+        other = {'Idempotency-Key': 'issue-8'}
+        running = Exchange(daemon.url, 'POST', '/mailings', '', other)
+        processes.wait_until(lambda: len(self._open_claims()) == 2)
+        row = self._open_claims()[1]
+        code, told = self._run('claims', 'resolve', row['key'], '--not-run')
+        self.assertEqual(code, ExitCode.FAILED, told)
+        running.join()
+        self.assertEqual(running.status, 200)
+        self.assertEqual(
+            len(deployments.journal(self.deployment, '/mailings')), 2
+        )
+
+    def _open_claims(self) -> list[dict[str, str]]:
+        _, answer = self._run('claims', 'list')
+        return sorted(answer['claims'], key=lambda claim: claim['wall_s'])
+
     def test_answer_lost_after_the_write(self) -> None:
         """The change is accepted once, and the operator is told so."""
         self.deployment.platform.order_fault(
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -32,6 +32,13 @@
             'test_stage_reply_lost_mid_answer',
         ),
     ),
+    Mutation(
+        'promise-4 settling a claim whose holder lives',
+        'nutmegspoke/border/claim_reads.py',
+        'settlement.settle(found, verdict, operator, live_daemons)',
+        'settlement.settle(found, verdict, operator, ())',
+        ('tests.cmd.test_cli_processes',),
+    ),
     *CLAIM_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
 )
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -24,6 +24,7 @@
         'tests.claims.test_decider',
         'tests.claims.test_grouping',
         'tests.claims.test_settlement',
+        'tests.cmd.test_cli_processes',
         'tests.border.test_calls.UnrepeatableCallTest',
     ),
     'promise-5': (
