Split the limits of teams over the live daemons

Demand of the teams that a route's row limits goes out with the gossip; the peers' demands make this daemon's share, which reaches waiting requests too. The queues know such a team by route and team, so that the row's weight and limit count for its own route.

--- a/nutmegspoke/admission/queueing.py
+++ b/nutmegspoke/admission/queueing.py
@@ -43,7 +43,10 @@
 
 
 class AdmissionQueue:
-    """Decides which requests of a pool run, wait or are refused."""
+    """Decides which requests of a pool run, wait or are refused.
+
+    :ivar settings: bounds of the queue; may be replaced.
+    """
 
     def __init__(
         self,
@@ -57,7 +60,7 @@
         :param capacity: requests that may run at once.
         :param source: seeded source of the jitter of ``Retry-After``.
         """
-        self._settings = settings
+        self.settings = settings
         self._slots = Slots(capacity)
         self._order = FairOrder()
         self._meter = DrainMeter(settings.expected_service_s)
@@ -220,7 +223,7 @@
             if team.is_limited:
                 return RefusalReason.TEAM_LIMIT
             return RefusalReason.DEADLINE
-        if entry.is_due or len(self._waiting) < self._settings.max_queue:
+        if entry.is_due or len(self._waiting) < self.settings.max_queue:
             return None
         evicted = self._order.worst_excess(team)
         if evicted is None:
--- a/nutmegspoke/application.py
+++ b/nutmegspoke/application.py
@@ -22,6 +22,7 @@
     'nutmegspoke.border.placement',
     'nutmegspoke.border.router',
     'nutmegspoke.border.admission_gate',
+    'nutmegspoke.border.team_shares',
     'nutmegspoke.border.quarantine',
     'nutmegspoke.border.drafts',
     'nutmegspoke.border.calls',
--- /dev/null
+++ b/nutmegspoke/border/admission_tickets.py
@@ -0,0 +1,117 @@
+"""Tickets of requests: team, share, work and the key to know them by."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+import xxhash
+
+from nutmegspoke.admission.tickets import Ticket
+from nutmegspoke.border.router import work_tokens
+from nutmegspoke.requests import DraftRequest
+
+if TYPE_CHECKING:
+    from nutmegspoke.requests import CallRequest
+    from nutmegspoke.tables.rows import TeamShare
+
+_CALL_COST = 1.0
+
+
+class TeamLimits(Protocol):
+    """Knows this daemon's share of the limits of teams."""
+
+    def share_of(self, team: str, limit: int, now_s: float) -> int:
+        """Return how many requests of a team may be in flight here."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamKey:
+    """A team as the queues know it.
+
+    A team that has a share in a route's row is counted for that route; others
+    are counted over all routes of a pool.
+
+    :param team: name of the team.
+    :param route: name of the route; empty for all.
+    """
+
+    team: str
+    route: str = ''
+
+    @classmethod
+    def from_request(cls, request: DraftRequest | CallRequest) -> TeamKey:
+        """Return the key that a request counts for."""
+        if _share_of(request) is None:
+            return cls(request.team)
+        return cls(request.team, request.route.name)
+
+    @property
+    def is_limited(self) -> bool:
+        """Tell whether a row limits the team."""
+        return bool(self.route)
+
+    def __str__(self) -> str:
+        """Return the name of the team in the queues."""
+        return f'{self.route}/{self.team}' if self.route else self.team
+
+
+class WholeLimits:
+    """Gives the whole limit to this daemon, as if it were alone."""
+
+    def share_of(self, team: str, limit: int, now_s: float) -> int:
+        """Return how many requests of a team may be in flight here."""
+        return limit
+
+
+def ticket_of(
+    request: DraftRequest | CallRequest,
+    limits: TeamLimits,
+    now_s: float,
+) -> Ticket:
+    """Return the ticket of a request.
+
+    :param request: the request.
+    :param limits: this daemon's share of the limits of teams.
+    :param now_s: present time.
+    """
+    share = _share_of(request)
+    key = str(TeamKey.from_request(request))
+    limit = None
+    if share is not None:
+        limit = limits.share_of(key, share.max_in_flight, now_s)
+    return Ticket(
+        request_id=request.request_id,
+        team=key,
+        deadline_s=request.deadline_s,
+        weight=share.weight if share else 1.0,
+        max_in_flight=limit,
+        priority=request.route.priority,
+        cost=_cost(request),
+        return_key=_return_key(request),
+    )
+
+
+def _share_of(request: DraftRequest | CallRequest) -> TeamShare | None:
+    return next(
+        (each for each in request.route.teams if each.team == request.team),
+        None,
+    )
+
+
+def _cost(request: DraftRequest | CallRequest) -> float:
+    if isinstance(request, DraftRequest):
+        return float(work_tokens(request))
+    return _CALL_COST
+
+
+def _return_key(request: DraftRequest | CallRequest) -> str:
+    """Return a digest by which the same request is known again."""
+    digest = xxhash.xxh64(request.route.name.encode())
+    if isinstance(request, DraftRequest):
+        digest.update(request.prompt.encode())
+    else:
+        digest.update(request.idempotency_key.encode())
+        digest.update(request.path.encode())
+        digest.update(request.body)
+    return digest.hexdigest()
