--- a/nutmegspoke/border/call_attempts.py
+++ b/nutmegspoke/border/call_attempts.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
-from nutmegspoke.border import service_client
+from nutmegspoke.border import evidence_context, service_client
 from nutmegspoke.border.call_run import (
     MIN_FAILURE_STATUS,
     RETRY_AFTER_S,
@@ -16,6 +16,7 @@
 )
 from nutmegspoke.border.target_health import TargetHealth
 from nutmegspoke.claims import steps
+from nutmegspoke.evidence.records import AttemptLost, CallSent
 from nutmegspoke.retries.budget import RetryBudgets
 from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.routing.choices import TargetChoice
@@ -149,7 +150,9 @@
             run.attempt_count,
             is_fresh,
         )
+        evidence_context.note(CallSent(run.attempt_count, target.name))
         attempt = await self._exchange(run, target, is_fresh=is_fresh)
+        _note_loss(run, target, attempt)
         was_silent = run.silent is not None
         run.silent = None
         if _is_silent(attempt) and not is_fresh:
@@ -219,3 +222,21 @@
 
 def _refused(reason: outcomes.RefusalReason) -> outcomes.NotRun:
     return outcomes.NotRun(reason, RETRY_AFTER_S)
+
+
+def _note_loss(
+    run: CallRun,
+    target: Target,
+    attempt: service_client.Attempt,
+) -> None:
+    if isinstance(attempt, service_client.Answered):
+        return
+    reason = getattr(attempt, 'reason', '')
+    seen = type(attempt).__name__.lower()
+    evidence_context.note(
+        AttemptLost(
+            run.attempt_count,
+            target.name,
+            f'{seen} {reason}'.strip(),
+        ),
+    )
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
-from nutmegspoke.border import service_client
+from nutmegspoke.border import evidence_context, service_client
 from nutmegspoke.border.call_attempts import CallAttempts
 from nutmegspoke.border.claim_holders import PeerHolders, holder_name
 from nutmegspoke.border.claim_keeper import ClaimKeeper
@@ -131,8 +131,10 @@
         claim = await self._claims.acquire(request)
         if not isinstance(claim, str):
             return claim
+        evidence_context.note_claim('inserted', claim)
         outcome = await self._run_claimed(request, claim)
         self._claims.finish(claim, outcome)
+        evidence_context.note_claim('finished', claim)
         return outcome
 
     async def _run_claimed(
--- a/nutmegspoke/border/drafts.py
+++ b/nutmegspoke/border/drafts.py
@@ -10,13 +10,13 @@
 from nutmegspoke import outcomes
 from nutmegspoke.border.admission_gate import NAME as ADMISSION
 from nutmegspoke.border.admission_gate import AdmissionGate
+from nutmegspoke.border import evidence_carrier, evidence_context
 from nutmegspoke.border.engine_client import RelayCarrier
 from nutmegspoke.border.http_sessions import NAME as SESSIONS
 from nutmegspoke.border.http_sessions import HttpSessions
 from nutmegspoke.border.router import NAME as ROUTER
 from nutmegspoke.border.router import Router
-from nutmegspoke.border.target_watch import NAME as TARGETS
-from nutmegspoke.border.target_watch import TargetWatch
+from nutmegspoke.border.target_watch import NAME as TARGETS, TargetWatch
 from nutmegspoke.engine_protocol import StepRefusal, StepReply
 from nutmegspoke.pipelines.carrier import LossKind, StepLost
 from nutmegspoke.pipelines.run import (
@@ -165,6 +165,7 @@
                 if following is None:
                     yield draft.give_up()
                     return
+        evidence_context.note_receipts(draft.run)
         yield outcomes.Completed(status=200)
 
     def _recover(
@@ -289,7 +290,9 @@
 def setup(app: Application) -> None:
     """Register the draft service."""
     sessions = app.kernel.find(SESSIONS, HttpSessions)
-    carrier = RelayCarrier(sessions.targets, sessions.fresh)
+    carrier = evidence_carrier.EvidenceCarrier(
+        RelayCarrier(sessions.targets, sessions.fresh)
+    )
     targets = app.kernel.find(TARGETS, TargetWatch)
     router = app.kernel.find(ROUTER, Router)
     gate = app.kernel.find(ADMISSION, AdmissionGate)
--- a/nutmegspoke/border/evidence_context.py
+++ b/nutmegspoke/border/evidence_context.py
@@ -7,13 +7,19 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.evidence.records import Event, Matched
+from nutmegspoke.evidence.records import (
+    ClaimNoted,
+    Event,
+    Matched,
+    ReceiptsKept,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from nutmegspoke.border import matching
     from nutmegspoke.border.evidence_log import EvidenceLog
+    from nutmegspoke.pipelines.run import DraftRun
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,3 +72,19 @@
             matched.route.repeatable,
         ),
     )
+
+
+def note_receipts(run: DraftRun) -> None:
+    """Add the receipts of a draft that is whole."""
+    note(
+        ReceiptsKept(
+            run.receipts_digest,
+            len(run.tokens),
+            run.plan.layer_count,
+        ),
+    )
+
+
+def note_claim(step: str, key: str) -> None:
+    """Add what happened to the claim of a call that may not be repeated."""
+    note(ClaimNoted(step, key))
--- a/nutmegspoke/evidence/records.py
+++ b/nutmegspoke/evidence/records.py
@@ -35,30 +35,19 @@
     is_repeatable: bool
 
 
-class StageUse(msgspec.Struct, frozen=True):
-    """A stage of a chain.
+class StageUsed(msgspec.Struct, frozen=True, tag='stage'):
+    """An attempt of a draft sent its first step to a stage.
 
+    :param attempt: number of the attempt, from 1.
     :param target: name of the target.
     :param layers: the layers it runs, ``START-STOP``.
     """
 
+    attempt: int
     target: str
     layers: str
 
 
-class ChainChosen(msgspec.Struct, frozen=True, tag='chain'):
-    """An attempt of a draft goes over a chain.
-
-    :param attempt: number of the attempt, from 1.
-    :param stages: the chain.
-    :param delivered_tokens: tokens that the caller had before.
-    """
-
-    attempt: int
-    stages: tuple[StageUse, ...]
-    delivered_tokens: int = 0
-
-
 class CallSent(msgspec.Struct, frozen=True, tag='call'):
     """A call was sent to a target.
 
@@ -109,9 +98,7 @@
     layer_count: int
 
 
-Event = (
-    Matched | ChainChosen | CallSent | AttemptLost | ClaimNoted | ReceiptsKept
-)
+Event = Matched | StageUsed | CallSent | AttemptLost | ClaimNoted | ReceiptsKept
 
 
 class TimedEvent(msgspec.Struct, frozen=True):
--- a/nutmegspoke/evidence/trails.py
+++ b/nutmegspoke/evidence/trails.py
@@ -5,7 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.evidence.records import Ending, RequestRecord, TimedEvent
+from nutmegspoke.evidence.records import (
+    Ending,
+    RequestRecord,
+    StageUsed,
+    TimedEvent,
+)
 from nutmegspoke.outcomes import (
     Executed,
     NotRun,
@@ -28,6 +33,7 @@
     received_s: float
     received_wall_s: float
     events: list[TimedEvent] = dataclasses.field(default_factory=list)
+    once: set[Event] = dataclasses.field(default_factory=set)
     dropped_events: int = 0
 
 
@@ -56,10 +62,15 @@
         self._trails[request_id] = _Trail(now_s, wall_s)
 
     def note(self, request_id: str, event: Event, now_s: float) -> None:
-        """Add an event; one of a request that has ended is ignored."""
+        """Add an event; one of a request that has ended is ignored.
+
+        A stage is noted once for each attempt, however many steps it runs.
+        """
         trail = self._trails.get(request_id)
-        if trail is None:
+        if trail is None or event in trail.once:
             return
+        if isinstance(event, StageUsed):
+            trail.once.add(event)
         if len(trail.events) >= MAX_EVENTS:
             trail.dropped_events += 1
             return
--- a/tests/cmd/test_cli_processes.py
+++ b/tests/cmd/test_cli_processes.py
@@ -90,12 +90,36 @@
             (matched['route'], matched['revision']),
             ('roster', 1),
         )
+        sent = deployments.call(
+            daemon,
+            'POST',
+            '/mailings',
+            '{}',
+            {'Idempotency-Key': 'k1'},
+        )
+        drafted = deployments.draft(daemon)
+        self.assertEqual(
+            self._events(sent),
+            ['matched', 'claim', 'call', 'claim'],
+        )
+        self.assertEqual(
+            self._events(drafted),
+            ['matched', 'stage', 'stage', 'receipts'],
+        )
+        adoption = self._run('explain', '1')[1]['adoptions'][0]
+        self.assertEqual((adoption['previous'], adoption['revision']), (0, 1))
         code, _ = self._run('explain', 'daemon-0.1.ff')
         self.assertEqual(code, ExitCode.FAILED)
         code, told = self._run('status', '--token', 'wrong')
         self.assertEqual(code, ExitCode.UNAVAILABLE)
         self.assertIn('token', told['daemons'][0]['status']['reason'])
 
+    def _events(self, answer: deployments.Answer) -> list[str]:
+        request_id = answer.headers['Nutmegspoke-Request-Id']
+        processes.wait_until(lambda: self._run('explain', request_id)[0] == 0)
+        record = self._run('explain', request_id)[1]['record']
+        return [timed['event']['type'] for timed in record['events']]
+
     def _file(self, text: str) -> str:
         path = self.deployment.path / f'{len(text)}-{hash(text)}.ini'
         path.write_text(text, 'utf-8')
