--- a/nutmegspoke/border/evidence_context.py
+++ b/nutmegspoke/border/evidence_context.py
@@ -11,7 +11,6 @@
     ClaimNoted,
     Event,
     Matched,
-    ReceiptsKept,
 )
 
 if TYPE_CHECKING:
@@ -19,7 +18,6 @@
 
     from nutmegspoke.border import matching
     from nutmegspoke.border.evidence_log import EvidenceLog
-    from nutmegspoke.pipelines.run import DraftRun
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,17 +72,6 @@
     )
 
 
-def note_receipts(run: DraftRun) -> None:
-    """Add the receipts of a draft that is whole."""
-    note(
-        ReceiptsKept(
-            run.receipts_digest,
-            len(run.tokens),
-            run.plan.layer_count,
-        ),
-    )
-
-
 def note_claim(step: str, key: str) -> None:
     """Add what happened to the claim of a call that may not be repeated."""
     note(ClaimNoted(step, key))
--- a/tests/cmd/test_cli_processes.py
+++ b/tests/cmd/test_cli_processes.py
@@ -104,7 +104,7 @@
         )
         self.assertEqual(
             self._events(drafted),
-            ['matched', 'stage', 'stage', 'receipts'],
+            ['matched', 'chain', 'receipts'],
         )
         adoption = self._run('explain', '1')[1]['adoptions'][0]
         self.assertEqual((adoption['previous'], adoption['revision']), (0, 1))
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -3,8 +3,18 @@
 from __future__ import annotations
 
 PROOFS: dict[str, tuple[str, ...]] = {
-    'promise-1': (),
-    'promise-2': (),
+    'promise-1': (
+        'tests.pipelines.test_receipts',
+        'tests.pipelines.test_run',
+        'tests.pipelines.test_run_interleavings',
+        'tests.standins.test_streams',
+    ),
+    'promise-2': (
+        'tests.border.test_draft_sessions',
+        'tests.border.test_drafts',
+        'tests.pipelines.test_processes',
+        'tests.pipelines.test_resume',
+    ),
     'promise-3': (
         'tests.border.test_refusals',
         'tests.border.test_calls_faults.UnrepeatableFaultTest',
@@ -23,14 +33,20 @@
     'promise-6': ('tests.membership.test_stopping',),
     'promise-7': (
         'tests.membership.test_table_passing',
-        'tests.tables',
+        'tests.tables.test_revisions',
+        'tests.tables.test_interleavings',
+        'tests.border.test_apply',
     ),
     'silent-connections': (
         'tests.border.test_peers',
+        'tests.border.test_carriers',
         'tests.border.test_calls_faults.RepeatableFaultTest',
         'tests.border.test_platform_client',
     ),
-    'poison': ('tests.retries.test_quarantine',),
+    'poison': (
+        'tests.border.test_drafts.PoisonTest',
+        'tests.retries.test_quarantine',
+    ),
     'leases': (
         'tests.placement.test_lease',
         'tests.placement.test_lease_machine',
--- a/tests/scenarios/stage.py
+++ b/tests/scenarios/stage.py
@@ -132,16 +132,35 @@
         """Start a record service: ``service NAME``."""
         self._deployment.start_target(name, 'service', 'records', 'pnw-a')
 
-    def do_daemon(self, *names: str, notice_s: str = '0.2') -> None:
-        """Start daemons: ``daemon NAME ...``."""
+    def do_daemon(
+        self,
+        *names: str,
+        notice_s: str = '0.2',
+        peers_key: str = '',
+    ) -> None:
+        """Start daemons: ``daemon NAME ...``.
+
+        One with another ``peers_key`` is cut off from its peers.
+        """
         for name in names:
-            options = DaemonOptions(notice_s=float(notice_s))
+            options = DaemonOptions(
+                notice_s=float(notice_s),
+                peers_key=peers_key,
+            )
             self._deployment.start_daemon(name, options)
 
-    def do_apply(self, text: str = '') -> None:
-        """Apply the usual tables with a text appended: ``apply [TEXT]``."""
-        tables = f'{deployments.TABLES}{text.replace("|", chr(10))}\n'
-        deployments.apply(self._deployment, tables)
+    def do_apply(self, text: str = '', leaving: str = '') -> None:
+        """Apply the usual tables: ``apply [TEXT] [leaving=TARGET]``.
+
+        TEXT is appended, with ``|`` for line ends; TARGET is taken out of the
+        pool of engines by its row.
+        """
+        tables = deployments.TABLES
+        if leaving:
+            row = 'selector = drafting\n'
+            tables = tables.replace(row, f'{row}leaving = {leaving}\n')
+        more = text.replace('|', '\n')
+        deployments.apply(self._deployment, f'{tables}{more}\n')
 
     def do_ready(self, targets: str = '') -> None:
         """Wait until all answer and each daemon sees the targets."""
