--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -4,6 +4,7 @@
 
 from tests.mutation_list_claims import CLAIM_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
+from tests.mutation_list_tables import TABLES_MUTATIONS
 from tests.mutation_types import Mutation
 
 
@@ -24,4 +25,5 @@
     ),
     *CLAIM_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
+    *TABLES_MUTATIONS,
 )
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -36,6 +36,8 @@
         'tests.tables.test_revisions',
         'tests.tables.test_interleavings',
         'tests.border.test_apply',
+        'tests.border.test_tables_watch',
+        'tests.cmd.test_cli_processes',
     ),
     'silent-connections': (
         'tests.border.test_peers',
