--- a/nutmegspoke/border/evidence_context.py
+++ b/nutmegspoke/border/evidence_context.py
@@ -7,7 +7,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.evidence.records import Event, Matched
+from nutmegspoke.evidence.records import (
+    ClaimNoted,
+    Event,
+    Matched,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -66,3 +70,8 @@
             matched.route.repeatable,
         ),
     )
+
+
+def note_claim(step: str, key: str) -> None:
+    """Add what happened to the claim of a call that may not be repeated."""
+    note(ClaimNoted(step, key))
