Don't pass all news on again for each daemon that joins

Its greeting is answered with all that is known. With each join of many at once every count began anew: 160 daemons started together did not know each other within 30 s, now after 20.6 s; 40 after 4.6 s, now 3.6 s.

--- a/nutmegspoke/membership/dissemination.py
+++ b/nutmegspoke/membership/dissemination.py
@@ -37,11 +37,6 @@
         """Pass this on no longer."""
         self._sent_counts.pop(key, None)
 
-    def restart(self) -> None:
-        """Pass all on again, because somebody has joined."""
-        for key in self._sent_counts:
-            self._sent_counts[key] = 0
-
     def candidates(self, copies: int) -> Iterator[_KeyT]:
         """Return what is still to be passed on, least often sent first."""
         for key in sorted(self._sent_counts, key=self._sent_counts.__getitem__):
--- a/nutmegspoke/membership/news.py
+++ b/nutmegspoke/membership/news.py
@@ -55,10 +55,6 @@
         if not self.members.take_entry(entry, now_s):
             return False
         self._entries.push(key)
-        if not is_known:
-            self._entries.restart()
-            self._demands.restart()
-            self.notices.restart()
         return not is_known
 
     def take_demand(self, demand: DemandEntry) -> None:
--- a/nutmegspoke/membership/notices.py
+++ b/nutmegspoke/membership/notices.py
@@ -72,10 +72,6 @@
             yield _aged(kept, now_s)
             self._news.sent(key)
 
-    def restart(self) -> None:
-        """Pass all on again, because somebody has joined."""
-        self._news.restart()
-
     def all(self, now_s: float) -> tuple[Notice, ...]:
         """Return every notice that still matters, for a daemon that joins."""
         self._drop_expired(now_s)
