--- a/nutmegspoke/membership/records.py
+++ b/nutmegspoke/membership/records.py
@@ -166,6 +166,7 @@
             version=report.version,
             layer_tokens_per_s=report.layer_tokens_per_s,
             link_bytes_per_s=report.link_bytes_per_s,
+            activation_bytes=report.activation_bytes,
             reported_in_flight=report.in_flight,
             reported_at_s=self.reported_s if self.report else 0.0,
             sent_since_report=len(self.sent_s),
--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -41,6 +41,8 @@
         first_layer=layers[0],
         stop_layer=layers[1],
         layer_tokens_per_s=100.0,
+        link_bytes_per_s=50.0,
+        activation_bytes=16,
         start_id=start_id,
     )
 
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -90,6 +90,14 @@
         self.assertEqual(target.reported_in_flight, 7)
         self.assertEqual(target.reported_at_s, 1.5)
 
+    def test_passes_on_what_the_report_says_of_the_hardware(self) -> None:
+        """The policies weigh engines and links by it."""
+        (target,) = build.directory(build.host()).usable(build.POOL, 0.0)
+        self.assertEqual(target.layer_tokens_per_s, 100.0)
+        self.assertEqual(target.link_bytes_per_s, 50.0)
+        self.assertEqual(target.activation_bytes, 16)
+        self.assertEqual(target.availability_zone, 'pnw-1')
+
 
 class LeavingTest(unittest.TestCase):
     """Leaving targets, by each source."""
