--- a/nutmegspoke/membership/gossip.py
+++ b/nutmegspoke/membership/gossip.py
@@ -136,7 +136,13 @@
 
     def answer_hello(self, now_s: float) -> Digest:
         """Return the answer to a peer that has just joined."""
-        return self.news.compose_all(self.own, now_s, _JOIN_BYTES)
+        left_bytes = self.budget.left_bytes(now_s)
+        room_bytes = max(self._settings.message_bytes, left_bytes)
+        return self.news.compose_all(
+            self.own,
+            now_s,
+            min(_JOIN_BYTES, room_bytes),
+        )
 
     def unanswered(self, peer: PeerAddress, now_s: float) -> bool:
         """Note that a peer did not answer, on a new connection either.
--- a/nutmegspoke/membership/news.py
+++ b/nutmegspoke/membership/news.py
@@ -21,6 +21,7 @@
     from nutmegspoke.membership.own_entries import OwnEntries
 
 MAX_RELAYED_DEMANDS = 32
+_LEAST_NEWS_BYTES = 120
 _NUMBER_BYTES = 9
 _FIELD_BYTES = 2
 
@@ -71,11 +72,12 @@
         """Fill a message with the news passed on least often.
 
         :param own: what this daemon says of itself; it always goes along.
-        :param limit_bytes: size up to which it is filled.
+        :param limit_bytes: size up to which it is filled. There is always
+            room for a few notices.
         """
         copies = copies_for(len(self.members))
-        room = _Room(limit_bytes - size_bytes(own.entry))
-        room.left_bytes -= size_bytes(own.demand)
+        own_bytes = size_bytes(own.entry) + size_bytes(own.demand)
+        room = _Room(max(limit_bytes - own_bytes, _LEAST_NEWS_BYTES))
         notices = room.fill(self.notices.outgoing(now_s, copies))
         entries = room.fill(self._outgoing_entries(copies))
         demands: tuple[DemandEntry, ...] = ()
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -191,6 +191,20 @@
         self.assertEqual(heard.notices, ())
         self.assertEqual(self.daemon.news.notices.unknown_count, 1)
 
+    def test_an_overdrawn_daemon_still_passes_notices_on(self) -> None:
+        """Many that join at once must not silence the one that they greet."""
+        for number in range(2, 202):
+            self.daemon.receive(Digest((build.entry(number),)), 0.0)
+        self.daemon.due(0.0)
+        before = len(self.daemon.answer_hello(0.0).entries)
+        self.daemon.budget.spend(10**6, 0.0)
+        self.daemon.announce(_LEAVING, 0.0)
+        after = self.daemon.answer_hello(0.0)
+        self.assertLess(len(after.entries), before // 4)
+        self.assertEqual(
+            self.daemon.answer(0.1).notices[0].subject, '10.1.0.1:8000'
+        )
+
     def test_the_age_of_the_stores_word_goes_along(self) -> None:
         """It is counted on the daemon's own clock."""
         self.assertIsNone(self.daemon.answer(5.0).confirmed_age_s)
