--- a/nutmegspoke/pipelines/run.py
+++ b/nutmegspoke/pipelines/run.py
@@ -131,7 +131,7 @@
         """
         sent = self._in_flight()
         self.attempt += 1
-        step = _copy_with_attempt(sent.step, self.attempt)
+        step = msgspec.structs.replace(sent.step, attempt=self.attempt)
         return self._await(SendStep(sent.stage, step))
 
     def restart(self, chain: Chain, above_attempt: int = 0) -> SendStep:
@@ -286,10 +286,6 @@
     return '' if len(reply.hidden) == reply.count else 'hidden count'
 
 
-def _copy_with_attempt(step: StepRequest, attempt: int) -> StepRequest:
-    return msgspec.structs.replace(step, attempt=attempt)
-
-
 def _receipt(reply: StepReply) -> Receipt:
     return Receipt(
         target=reply.target,
