Tell a reset connection from a crashed target

A reset is now followed by a new connection: if it is answered, the step is sent again and nobody is blamed.

--- a/nutmegspoke/border/target_calls.py
+++ b/nutmegspoke/border/target_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import types
 from typing import TYPE_CHECKING, TypeVar
@@ -24,6 +25,7 @@
 HEADERS = types.MappingProxyType({'Content-Type': protocol.MEDIA_TYPE})
 NO_TIMEOUT = aiohttp.ClientTimeout()
 _CANCEL_TIMEOUT_S = 2.0
+_PROBE_TIMEOUT_S = 0.25
 _CALL_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -86,7 +88,7 @@
         except TimeoutError:
             return self._tell_silence(address, probe)
         except _CALL_ERRORS as error:
-            return StepLost(_loss_kind(error), str(error))
+            return StepLost(await _judge(error, probe), str(error))
         finally:
             probe.stop()
 
@@ -143,6 +145,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def ask_now(self) -> bool:
+        """Ask at once and return whether the target answered."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                await self._ask()
+        return self.is_answered
+
     def _start(self) -> None:
         self._task = asyncio.create_task(self._ask())
 
@@ -165,6 +174,13 @@
     return asyncio.get_running_loop().time()
 
 
+async def _judge(error: Exception, probe: _Probe) -> LossKind:
+    kind = _loss_kind(error)
+    if kind is LossKind.RESET and await probe.ask_now():
+        return LossKind.CONNECTION_RESET
+    return kind
+
+
 def _loss_kind(error: Exception) -> LossKind:
     if isinstance(error, aiohttp.ClientConnectorError):
         return LossKind.UNREACHABLE
--- a/nutmegspoke/pipelines/carrier.py
+++ b/nutmegspoke/pipelines/carrier.py
@@ -14,10 +14,14 @@
 
 
 class LossKind(enum.StrEnum):
-    """How a step was lost."""
+    """How a step was lost.
+
+    ``CONNECTION_RESET`` and ``CONNECTION_SILENT``: a new connection answers.
+    """
 
     UNREACHABLE = 'unreachable'
     RESET = 'reset'
+    CONNECTION_RESET = 'connection_reset'
     CONNECTION_SILENT = 'connection_silent'
     TARGET_SILENT = 'target_silent'
     BAD_REPLY = 'bad_reply'
--- a/nutmegspoke/pipelines/losses.py
+++ b/nutmegspoke/pipelines/losses.py
@@ -14,6 +14,9 @@
     from nutmegspoke.pipelines.carrier import Loss
 
 MAX_LOSSES = 12
+_CONNECTION_LOSSES = frozenset(
+    (LossKind.CONNECTION_SILENT, LossKind.CONNECTION_RESET),
+)
 _NOT_RUN_LOSSES = frozenset((LossKind.UNREACHABLE,))
 
 
@@ -86,6 +89,4 @@
 def _may_be_the_connection(lost: Loss) -> bool:
     if isinstance(lost, ReplyDropped):
         return True
-    return (
-        isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT
-    )
+    return isinstance(lost, StepLost) and lost.kind in _CONNECTION_LOSSES
--- a/tests/border/test_carriers.py
+++ b/tests/border/test_carriers.py
@@ -135,6 +135,16 @@
         heard = [('old silent', self.targets.address('a'))]
         self.assertEqual(self.targets.told, heard)
 
+    async def test_reply_is_lost_with_its_connection(self) -> None:
+        """The engine lives: it is sent the step again, without blame."""
+
+        async def lose() -> None:
+            for engine in self.engines.values():
+                engine.board.give(FaultOrder(fault='lose_answer', count=1))
+
+        self.assertEqual(await self.take(lose), build.right_answer())
+        self.assertEqual(self.told(), set())
+
     async def test_leaving_stage_gets_no_new_stream(self) -> None:
         """The refusal is told and the spare serves."""
         self.engines['b'].board.give(FaultOrder(fault='leave'))
--- a/tests/border/test_drafts.py
+++ b/tests/border/test_drafts.py
@@ -94,6 +94,7 @@
             'reset': 'reset',
             'unreachable': 'refused',
             'target_silent': 'silent',
+            'connection_reset': '',
             'connection_silent': 'old silent',
             'lost_reply': 'old silent',
             'bad_reply': '',
--- a/tests/mutation_list_pipelines.py
+++ b/tests/mutation_list_pipelines.py
@@ -246,8 +246,8 @@
     Mutation(
         'silent-connections target is not blamed',
         'nutmegspoke/pipelines/losses.py',
-        'isinstance(lost, StepLost) and lost.kind is LossKind.CONNECTION_SILENT',
-        'isinstance(lost, StepLost) and lost.kind is LossKind.BAD_REPLY',
+        'return isinstance(lost, StepLost) and lost.kind in _CONNECTION_LOSSES',
+        'return isinstance(lost, StepLost) and lost.kind is LossKind.BAD_REPLY',
         _RESUME,
     ),
     Mutation(
--- a/tests/pipelines/test_resume.py
+++ b/tests/pipelines/test_resume.py
@@ -79,6 +79,7 @@
             StepLost(LossKind.UNREACHABLE): (Remedy.REPLACE, False),
             StepLost(LossKind.RESET): (Remedy.REPLACE, True),
             StepLost(LossKind.CONNECTION_SILENT): (Remedy.RESEND, True),
+            StepLost(LossKind.CONNECTION_RESET): (Remedy.RESEND, True),
             StepLost(LossKind.TARGET_SILENT): (Remedy.REPLACE, True),
             StepLost(LossKind.BAD_REPLY): (Remedy.REPLACE, True),
             ReplyDropped('other stream'): (Remedy.RESEND, True),
