--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -15,23 +15,25 @@
 _ROOT = pathlib.Path(__file__).parents[1]
 _COPIED = ('nutmegspoke', 'tests', 'examples', 'unittest.cfg')
 _LIMIT_S = 300
+_CAUGHT = 'caught'
 
 
-def is_caught(mutation: Mutation, scratch: pathlib.Path) -> bool:
+def judge(mutation: Mutation, scratch: pathlib.Path) -> str:
     """Apply a mutation, run its tests and put the line back.
 
     :param scratch: a copy of the project.
-    :raises ValueError: if the line is not there exactly once.
+    :returns: ``caught``, or what is wrong.
     """
     path = scratch / mutation.path
     original = path.read_text('utf-8')
     if original.count(mutation.old) != 1:
-        raise ValueError(f'{mutation.name}: the line is not there once')
+        return 'MISSED, the line is not there once'
     path.write_text(original.replace(mutation.old, mutation.new), 'utf-8')
     try:
-        return _run(mutation.tests, scratch) != 0
+        failed = _run(mutation.tests, scratch) != 0
     finally:
         path.write_text(original, 'utf-8')
+    return _CAUGHT if failed else 'MISSED'
 
 
 def _run(tests: tuple[str, ...], scratch: pathlib.Path) -> int:
@@ -48,8 +50,7 @@
 def main(chosen: list[str]) -> int:
     """Apply the chosen mutations, or all; 1 if one is not caught."""
     missed = 0
-    listed = MUTATIONS
-    mutations = [m for m in listed if not chosen or m.name in chosen]
+    mutations = [m for m in MUTATIONS if not chosen or m.name in chosen]
     with tempfile.TemporaryDirectory(prefix='nutmegspoke-') as directory:
         scratch = pathlib.Path(directory)
         for name in _COPIED:
@@ -59,9 +60,8 @@
             else:
                 shutil.copy(source, scratch / name)
         for mutation in mutations:
-            caught = is_caught(mutation, scratch)
-            missed += not caught
-            verdict = 'caught' if caught else 'MISSED'
+            verdict = judge(mutation, scratch)
+            missed += verdict != _CAUGHT
             print(f'{mutation.name}: {verdict}', flush=True)
     print(f'mutations: {len(mutations) - missed} caught, {missed} missed')
     return 1 if missed else 0
