Hold the call longer in the test of settling a running claim

Cause: the mutation that passes no live holders was missed: the call had ended before the tool asked, and was refused as having an outcome. The test now names the refusal that it wants, and the mutation is caught.

--- a/nutmegspoke/bench/measure.py
+++ b/nutmegspoke/bench/measure.py
@@ -16,6 +16,7 @@
     policies,
     request_cost,
     stage_loss,
+    stream_cost,
     throughput,
 )
 
@@ -28,6 +29,7 @@
     request_cost,
     carrier_cost,
     stage_loss,
+    stream_cost,
     changes_cost,
     idle_cost,
 )
--- a/tests/cmd/test_cli_processes.py
+++ b/tests/cmd/test_cli_processes.py
@@ -55,17 +55,22 @@
         """Only a holder that has ended lets its claim be settled."""
         daemon = self.deployment.daemons['daemon-0']
         service = self.deployment.targets['records-1']
+        patient = deployments.TABLES.replace(
+            '_timeout_s = 4', '_timeout_s = 60'
+        )
+        self._run('apply', self._file(patient), '--wait')
         service.order_fault('lose_answer', count=1, path='/mailings')
         key = {'Idempotency-Key': 'issue-7'}
         answer = deployments.call(daemon, 'POST', '/mailings', '', key)
         self.assertEqual(answer.executed, 'unknown')
-        service.order_fault('late', count=1, path='/mailings', delay_s=2.0)
+        service.order_fault('late', count=1, path='/mailings', delay_s=9.0)
         other = {'Idempotency-Key': 'issue-8'}
         running = Exchange(daemon.url, 'POST', '/mailings', '', other)
         processes.wait_until(lambda: len(self._open_claims()) == 2)
         row = self._open_claims()[1]
         code, told = self._run('claims', 'resolve', row['key'], '--not-run')
         self.assertEqual(code, ExitCode.FAILED, told)
+        self.assertIn('holder lives', str(told))
         running.join()
         self.assertEqual(running.status, 200)
         self.assertEqual(
