Take an engine in use as a spare only after the grace

A reset connection makes an engine gone until its next report; its layers were then ordered at once onto an engine of other layers that another one holds too, which would have lost its caches for nothing.

--- a/nutmegspoke/placement/spares.py
+++ b/nutmegspoke/placement/spares.py
@@ -36,7 +36,9 @@
     Layers whose engines are gone or leaving are lost at once. Those whose
     engines are merely suspect, or that no engine has reported yet, are lost
     after a grace, because a report may just be late. A spare is a live engine that holds nothing, or else one
-    whose layers others hold as well.
+    whose layers others hold as well; that one, which loses its caches, only
+    after the grace: a connection that was reset makes an engine gone until its
+    next report.
 
     :param suspect_grace_s: time for which suspect engines count as holding.
     """
@@ -63,12 +65,22 @@
         taken = {replacement.spare.address for replacement in ordered}
         found: list[Replacement] = []
         for layers in lost:
-            spare = _choose(row, members, taken)
+            spare = _choose(
+                row,
+                members,
+                taken,
+                is_waiting=self._is_waiting(now_s),
+            )
             if spare is not None:
                 taken.add(spare.address)
                 found.append(Replacement(layers, spare))
         return tuple(found)
 
+    def _is_waiting(self, now_s: float) -> bool:
+        if self._lost_since_s is None:
+            return False
+        return now_s - self._lost_since_s < self.suspect_grace_s
+
     def _lost(
         self,
         row: PoolRow,
@@ -86,7 +98,7 @@
             self._lost_since_s = now_s
         suspect = list(_ranges(engines, {TargetState.SUSPECT}))
         former = list(_ranges(engines, _ENDED))
-        is_waiting = now_s - self._lost_since_s < self.suspect_grace_s
+        is_waiting = self._is_waiting(now_s)
         if is_waiting:
             gaps = _gaps([*live, *suspect], row.layer_count)
         else:
@@ -155,6 +167,8 @@
     row: PoolRow,
     members: Sequence[Target],
     taken: set[str],
+    *,
+    is_waiting: bool,
 ) -> Target | None:
     live = [
         target
@@ -162,7 +176,11 @@
         if target.state == TargetState.LIVE and target.address not in taken
     ]
     empty = [target for target in live if target.layers is None]
-    redundant = [target for target in live if _is_redundant(row, target, live)]
+    redundant = [
+        target
+        for target in live
+        if not is_waiting and _is_redundant(row, target, live)
+    ]
     return min(empty or redundant, key=_preference, default=None)
 
 
--- a/tests/mutation_list_membership.py
+++ b/tests/mutation_list_membership.py
@@ -109,6 +109,20 @@
         '                return None\n            self._open',
         ('tests.border.test_peers',),
     ),
+    Mutation(
+        'peers: notices always have room',
+        f'{_MEMBERSHIP}/news.py',
+        'room = _Room(max(limit_bytes - own_bytes, _LEAST_NEWS_BYTES))',
+        'room = _Room(limit_bytes - own_bytes)',
+        _GOSSIP_TESTS,
+    ),
+    Mutation(
+        'orders: an engine in use is taken only after a grace',
+        f'{_PLACEMENT}/spares.py',
+        'if not is_waiting and _is_redundant(row, target, live)',
+        'if _is_redundant(row, target, live)',
+        ('tests.placement.test_spares',),
+    ),
     Mutation(
         'promise-7 rows of a peer match their digest',
         f'{_MEMBERSHIP}/table_passing.py',
--- a/tests/placement/test_spares.py
+++ b/tests/placement/test_spares.py
@@ -123,13 +123,16 @@
 
     def test_an_engine_whose_layers_others_hold_may_be_taken(self) -> None:
         """Never one that would leave another gap, nor another model's."""
-        found = _find(
+        finder = SpareFinder()
+        members = (
             _engine('a', '0-4'),
             _engine('b', '0-4'),
             _engine('c', '4-8'),
             _engine('d', '8-12', _GONE),
             _engine('other', '0-4', model='other'),
         )
+        self.assertEqual(_find(*members, finder=finder), [])
+        found = _find(*members, finder=finder, now_s=3.0)
         self.assertEqual(found, [('8-12', 'a')])
         found = _find(
             _engine('a', '0-4'),
