Hold returning callers to the stated target; take ports that stay free

Daemons died of 'address already in use': free ports were of the kernel's own range, and outgoing connections took them before the daemon listened. They now lie below that range.

--- a/nutmegspoke/bench/ports.py
+++ b/nutmegspoke/bench/ports.py
@@ -2,20 +2,36 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 HOST = '127.0.0.1'
+_FIRST_PORT = 10_000
+_STOP_PORT = 32_000
+_source = random.SystemRandom()
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on now.
 
+    They lie below the range from which the kernel takes ports of outgoing
+    connections, so that none of these takes one before it is listened on.
+
     :param count: number of ports.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind((HOST, 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _source.randrange(_FIRST_PORT, _STOP_PORT)
+        if port not in ports and _is_free(port):
+            ports.append(port)
     return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/tests/admission/test_queueing.py
+++ b/tests/admission/test_queueing.py
@@ -219,13 +219,15 @@
 
     def test_callers_who_come_back_as_told_are_served(self) -> None:
         """Three times the capacity for a minute; all come back in time."""
-        run = _Overload(seed=11)
-        run.play(arrivals_per_s=30, seconds=60)
-        self.assertGreater(run.refused_first, 500)
-        self.assertEqual(run.refused_again, 0)
-        self.assertLessEqual(run.expired, 3)
-        self.assertEqual(run.served, run.arrived)
-        self.assertGreater(run.served / run.ended_s, 0.9 * run.capacity_per_s)
+        for seed in (11, 1, 2, 3):
+            run = _Overload(seed)
+            run.play(arrivals_per_s=30, seconds=60)
+            self.assertGreater(run.refused_first, 500)
+            self.assertEqual(run.refused_again, 0)
+            self.assertEqual(run.expired_again, 0)
+            self.assertEqual(run.served, run.arrived)
+            goodput_per_s = run.served / run.ended_s
+            self.assertGreater(goodput_per_s, 0.9 * run.capacity_per_s)
 
     def test_callers_who_never_come_back_do_not_push_others_away(self) -> None:
         """The slots of those who stay away are given out again."""
@@ -263,9 +265,10 @@
         self.arrived = 0
         self.refused_first = 0
         self.refused_again = 0
-        self.expired = 0
+        self.expired_again = 0
         self.served = 0
         self.ended_s = 0.0
+        self._returned: set[str] = set()
         self._source = random.Random(seed)
         self._queue = _queue(capacity=5, max_queue=20)
         self._events: list = []
@@ -288,6 +291,7 @@
         self.refused_first += not self._offer(key, now_s)
 
     def _return(self, key: str, now_s: float) -> None:
+        self._returned.add(key)
         self.refused_again += not self._offer(key, now_s)
 
     def _offer(self, key: str, now_s: float) -> bool:
@@ -316,7 +320,7 @@
         for started in ready.started:
             self._run(started, now_s)
         for refused in ready.refused:
-            self.expired += 1
+            self.expired_again += refused.ticket.return_key in self._returned
             self._add(
                 now_s + refused.outcome.retry_after_s,
                 'return',
