--- a/nutmegspoke/bench/demo.py
+++ b/nutmegspoke/bench/demo.py
@@ -11,42 +11,9 @@
 
 from nutmegspoke.bench import processes
 from nutmegspoke.bench.deployment import Daemon, DaemonOptions, Deployment
+from nutmegspoke.bench.sample_tables import SAMPLE_TABLES
 
 _EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
-_TABLES = """\
-[route drafts]
-path = /v1/completions
-model = fanletter
-pool = drafting
-repeatable = yes
-
-[route chat]
-path = /v1/chat/completions
-model = fanletter
-pool = drafting
-repeatable = yes
-
-[route roster]
-path = /roster/*
-pool = records
-repeatable = yes
-
-[route mailing]
-path = /mailings
-pool = records
-repeatable = no
-
-[pool drafting]
-kind = engine
-model = fanletter
-version = 1
-layer_count = 12
-selector = drafting
-
-[pool records]
-kind = service
-selector = records
-"""
 _ENGINES = (
     ('engine-a1', 'pnw-a', '0-4'),
     ('engine-a2', 'pnw-a', '4-8'),
@@ -112,7 +79,7 @@
     deployment.start_target('records-1', 'service', 'records', 'pnw-a')
     for name, zone in (('daemon-a', 'pnw-a'), ('daemon-b', 'pnw-b')):
         deployment.start_daemon(name, DaemonOptions(availability_zone=zone))
-    deployment.apply_tables(_TABLES)
+    deployment.apply_tables(SAMPLE_TABLES)
     deployment.wait_ready()
     for daemon in deployment.daemons.values():
         deployment.wait_targets(daemon, _TARGET_COUNT)
--- a/nutmegspoke/bench/request_cost.py
+++ b/nutmegspoke/bench/request_cost.py
@@ -11,6 +11,7 @@
 from nutmegspoke.bench import load_tool
 from nutmegspoke.bench.deployment import Daemon, Deployment
 from nutmegspoke.bench.results import Result, Section
+from nutmegspoke.bench.sample_tables import SAMPLE_TABLES
 from nutmegspoke.bench.usage import usage_of
 from nutmegspoke.border.engine_client import RelayCarrier
 from nutmegspoke.engine_protocol import StepReply
@@ -28,34 +29,6 @@
 _CONCURRENCY = 4
 _US_PER_S = 1_000_000
 _MS_PER_S = 1_000
-_TABLES = """\
-[route drafts]
-path = /v1/completions
-model = fanletter
-pool = drafting
-repeatable = yes
-
-[route roster]
-path = /roster/*
-pool = records
-repeatable = yes
-
-[route mailing]
-path = /mailings
-pool = records
-repeatable = no
-
-[pool drafting]
-kind = engine
-model = fanletter
-version = 1
-layer_count = 12
-selector = drafting
-
-[pool records]
-kind = service
-selector = records
-"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +65,7 @@
                 _RATE,
             )
         deployment.start_target('records-1', 'service', 'records', 'pnw-a')
-        deployment.apply_tables(_TABLES)
+        deployment.apply_tables(SAMPLE_TABLES)
         daemon = deployment.start_daemon('daemon')
         deployment.wait_ready()
         deployment.wait_targets(daemon, len(_HOPS) + 1)
