--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -12,7 +12,13 @@
 
 from nutmegspoke.border import apply as border_apply
 from nutmegspoke.border import table_reads
-from nutmegspoke.cmd import cli_changes, cli_claims, cli_explain, cli_wait
+from nutmegspoke.cmd import (
+    cli_changes,
+    cli_claims,
+    cli_explain,
+    cli_load,
+    cli_wait,
+)
 from nutmegspoke.cmd.cli_options import (
     DaemonsOption,
     FileArgument,
@@ -122,6 +128,7 @@
 app.command()(cli_changes.outcome)
 app.command()(cli_explain.status)
 app.command()(cli_explain.explain)
+app.command(name='load')(cli_load.load_command)
 
 
 def main() -> None:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -47,8 +47,10 @@
             self._seen[test_id] = 'red'
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:
-        """Count a result."""
-        if event.outcome in _FAILURES and not event.expected:
+        """Count a result; of the subtests only those that failed."""
+        if event.outcome == 'subtest':
+            self._failed += event.exc_info is not None
+        elif event.outcome in _FAILURES and not event.expected:
             self._failed += 1
         else:
             self._passed += 1
