--- a/tests/border/test_settings.py
+++ b/tests/border/test_settings.py
@@ -90,6 +90,15 @@
         with self.assertRaisesRegex(SettingsError, 'ports must differ'):
             _load(_GOOD.replace('8001', '8000'))
 
+    def test_operators_page_names_every_key(self) -> None:
+        """No key is left out of the page."""
+        page = pathlib.Path(__file__).parents[2] / 'docs' / 'operators.md'
+        text = page.read_text('utf-8')
+        for section, field in Settings.model_fields.items():
+            self.assertIn(f'`{section}`', text)
+            for key in field.annotation.model_fields:
+                self.assertIn(f'`{key}`', text)
+
     def test_secret_never_shows_in_an_error(self) -> None:
         """A short secret is refused without being repeated."""
         with tempfile.NamedTemporaryFile('w', suffix='.key') as file:
