--- a/nutmegspoke/bench/measure.py
+++ b/nutmegspoke/bench/measure.py
@@ -12,6 +12,7 @@
 from nutmegspoke.bench import (
     carrier_cost,
     changes_cost,
+    daemon_loss,
     idle_cost,
     policies,
     request_cost,
@@ -31,6 +32,7 @@
     stage_loss,
     stream_cost,
     changes_cost,
+    daemon_loss,
     idle_cost,
 )
 _QUICK_MEASUREMENTS = (
