Send the end to a resume that lacks only it; cut off callers who don't read

Cause, found by reading: a caller that had every token but not [DONE] came back and got an empty JSON body, and the timeout of a caller that does not read left the handler as an exception, without outcome, metric or evidence. Ruled out: the draft service, which ends both as it should. Both tests failed first.

--- a/nutmegspoke/border/answers.py
+++ b/nutmegspoke/border/answers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import logging
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
@@ -16,6 +18,7 @@
 
     from nutmegspoke.border.drafts import DraftItem
 
+logger = logging.getLogger(__name__)
 _STREAM_TYPE = 'text/event-stream'
 
 
@@ -53,32 +56,38 @@
     ) -> outcomes.Outcome:
         """Send all tokens and return the outcome.
 
-        A refusal before the first token is not sent but returned.
+        A refusal before the first token is not sent but returned. A caller
+        that does not read in time is cut off.
         """
+        try:
+            outcome = await self._send_tokens(stream)
+            if self.has_begun or isinstance(outcome, outcomes.Completed):
+                await self._finish(outcome)
+        except TimeoutError:
+            logger.warning(
+                'callers: caller does not read request=%s',
+                self._request_id,
+            )
+            self._request.transport.abort()
+            return outcomes.Unknown(outcomes.UnknownReason.STREAM_LOST)
+        return outcome
+
+    async def _send_tokens(
+        self,
+        stream: AsyncIterator[DraftItem],
+    ) -> outcomes.Outcome:
         outcome: outcomes.Outcome = outcomes.Unknown(
             outcomes.UnknownReason.STREAM_LOST,
         )
-        try:
+        async with contextlib.aclosing(stream):
             async for item in stream:
                 if isinstance(item, DraftToken):
                     await self._send_token(item)
                 else:
                     outcome = item
-        finally:
-            await stream.aclose()
-        if self.has_begun:
-            await self._finish(outcome)
         return outcome
 
     async def _send_token(self, token: DraftToken) -> None:
-        if self._response is None:
-            self._response = await self._request.respond(
-                content_type=_STREAM_TYPE,
-                headers={
-                    responses.REQUEST_ID_HEADER: self._request_id,
-                    responses.EXECUTED_HEADER: outcomes.Executed.YES.value,
-                },
-            )
         await self._send(
             completions.event(
                 self._call,
@@ -94,13 +103,24 @@
         elif isinstance(outcome, outcomes.NotRun | outcomes.Unknown):
             body = responses.error_body(outcome, self._request_id)
             await self._send(completions.error_event(body))
-        await self._response.eof()
+        response = await self._begun()
+        await response.eof()
 
     async def _send(self, event: bytes) -> None:
-        await asyncio.wait_for(
-            self._response.send(event),
-            self._write_timeout_s,
-        )
+        response = await self._begun()
+        await asyncio.wait_for(response.send(event), self._write_timeout_s)
+
+    async def _begun(self) -> HTTPResponse:
+        """Return the answer, with its head sent."""
+        if self._response is None:
+            self._response = await self._request.respond(
+                content_type=_STREAM_TYPE,
+                headers={
+                    responses.REQUEST_ID_HEADER: self._request_id,
+                    responses.EXECUTED_HEADER: outcomes.Executed.YES.value,
+                },
+            )
+        return self._response
 
 
 async def collect(
