--- a/nutmegspoke/border/answers.py
+++ b/nutmegspoke/border/answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,9 @@
 
     from sanic import HTTPResponse, Request
 
+    from nutmegspoke.border.clock import Clock
     from nutmegspoke.border.drafts import DraftItem
+    from nutmegspoke.border.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 _STREAM_TYPE = 'text/event-stream'
@@ -123,6 +126,43 @@
         return self._response
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TokenTimes:
+    """Where the times of an answer's tokens are counted.
+
+    :param metrics: the metrics of the daemon.
+    :param clock: the clock of the process.
+    :param route: name of the route.
+    """
+
+    metrics: Metrics
+    clock: Clock
+    route: str
+
+
+async def timed(
+    stream: AsyncIterator[DraftItem],
+    times: TokenTimes,
+    received_s: float,
+) -> AsyncIterator[DraftItem]:
+    """Pass a draft on and count the times to and between its tokens.
+
+    :param stream: the tokens, then one outcome.
+    :param times: where the times are counted.
+    :param received_s: when the request came.
+    """
+    count_time = times.metrics.first_token
+    last_s = received_s
+    async with contextlib.aclosing(stream):
+        async for item in stream:
+            if isinstance(item, DraftToken):
+                now_s = times.clock.now_s()
+                count_time(times.route, now_s - last_s)
+                count_time = times.metrics.token_gap
+                last_s = now_s
+            yield item
+
+
 async def collect(
     stream: AsyncIterator[DraftItem],
     call: completions.CompletionCall,
--- a/nutmegspoke/border/callers.py
+++ b/nutmegspoke/border/callers.py
@@ -15,7 +15,12 @@
     evidence_log,
     responses,
 )
-from nutmegspoke.border.answers import StreamWriter, collect
+from nutmegspoke.border.answers import (
+    StreamWriter,
+    TokenTimes,
+    collect,
+    timed,
+)
 from nutmegspoke.border.calls import NAME as CALLS
 from nutmegspoke.border.calls import CallService
 from nutmegspoke.border.drafts import NAME as DRAFTS
@@ -212,7 +217,11 @@
         call: completions.CompletionCall,
     ) -> _Served:
         route = matched.route
-        stream = self._drafts.stream(matched.draft_request(call))
+        stream = timed(
+            self._drafts.stream(matched.draft_request(call)),
+            TokenTimes(self._metrics, self._clock, route.name),
+            matched.received_s,
+        )
         if not call.is_streamed:
             outcome = await collect(stream, call, matched.request_id)
             return _Served(outcome, route.name)
--- a/tests/border/test_callers.py
+++ b/tests/border/test_callers.py
@@ -142,6 +142,9 @@
         self.assertIn('reason="no_route",route=""', text)
         self.assertIn('nutmegspoke_request_seconds_bucket', text)
         self.assertIn('nutmegspoke_revision 1', text)
+        for name in ('first_token', 'token_gap'):
+            counted = f'nutmegspoke_{name}_seconds_count{{route="drafts"}}'
+            self.assertIn(counted, text)
 
     def test_operators_port_wants_its_token(self) -> None:
         """Status and metrics are refused without the right token."""
