Time calls in one loop and drop the codec of whole tables

Reading the change again: two loops of the request measurement were alike but for the call, and peers pass rows since the exchange was built, so that nothing used the encoding of whole tables. No behaviour changes.

--- a/nutmegspoke/bench/request_cost.py
+++ b/nutmegspoke/bench/request_cost.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import time
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -18,6 +19,10 @@
 from nutmegspoke.layers import LayerRange, Stage
 from nutmegspoke.pipelines.run import DraftPlan, DraftRun, TokenReady
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from contextlib import AbstractAsyncContextManager
+
 _HOPS = ('0-3', '3-6', '6-9', '9-12')
 _LAYER_COUNT = 12
 _RATE = '200000'
@@ -114,15 +119,11 @@
     daemon: Daemon,
     count: int,
 ) -> _Observed:
-    times = load_tool.Times()
-    before = usage_of(daemon.process.popen.pid)
-    for _ in range(count):
-        began_s = time.monotonic()
-        async with session.get(f'{url}/roster/members') as response:
-            await response.read()
-        times.record(time.monotonic() - began_s)
-    after = usage_of(daemon.process.popen.pid)
-    return _Observed(times, after.cpu_s - before.cpu_s, count)
+    return await _observed(
+        lambda number: session.get(f'{url}/roster/members'),
+        daemon,
+        count,
+    )
 
 
 async def _claimed(
@@ -130,15 +131,28 @@
     daemon: Daemon,
     count: int,
 ) -> _Observed:
+    return await _observed(
+        lambda number: session.post(
+            f'{daemon.url}/mailings',
+            json={'issue': number},
+            headers={'Idempotency-Key': f'issue-{number}'},
+        ),
+        daemon,
+        count,
+    )
+
+
+async def _observed(
+    send: Callable[[int], AbstractAsyncContextManager[aiohttp.ClientResponse]],
+    daemon: Daemon,
+    count: int,
+) -> _Observed:
+    """Send calls one after another and read each answer whole."""
     times = load_tool.Times()
     before = usage_of(daemon.process.popen.pid)
     for number in range(count):
         began_s = time.monotonic()
-        async with session.post(
-            f'{daemon.url}/mailings',
-            json={'issue': number},
-            headers={'Idempotency-Key': f'issue-{number}'},
-        ) as response:
+        async with send(number) as response:
             await response.read()
         times.record(time.monotonic() - began_s)
     after = usage_of(daemon.process.popen.pid)
--- a/nutmegspoke/tables/codec.py
+++ b/nutmegspoke/tables/codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from nutmegspoke.tables.rows import PoolRow, RouteRow, Row, Tables
+from nutmegspoke.tables.rows import PoolRow, RouteRow, Row
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -88,16 +88,3 @@
     for key in sorted(bodies):
         digest.update(_encode((key, bodies[key])))
     return digest.digest()
-
-
-def encode_tables(tables: Tables) -> bytes:
-    """Return both tables as one message, for peers."""
-    return _encode(tables)
-
-
-def decode_tables(body: bytes) -> Tables | None:
-    """Return both tables of a message; ``None`` if it can't be read."""
-    try:
-        return _decode(body, type=Tables)
-    except msgspec.MsgspecError:
-        return None
