--- a/nutmegspoke/border/apply.py
+++ b/nutmegspoke/border/apply.py
@@ -15,7 +15,7 @@
     read_changes,
     read_snapshot,
 )
-from nutmegspoke.platform import (
+from nutmegspoke.metadata_store import (
     Committed,
     Conflict,
     InDoubt,
--- a/nutmegspoke/border/calls.py
+++ b/nutmegspoke/border/calls.py
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.platform import TableService
+    from nutmegspoke.metadata_store import TableService
     from nutmegspoke.requests import CallRequest
 
 logger = logging.getLogger(__name__)
--- a/nutmegspoke/border/claim_keeper.py
+++ b/nutmegspoke/border/claim_keeper.py
@@ -16,7 +16,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.claims.decider import ClaimDecider
     from nutmegspoke.outcomes import Outcome
-    from nutmegspoke.platform import TableService
+    from nutmegspoke.metadata_store import TableService
     from nutmegspoke.requests import CallRequest
 
 logger = logging.getLogger(__name__)
--- a/nutmegspoke/border/claim_reads.py
+++ b/nutmegspoke/border/claim_reads.py
@@ -8,12 +8,12 @@
 from nutmegspoke.border.claim_holders import holder_name
 from nutmegspoke.claims import rows, settlement
 from nutmegspoke.membership.daemon_rows import ROW_PREFIX, decode_daemon_row
-from nutmegspoke.platform import Committed, Conflict, InDoubt, Unavailable
+from nutmegspoke.metadata_store import Committed, Conflict, InDoubt, Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from nutmegspoke.platform import TableService
+    from nutmegspoke.metadata_store import TableService
 
 _SETTLE_TRIES = 3
 
--- a/nutmegspoke/border/evidence_log.py
+++ b/nutmegspoke/border/evidence_log.py
@@ -18,7 +18,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.evidence.records import Event
     from nutmegspoke.outcomes import Outcome
-    from nutmegspoke.platform import ObjectStore
+    from nutmegspoke.metadata_store import ObjectStore
 
 logger = logging.getLogger(__name__)
 NAME = 'evidence'
--- a/nutmegspoke/border/evidence_reads.py
+++ b/nutmegspoke/border/evidence_reads.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.evidence import names, records
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 from nutmegspoke.tables import changes
 
 if TYPE_CHECKING:
-    from nutmegspoke.platform import ObjectStore, TableService
+    from nutmegspoke.metadata_store import ObjectStore, TableService
 
 _BUCKET_S = 60.0
 
--- a/nutmegspoke/border/group_commit.py
+++ b/nutmegspoke/border/group_commit.py
@@ -8,7 +8,7 @@
 from nutmegspoke.claims.grouping import CommitGroups, Group
 
 if TYPE_CHECKING:
-    from nutmegspoke import platform
+    from nutmegspoke import metadata_store
 
 _MAX_MEMBERS = 64
 _MAX_GROUPS_IN_FLIGHT = 4
@@ -21,20 +21,22 @@
     that a daemon with little to do does not wait.
     """
 
-    def __init__(self, tables: platform.TableService) -> None:
+    def __init__(self, tables: metadata_store.TableService) -> None:
         """Create a committer.
 
         :param tables: the platform's table service.
         """
         self._tables = tables
         self._groups = CommitGroups(_MAX_MEMBERS)
-        self._waiters: dict[int, asyncio.Future[platform.CommitResult]] = {}
+        self._waiters: dict[
+            int, asyncio.Future[metadata_store.CommitResult]
+        ] = {}
         self._in_flight: set[asyncio.Task[None]] = set()
 
     async def commit(
         self,
-        transaction: platform.Transaction,
-    ) -> platform.CommitResult:
+        transaction: metadata_store.Transaction,
+    ) -> metadata_store.CommitResult:
         """Carry out a transaction as part of a group."""
         number = self._groups.add(transaction)
         result = asyncio.get_running_loop().create_future()
--- a/nutmegspoke/border/peer_rows.py
+++ b/nutmegspoke/border/peer_rows.py
@@ -13,13 +13,13 @@
     DaemonRow,
     DaemonRows,
 )
-from nutmegspoke.platform import Committed, Unavailable
+from nutmegspoke.metadata_store import Committed, Unavailable
 
 if TYPE_CHECKING:
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.membership.gossip import Gossip
-    from nutmegspoke.platform import TableService
+    from nutmegspoke.metadata_store import TableService
 
 logger = logging.getLogger(__name__)
 _INTERVAL_S = 1.0
--- a/nutmegspoke/border/platform_client.py
+++ b/nutmegspoke/border/platform_client.py
@@ -9,7 +9,7 @@
 import aiohttp
 import msgspec
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 
 if TYPE_CHECKING:
     from nutmegspoke.border.settings import PlatformSection
@@ -25,7 +25,7 @@
 
 
 class _WireRows(msgspec.Struct):
-    rows: tuple[platform.StoredRow, ...]
+    rows: tuple[metadata_store.StoredRow, ...]
     committed: bool = True
 
 
@@ -122,14 +122,14 @@
         method: str,
         path: str,
         **query: str,
-    ) -> bytes | platform.Unavailable:
+    ) -> bytes | metadata_store.Unavailable:
         """Return the body of a 200 answer."""
         try:
             status, body = await self.request(method, path, **query)
         except _CALL_ERRORS as error:
-            return platform.Unavailable(_reason(error))
+            return metadata_store.Unavailable(_reason(error))
         if status != _HTTP_OK:
-            return platform.Unavailable(f'status {status}')
+            return metadata_store.Unavailable(f'status {status}')
         return body
 
 
@@ -143,26 +143,26 @@
     async def read(
         self,
         key: str,
-    ) -> platform.StoredRow | platform.Unavailable:
+    ) -> metadata_store.StoredRow | metadata_store.Unavailable:
         """Return a row; version 0 if it is absent."""
         body = await self._endpoint.fetch('GET', '/tables/row', key=key)
-        return _decoded(body, platform.StoredRow)
+        return _decoded(body, metadata_store.StoredRow)
 
     async def scan(
         self,
         prefix: str,
-    ) -> tuple[platform.StoredRow, ...] | platform.Unavailable:
+    ) -> tuple[metadata_store.StoredRow, ...] | metadata_store.Unavailable:
         """Return the rows whose keys begin with the prefix, in order."""
         body = await self._endpoint.fetch('GET', '/tables/rows', prefix=prefix)
         answer = _decoded(body, _WireRows)
-        if isinstance(answer, platform.Unavailable):
+        if isinstance(answer, metadata_store.Unavailable):
             return answer
         return answer.rows
 
     async def commit(
         self,
-        transaction: platform.Transaction,
-    ) -> platform.CommitResult:
+        transaction: metadata_store.Transaction,
+    ) -> metadata_store.CommitResult:
         """Carry out a transaction.
 
         A failure before the connection stood is ``Unavailable``; any later
@@ -175,11 +175,11 @@
                 _encode(transaction),
             )
         except _CONNECT_ERRORS as error:
-            return platform.Unavailable(_reason(error))
+            return metadata_store.Unavailable(_reason(error))
         except _CALL_ERRORS as error:
-            return platform.InDoubt(_reason(error))
+            return metadata_store.InDoubt(_reason(error))
         if status != _HTTP_OK:
-            return platform.InDoubt(f'status {status}')
+            return metadata_store.InDoubt(f'status {status}')
         return _commit_result(body)
 
 
@@ -190,7 +190,9 @@
         """Use an endpoint."""
         self._endpoint = endpoint
 
-    async def put(self, name: str, body: bytes) -> platform.Unavailable | None:
+    async def put(
+        self, name: str, body: bytes
+    ) -> metadata_store.Unavailable | None:
         """Store an object; ``None`` if it is kept."""
         try:
             status, _ = await self._endpoint.request(
@@ -199,12 +201,12 @@
                 body,
             )
         except _CALL_ERRORS as error:
-            return platform.Unavailable(_reason(error))
+            return metadata_store.Unavailable(_reason(error))
         if status not in _HTTP_STORED:
-            return platform.Unavailable(f'status {status}')
+            return metadata_store.Unavailable(f'status {status}')
         return None
 
-    async def get(self, name: str) -> bytes | platform.Unavailable | None:
+    async def get(self, name: str) -> bytes | metadata_store.Unavailable | None:
         """Return an object; ``None`` if there is none."""
         try:
             status, body = await self._endpoint.request(
@@ -212,17 +214,17 @@
                 f'/objects/{name}',
             )
         except _CALL_ERRORS as error:
-            return platform.Unavailable(_reason(error))
+            return metadata_store.Unavailable(_reason(error))
         if status == _HTTP_NOT_FOUND:
             return None
         if status != _HTTP_OK:
-            return platform.Unavailable(f'status {status}')
+            return metadata_store.Unavailable(f'status {status}')
         return body
 
     async def names(
         self,
         prefix: str,
-    ) -> tuple[str, ...] | platform.Unavailable:
+    ) -> tuple[str, ...] | metadata_store.Unavailable:
         """Return the names that begin with the prefix, in order."""
         body = await self._endpoint.fetch('GET', '/objects', prefix=prefix)
         return _decoded(body, tuple[str, ...])
@@ -237,10 +239,10 @@
 
     async def entries(
         self,
-    ) -> tuple[platform.HostEntry, ...] | platform.Unavailable:
+    ) -> tuple[metadata_store.HostEntry, ...] | metadata_store.Unavailable:
         """Return all entries."""
         body = await self._endpoint.fetch('GET', '/hosts')
-        return _decoded(body, tuple[platform.HostEntry, ...])
+        return _decoded(body, tuple[metadata_store.HostEntry, ...])
 
 
 class _Reservation(msgspec.Struct):
@@ -258,7 +260,7 @@
         self,
         model: str,
         layers: str,
-    ) -> float | platform.Unavailable:
+    ) -> float | metadata_store.Unavailable:
         """Ask to load layers; the seconds to wait before it may start."""
         body = await self._endpoint.fetch(
             'POST',
@@ -266,7 +268,7 @@
             model=model,
             layers=layers,
         )
-        if isinstance(body, platform.Unavailable):
+        if isinstance(body, metadata_store.Unavailable):
             return body
         return msgspec.json.decode(body, type=_Reservation).wait_s
 
@@ -281,10 +283,10 @@
     :param weights: the weight store.
     """
 
-    tables: platform.TableService
-    objects: platform.ObjectStore
-    hosts: platform.HostList
-    weights: platform.WeightStore
+    tables: metadata_store.TableService
+    objects: metadata_store.ObjectStore
+    hosts: metadata_store.HostList
+    weights: metadata_store.WeightStore
 
     @classmethod
     def from_settings(
@@ -322,22 +324,22 @@
         )
 
 
-def _commit_result(body: bytes) -> platform.CommitResult:
+def _commit_result(body: bytes) -> metadata_store.CommitResult:
     answer = _decoded(body, _WireRows)
-    if isinstance(answer, platform.Unavailable):
-        return platform.InDoubt(answer.reason)
+    if isinstance(answer, metadata_store.Unavailable):
+        return metadata_store.InDoubt(answer.reason)
     if answer.committed:
-        return platform.Committed(answer.rows)
-    return platform.Conflict(answer.rows)
+        return metadata_store.Committed(answer.rows)
+    return metadata_store.Conflict(answer.rows)
 
 
-def _decoded(body: bytes | platform.Unavailable, kind: Any) -> Any:
-    if isinstance(body, platform.Unavailable):
+def _decoded(body: bytes | metadata_store.Unavailable, kind: Any) -> Any:
+    if isinstance(body, metadata_store.Unavailable):
         return body
     try:
         return _decode(body, type=kind)
     except msgspec.MsgspecError as error:
-        return platform.Unavailable(_reason(error))
+        return metadata_store.Unavailable(_reason(error))
 
 
 def _reason(error: BaseException) -> str:
--- a/nutmegspoke/border/platform_guard.py
+++ b/nutmegspoke/border/platform_guard.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, TypeVar
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.border.platform_client import PlatformClient
 from nutmegspoke.retries.breaker import BreakerSettings, CircuitBreaker
 
@@ -17,7 +17,7 @@
 
 logger = logging.getLogger(__name__)
 _AnswerT = TypeVar('_AnswerT')
-_FAILURES = (platform.Unavailable, platform.InDoubt)
+_FAILURES = (metadata_store.Unavailable, metadata_store.InDoubt)
 
 
 class Guard:
@@ -38,14 +38,14 @@
     async def call(
         self,
         make: Callable[[], Awaitable[_AnswerT]],
-    ) -> _AnswerT | platform.Unavailable:
+    ) -> _AnswerT | metadata_store.Unavailable:
         """Make a call if the breaker lets it through.
 
         :param make: makes the call.
         """
         refusal = self._breaker.refusal(self._clock.now_s())
         if refusal:
-            return platform.Unavailable(f'{self._name}: {refusal}')
+            return metadata_store.Unavailable(f'{self._name}: {refusal}')
         before = self._breaker.state
         try:
             answer = await make()
@@ -71,7 +71,7 @@
 
     def __init__(
         self,
-        tables: platform.TableService,
+        tables: metadata_store.TableService,
         reads: Guard,
         writes: Guard,
     ) -> None:
@@ -83,21 +83,21 @@
     async def read(
         self,
         key: str,
-    ) -> platform.StoredRow | platform.Unavailable:
+    ) -> metadata_store.StoredRow | metadata_store.Unavailable:
         """Return a row; version 0 if it is absent."""
         return await self._reads.call(lambda: self._tables.read(key))
 
     async def scan(
         self,
         prefix: str,
-    ) -> tuple[platform.StoredRow, ...] | platform.Unavailable:
+    ) -> tuple[metadata_store.StoredRow, ...] | metadata_store.Unavailable:
         """Return the rows whose keys begin with the prefix, in order."""
         return await self._reads.call(lambda: self._tables.scan(prefix))
 
     async def commit(
         self,
-        transaction: platform.Transaction,
-    ) -> platform.CommitResult:
+        transaction: metadata_store.Transaction,
+    ) -> metadata_store.CommitResult:
         """Carry out a transaction."""
         return await self._writes.call(
             lambda: self._tables.commit(transaction),
@@ -107,23 +107,27 @@
 class GuardedObjects:
     """The object store behind a guard."""
 
-    def __init__(self, objects: platform.ObjectStore, guard: Guard) -> None:
+    def __init__(
+        self, objects: metadata_store.ObjectStore, guard: Guard
+    ) -> None:
         """Guard an object store."""
         self._objects = objects
         self._guard = guard
 
-    async def put(self, name: str, body: bytes) -> platform.Unavailable | None:
+    async def put(
+        self, name: str, body: bytes
+    ) -> metadata_store.Unavailable | None:
         """Store an object; ``None`` if it is kept."""
         return await self._guard.call(lambda: self._objects.put(name, body))
 
-    async def get(self, name: str) -> bytes | platform.Unavailable | None:
+    async def get(self, name: str) -> bytes | metadata_store.Unavailable | None:
         """Return an object; ``None`` if there is none."""
         return await self._guard.call(lambda: self._objects.get(name))
 
     async def names(
         self,
         prefix: str,
-    ) -> tuple[str, ...] | platform.Unavailable:
+    ) -> tuple[str, ...] | metadata_store.Unavailable:
         """Return the names that begin with the prefix, in order."""
         return await self._guard.call(lambda: self._objects.names(prefix))
 
@@ -131,14 +135,14 @@
 class GuardedHosts:
     """The host list behind a guard."""
 
-    def __init__(self, hosts: platform.HostList, guard: Guard) -> None:
+    def __init__(self, hosts: metadata_store.HostList, guard: Guard) -> None:
         """Guard a host list."""
         self._hosts = hosts
         self._guard = guard
 
     async def entries(
         self,
-    ) -> tuple[platform.HostEntry, ...] | platform.Unavailable:
+    ) -> tuple[metadata_store.HostEntry, ...] | metadata_store.Unavailable:
         """Return all entries."""
         return await self._guard.call(self._hosts.entries)
 
@@ -146,7 +150,9 @@
 class GuardedWeights:
     """The weight store behind a guard."""
 
-    def __init__(self, weights: platform.WeightStore, guard: Guard) -> None:
+    def __init__(
+        self, weights: metadata_store.WeightStore, guard: Guard
+    ) -> None:
         """Guard a weight store."""
         self._weights = weights
         self._guard = guard
@@ -155,7 +161,7 @@
         self,
         model: str,
         layers: str,
-    ) -> float | platform.Unavailable:
+    ) -> float | metadata_store.Unavailable:
         """Ask to load layers; the seconds to wait before it may start."""
         return await self._guard.call(
             lambda: self._weights.reserve(model, layers),
--- a/nutmegspoke/border/pool_placement.py
+++ b/nutmegspoke/border/pool_placement.py
@@ -21,7 +21,7 @@
     SendOrder,
 )
 from nutmegspoke.placement.spares import Replacement, SpareFinder
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -29,7 +29,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.border.order_client import OrderClient
     from nutmegspoke.placement.orders import OrderStep
-    from nutmegspoke.platform import TableService, WeightStore
+    from nutmegspoke.metadata_store import TableService, WeightStore
     from nutmegspoke.tables.rows import PoolRow
     from nutmegspoke.targets import Target
 
--- a/nutmegspoke/border/table_reads.py
+++ b/nutmegspoke/border/table_reads.py
@@ -5,7 +5,7 @@
 import dataclasses
 import logging
 
-from nutmegspoke.platform import StoredRow, TableService, Unavailable
+from nutmegspoke.metadata_store import StoredRow, TableService, Unavailable
 from nutmegspoke.tables import changes, codec
 from nutmegspoke.tables.snapshot import (
     TablesSnapshot,
--- a/nutmegspoke/border/tables_watch.py
+++ b/nutmegspoke/border/tables_watch.py
@@ -13,7 +13,7 @@
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.border.table_reads import read_snapshot
 from nutmegspoke.membership.table_passing import EncodedTables, TableHistory
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 from nutmegspoke.tables import codec
 from nutmegspoke.tables.revisions import (
     Ignored,
@@ -28,7 +28,7 @@
     from nutmegspoke.application import Application
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.membership.messages import TablesReply
-    from nutmegspoke.platform import TableService
+    from nutmegspoke.metadata_store import TableService
 
 logger = logging.getLogger(__name__)
 NAME = 'tables_watch'
--- a/nutmegspoke/border/target_watch.py
+++ b/nutmegspoke/border/target_watch.py
@@ -17,7 +17,7 @@
 from nutmegspoke.border.tables_watch import TablesWatch
 from nutmegspoke.engine_protocol import LOAD_PATH, LoadReport
 from nutmegspoke.membership.directory import Directory
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/nutmegspoke/claims/decider.py
+++ b/nutmegspoke/claims/decider.py
@@ -101,7 +101,7 @@
     def committed(
         self,
         key: str,
-        commit: platform.CommitResult,
+        commit: metadata_store.CommitResult,
         now_s: float,
     ) -> Step:
         """Take the result of an insert.
@@ -112,27 +112,27 @@
         """
         held = self._find(key, Phase.INSERTING)
         match commit:
-            case platform.Committed():
+            case metadata_store.Committed():
                 held.is_doubtful = True
-                written = platform.row_of(key, commit.rows)
+                written = metadata_store.row_of(key, commit.rows)
                 if written is None:
                     return ReadClaim(key)
                 return self._hold(held, written.version)
-            case platform.Conflict():
-                found = platform.row_of(key, commit.rows)
+            case metadata_store.Conflict():
+                found = metadata_store.row_of(key, commit.rows)
                 if found is None:
                     return ReadClaim(key)
                 return self._meet(held, found, now_s)
-            case platform.InDoubt():
+            case metadata_store.InDoubt():
                 held.is_doubtful = True
                 return ReadClaim(key)
-            case platform.Unavailable():
+            case metadata_store.Unavailable():
                 return self._refuse(held, replies.store_unavailable(), now_s)
 
     def read(
         self,
         key: str,
-        found: platform.StoredRow | platform.Unavailable,
+        found: metadata_store.StoredRow | metadata_store.Unavailable,
         now_s: float,
     ) -> Step:
         """Take the row that was read after an insert in doubt.
@@ -146,7 +146,7 @@
         :param now_s: present time on the daemon's clock.
         """
         held = self._find(key, Phase.INSERTING)
-        if isinstance(found, platform.Unavailable):
+        if isinstance(found, metadata_store.Unavailable):
             return self._refuse(held, replies.store_unavailable(), now_s)
         if found.version == held.version:
             return self._insert(held, now_s)
@@ -202,7 +202,7 @@
     def settled(
         self,
         key: str,
-        commit: platform.CommitResult,
+        commit: metadata_store.CommitResult,
         now_s: float,
     ) -> None:
         """Take the result of an outcome write or a release.
@@ -225,13 +225,13 @@
     def _meet(
         self,
         held: HeldClaim,
-        found: platform.StoredRow,
+        found: metadata_store.StoredRow,
         now_s: float,
     ) -> Step:
         row = rows.decode_claim(found.body) if found.version else None
         if row is not None and row.nonce == held.row.nonce:
             return self._meet_own(held, row, found.version, now_s)
-        if found.version == platform.ABSENT_VERSION or (
+        if found.version == metadata_store.ABSENT_VERSION or (
             row is not None and row.state is rows.ClaimState.RELEASED
         ):
             held.is_doubtful &= held.version == found.version
--- a/nutmegspoke/claims/grouping.py
+++ b/nutmegspoke/claims/grouping.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.errors import BrokenInvariantError
 
 if TYPE_CHECKING:
@@ -21,7 +21,7 @@
     """
 
     number: int
-    transaction: platform.Transaction
+    transaction: metadata_store.Transaction
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +33,7 @@
     """
 
     number: int
-    commit: platform.CommitResult
+    commit: metadata_store.CommitResult
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,9 +42,9 @@
 
     members: tuple[Member, ...]
 
-    def transaction(self) -> platform.Transaction:
+    def transaction(self) -> metadata_store.Transaction:
         """Return the transaction of all members."""
-        return platform.Transaction(
+        return metadata_store.Transaction(
             conditions=tuple(
                 condition
                 for member in self.members
@@ -77,7 +77,7 @@
         self._sent_keys: set[str] = set()
         self._last_number = 0
 
-    def add(self, transaction: platform.Transaction) -> int:
+    def add(self, transaction: metadata_store.Transaction) -> int:
         """Let a transaction wait for the next group; returns its number."""
         self._last_number += 1
         self._waiting.append(Member(self._last_number, transaction))
@@ -101,7 +101,7 @@
     def resolve(
         self,
         group: Group,
-        commit: platform.CommitResult,
+        commit: metadata_store.CommitResult,
     ) -> tuple[Result, ...]:
         """Return the results of members; the rest wait for another group.
 
@@ -110,7 +110,7 @@
         """
         for member in group.members:
             self._sent_keys -= _keys(member.transaction)
-        if isinstance(commit, platform.Conflict):
+        if isinstance(commit, metadata_store.Conflict):
             return self._split(group, commit)
         return tuple(
             Result(member.number, _part(member, commit))
@@ -120,7 +120,7 @@
     def _split(
         self,
         group: Group,
-        conflict: platform.Conflict,
+        conflict: metadata_store.Conflict,
     ) -> tuple[Result, ...]:
         parts = {
             member: _conflict_part(member, conflict.rows)
@@ -136,29 +136,29 @@
         )
 
 
-def _keys(transaction: platform.Transaction) -> set[str]:
+def _keys(transaction: metadata_store.Transaction) -> set[str]:
     conditions = {condition.key for condition in transaction.conditions}
     return conditions | {write.key for write in transaction.writes}
 
 
 def _part(
     member: Member,
-    commit: platform.CommitResult,
-) -> platform.CommitResult:
-    if isinstance(commit, platform.Committed):
-        return platform.Committed(_rows_of(member, commit.rows))
+    commit: metadata_store.CommitResult,
+) -> metadata_store.CommitResult:
+    if isinstance(commit, metadata_store.Committed):
+        return metadata_store.Committed(_rows_of(member, commit.rows))
     return commit
 
 
 def _conflict_part(
     member: Member,
-    rows: Iterable[platform.StoredRow],
-) -> platform.Conflict:
+    rows: Iterable[metadata_store.StoredRow],
+) -> metadata_store.Conflict:
     versions = {
         condition.key: condition.version
         for condition in member.transaction.conditions
     }
-    return platform.Conflict(
+    return metadata_store.Conflict(
         tuple(
             row
             for row in rows
@@ -169,7 +169,7 @@
 
 def _rows_of(
     member: Member,
-    rows: Iterable[platform.StoredRow],
-) -> tuple[platform.StoredRow, ...]:
+    rows: Iterable[metadata_store.StoredRow],
+) -> tuple[metadata_store.StoredRow, ...]:
     keys = _keys(member.transaction)
     return tuple(row for row in rows if row.key in keys)
--- a/nutmegspoke/claims/held.py
+++ b/nutmegspoke/claims/held.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.claims import rows
 from nutmegspoke.claims.steps import CommitClaim
 
@@ -44,7 +44,7 @@
 
     request: ClaimRequest
     row: rows.ClaimRow
-    version: int = platform.ABSENT_VERSION
+    version: int = metadata_store.ABSENT_VERSION
     phase: Phase = Phase.INSERTING
     is_doubtful: bool = False
     insert_count: int = 0
@@ -76,9 +76,9 @@
     def write(self) -> CommitClaim:
         """Return the write that the present phase needs."""
         key = self.request.key
-        transaction = platform.Transaction(
-            conditions=(platform.Condition(key, self.version),),
-            writes=(platform.Write(key, rows.encode_claim(self.row)),),
+        transaction = metadata_store.Transaction(
+            conditions=(metadata_store.Condition(key, self.version),),
+            writes=(metadata_store.Write(key, rows.encode_claim(self.row)),),
         )
         return CommitClaim(key, transaction)
 
--- a/nutmegspoke/claims/pending.py
+++ b/nutmegspoke/claims/pending.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.claims import rows
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
     def settle(
         self,
         key: str,
-        commit: platform.CommitResult,
+        commit: metadata_store.CommitResult,
         now_s: float,
     ) -> bool:
         """Take the result of a write.
@@ -82,19 +82,21 @@
         wait_s = self._retry_s * 2 ** (doublings - 1)
         return now_s + min(wait_s, self._max_retry_s)
 
-    def _is_over(self, held: HeldClaim, commit: platform.CommitResult) -> bool:
+    def _is_over(
+        self, held: HeldClaim, commit: metadata_store.CommitResult
+    ) -> bool:
         key = held.request.key
         match commit:
-            case platform.Committed():
+            case metadata_store.Committed():
                 return True
-            case platform.Conflict():
-                found = platform.row_of(key, commit.rows)
+            case metadata_store.Conflict():
+                found = metadata_store.row_of(key, commit.rows)
                 return found is not None and self._meet(held, found)
-            case platform.InDoubt() | platform.Unavailable():
+            case metadata_store.InDoubt() | metadata_store.Unavailable():
                 logger.info('claims: write in doubt key=%s', key)
                 return False
 
-    def _meet(self, held: HeldClaim, found: platform.StoredRow) -> bool:
+    def _meet(self, held: HeldClaim, found: metadata_store.StoredRow) -> bool:
         row = rows.decode_claim(found.body) if found.version else None
         is_own = row is not None and row.nonce == held.row.nonce
         if is_own and row.state is rows.ClaimState.INSERTED:
--- a/nutmegspoke/claims/settlement.py
+++ b/nutmegspoke/claims/settlement.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.claims import rows
 
 if TYPE_CHECKING:
@@ -39,11 +39,11 @@
 
 
 def settle(
-    found: platform.StoredRow,
+    found: metadata_store.StoredRow,
     verdict: Verdict,
     operator: str,
     live_daemons: Collection[str],
-) -> platform.Transaction | SettleRefusal:
+) -> metadata_store.Transaction | SettleRefusal:
     """Return the write that settles a claim.
 
     A claim that is settled as not run can be claimed anew. A claim that is
@@ -62,9 +62,9 @@
     if row.daemon in live_daemons and row.outcome is None:
         return SettleRefusal.HOLDER_LIVES
     settled = rows.encode_claim(_settled_row(row, verdict, operator))
-    return platform.Transaction(
-        conditions=(platform.Condition(found.key, found.version),),
-        writes=(platform.Write(found.key, settled),),
+    return metadata_store.Transaction(
+        conditions=(metadata_store.Condition(found.key, found.version),),
+        writes=(metadata_store.Write(found.key, settled),),
     )
 
 
--- a/nutmegspoke/claims/steps.py
+++ b/nutmegspoke/claims/steps.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from nutmegspoke.outcomes import Outcome
-    from nutmegspoke.platform import Transaction
+    from nutmegspoke.metadata_store import Transaction
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/cmd/cli_changes.py
+++ b/nutmegspoke/cmd/cli_changes.py
@@ -16,7 +16,7 @@
 from nutmegspoke.cmd.cli_output import ExitCode, Printer, change_fields
 from nutmegspoke.cmd.cli_output import change_text as text_of
 from nutmegspoke.cmd.cli_platform import PlatformClient, run
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 from nutmegspoke.tables import changes, diff as table_diff
 from nutmegspoke.tables.snapshot import (
     TablesSnapshot,
--- a/nutmegspoke/cmd/cli_claims.py
+++ b/nutmegspoke/cmd/cli_claims.py
@@ -16,7 +16,7 @@
 )
 from nutmegspoke.cmd.cli_output import ExitCode, Printer
 from nutmegspoke.cmd.cli_platform import PlatformClient, run
-from nutmegspoke.platform import Unavailable
+from nutmegspoke.metadata_store import Unavailable
 
 app = typer.Typer(
     help='Shows and settles claims whose outcome nobody knows.',
--- a/nutmegspoke/cmd/cli_output.py
+++ b/nutmegspoke/cmd/cli_output.py
@@ -16,7 +16,7 @@
 from nutmegspoke.tables.snapshot import UnreadableRow
 
 if TYPE_CHECKING:
-    from nutmegspoke.platform import Unavailable
+    from nutmegspoke.metadata_store import Unavailable
     from nutmegspoke.tables.faults import TableFaults
     from nutmegspoke.tables.changes import ChangeRecord
     from nutmegspoke.tables.rows import Tables
--- /dev/null
+++ b/nutmegspoke/cmd/entry.py
@@ -0,0 +1,79 @@
+"""The daemon of an entry host on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import pathlib
+import signal
+import sys
+
+from nutmegspoke.border.loop import new_runner  # isort: skip -- sets the loop
+
+from nutmegspoke.border.clock import SystemClock
+from nutmegspoke.edge import decision_log
+from nutmegspoke.edge.daemon import EdgeDaemon
+from nutmegspoke.edge.platform_parts import PlatformParts
+from nutmegspoke.errors import SettingsError
+from nutmegspoke.platform import boot_settings, headers
+from nutmegspoke.platform.configuration import decode_configuration
+from nutmegspoke.platform.discovery import decode_target
+from nutmegspoke.platform.engine_calls import EngineClient
+from nutmegspoke.platform.store_client import StoreClient, new_session
+
+EXIT_SETTINGS = 2
+
+
+async def run(path: pathlib.Path) -> int:
+    """Serve until a signal ends the daemon.
+
+    :param path: settings file of the platform.
+    :returns: exit code.
+    """
+    host = boot_settings.read_settings(path)
+    clock = SystemClock()
+    log = decision_log.configure(host.name, clock, logging.INFO)
+    async with new_session() as session:
+        parts = PlatformParts(
+            store=StoreClient(host.store_address, session),
+            engines=EngineClient(session),
+            dialect=headers,
+            tables_table='op',
+            tables_row='config',
+            decode_tables=decode_configuration,
+            targets_table='servers',
+            decode_target=decode_target,
+        )
+        daemon = EdgeDaemon(host, parts, log, clock)
+        stopping = _catch_signals(log)
+        await daemon.start()
+        await stopping.wait()
+        await daemon.stop()
+    return 0
+
+
+def _catch_signals(log: decision_log.DecisionLog) -> asyncio.Event:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(
+        signal.SIGHUP,
+        lambda: log.decided('reload', outcome='settings need no restart'),
+    )
+    return stopping
+
+
+def main() -> None:
+    """Run the daemon."""
+    try:
+        with new_runner() as runner:
+            code = runner.run(run(boot_settings.settings_path()))
+    except SettingsError as error:
+        print(error, file=sys.stderr)  # noqa: WPS421 -- no log is set up yet
+        code = EXIT_SETTINGS
+    sys.exit(code)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/nutmegspoke/edge/attempts.py
@@ -0,0 +1,233 @@
+"""One attempt at one target: what can become of it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.target_connections import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerLost,
+    AnswerPart,
+)
+from nutmegspoke.forwarded import AnswerKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.target_connections import (
+        AnswerEvent,
+        TargetConnection,
+        TargetConnections,
+    )
+    from nutmegspoke.forwarded import AnswerFacts, Dialect, Headers
+
+# Answers to plain requests are held whole up to this size, so that one that
+# is cut can still be replaced.
+MAX_WHOLE_BYTES = 8_388_608
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """The target was not reached; nothing left this host."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The target says that it has not run the request."""
+
+    status: int
+    facts: AnswerFacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """No usable answer came; the target may have run the request.
+
+    :param is_silent: the target neither answered nor closed in time.
+    """
+
+    reason: str
+    is_silent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Opened:
+    """The head of an answer came; its body follows.
+
+    :param connection: where the body comes from.
+    :param head: status and headers.
+    :param facts: what the head says.
+    """
+
+    connection: TargetConnection
+    head: AnswerHead
+    facts: AnswerFacts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A complete answer of a target that ran the request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    facts: AnswerFacts
+
+
+OpenResult = NotSent | Refused | Broken | Opened
+WholeResult = NotSent | Refused | Broken | WholeAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending:
+    """What is sent to which target.
+
+    :param address: ``IP:PORT`` of the target.
+    :param request_id: id that the answer must bear.
+    :param request: bytes of the request.
+    :param fresh: wants a connection that no other request has used.
+    :param limit_s: longest wait for the head of the answer.
+    """
+
+    address: str
+    request_id: str
+    request: bytes
+    fresh: bool
+    limit_s: float
+
+
+class Attempts:
+    """Sends requests over the connections to targets.
+
+    :param connections: connections to all targets.
+    :param dialect: reads the answers' headers.
+    :param clock: clock of the process.
+    """
+
+    def __init__(
+        self,
+        connections: TargetConnections,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
+        """Use connections."""
+        self.dialect = dialect
+        self.connections = connections
+        self._clock = clock
+
+    async def open(self, sending: Sending) -> OpenResult:
+        """Send a request and wait for the head of its answer."""
+        try:
+            connection = await self.connections.take(
+                sending.address,
+                self._clock.now_s(),
+                fresh=sending.fresh,
+            )
+            connection.send(sending.request, self._belongs(sending.request_id))
+        except OSError as error:
+            return NotSent(repr(error))
+        try:
+            async with asyncio.timeout(sending.limit_s):
+                event = await connection.next_event()
+        except TimeoutError:
+            connection.close()
+            return Broken('no answer in time', is_silent=True)
+        except BaseException:
+            connection.close()
+            raise
+        return self._opened(connection, event)
+
+    async def whole(self, sending: Sending) -> WholeResult:
+        """Send a request and wait for its whole answer."""
+        started_s = self._clock.now_s()
+        result = await self.open(sending)
+        if not isinstance(result, Opened):
+            return result
+        used_s = self._clock.now_s() - started_s
+        return await self.rest(result, sending.limit_s - used_s)
+
+    async def rest(
+        self,
+        opened: Opened,
+        limit_s: float,
+    ) -> WholeAnswer | Broken:
+        """Wait for the body of an answer.
+
+        :param limit_s: longest wait; the connection is closed after it.
+        """
+        body = await self._body(opened, max(0.0, limit_s))
+        if isinstance(body, Broken):
+            return body
+        self.ended(opened)
+        head = opened.head
+        return WholeAnswer(head.status, head.headers, body, opened.facts)
+
+    def ended(self, opened: Opened) -> None:
+        """Keep the connection of a complete answer."""
+        if opened.facts.must_close:
+            opened.connection.close()
+            return
+        self.connections.keep(
+            opened.connection,
+            opened.facts.keep_open_s,
+            self._clock.now_s(),
+        )
+
+    async def _body(self, opened: Opened, limit_s: float) -> bytes | Broken:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(limit_s):
+                while size <= MAX_WHOLE_BYTES:
+                    event = await opened.connection.next_event()
+                    if not isinstance(event, AnswerPart):
+                        break
+                    parts.append(event.body)
+                    size += len(event.body)
+        except TimeoutError:
+            opened.connection.close()
+            return Broken('no whole answer in time', is_silent=True)
+        except BaseException:
+            opened.connection.close()
+            raise
+        if isinstance(event, AnswerEnd):
+            return b''.join(parts)
+        opened.connection.close()
+        return Broken(_lost_reason(event))
+
+    def _belongs(self, request_id: str) -> Callable[[Headers], bool]:
+        def belongs(headers: Headers) -> bool:
+            return self.dialect.answers_request(headers, request_id)
+
+        return belongs
+
+    def _opened(
+        self,
+        connection: TargetConnection,
+        event: AnswerEvent,
+    ) -> OpenResult:
+        if not isinstance(event, AnswerHead):
+            connection.close()
+            return Broken(_lost_reason(event))
+        facts = self.dialect.read_answer(event.status, event.headers)
+        if facts.kind == AnswerKind.SPOILT:
+            connection.close()
+            return Broken(f'answer without proof, status {event.status}')
+        opened = Opened(connection, event, facts)
+        if facts.kind != AnswerKind.NOT_RUN:
+            return opened
+        if event.length == 0 and isinstance(connection.peek(), AnswerEnd):
+            self.ended(opened)
+        else:
+            connection.close()
+        return Refused(event.status, facts)
+
+
+def _lost_reason(event: AnswerEvent) -> str:
+    return event.reason if isinstance(event, AnswerLost) else 'too long'
--- /dev/null
+++ b/nutmegspoke/edge/daemon.py
@@ -0,0 +1,228 @@
+"""The daemon of an entry host: its parts, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.edge.attempts import Attempts
+from nutmegspoke.edge.callers import Callers
+from nutmegspoke.edge.drafts import Drafts
+from nutmegspoke.edge.edge_metrics import EdgeMetrics
+from nutmegspoke.edge.followers import TableFollower
+from nutmegspoke.edge.http_server import ConnectionSet, listen
+from nutmegspoke.edge.layer_keeper import LayerKeeper
+from nutmegspoke.edge.listeners import (
+    DaemonRow,
+    DaemonsListener,
+    TablesListener,
+    TargetsListener,
+)
+from nutmegspoke.edge.news_exchange import NewsExchange
+from nutmegspoke.edge.own_answers import OwnAnswers
+from nutmegspoke.edge.plain_calls import PlainCalls
+from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
+from nutmegspoke.edge.target_connections import TargetConnections
+from nutmegspoke.edge.view import View
+from nutmegspoke.metadata_store import (
+    Committed,
+    Conflict,
+    Transaction,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.platform_parts import PlatformParts
+    from nutmegspoke.entry_host import EntryHost, EntryTables
+    from nutmegspoke.membership.load_news import LoadNews
+
+logger = logging.getLogger(__name__)
+
+DAEMONS_TABLE = 'daemons'
+METRICS_PORT = 9_100
+_TICK_S = 0.25
+# A tick that comes so much late shows that the host was suspended.
+_FREEZE_S = 1.0
+# The balancer asks each second and takes a host out after two misses.
+_OUT_OF_ROTATION_S = 2.5
+# Part of the grace period in which requests may end by themselves.
+_FINISH_SHARE = 5 / 6
+_ANNOUNCE_PAUSE_S = 0.5
+
+
+class EdgeDaemon:
+    """All parts of the daemon.
+
+    :param host: the host, as the platform describes it.
+    :param parts: the platform's store, discovery, engines and headers.
+    :param log: the log of decisions.
+    :param clock: clock of the process.
+    """
+
+    def __init__(
+        self,
+        host: EntryHost,
+        parts: PlatformParts,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        """Create the parts; the event loop must be running."""
+        self._host = host
+        self._parts = parts
+        self._log = log
+        self._clock = clock
+        self.view = View(host)
+        self.metrics = EdgeMetrics()
+        self._connections = TargetConnections()
+        self._ready = ConnectionSet(ReadyPage(self.is_ready))
+        self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
+        self._callers = ConnectionSet(self._new_callers())
+        self._daemons = DaemonsListener(host.name)
+        self._targets = TargetsListener(parts.decode_target, self.view, log)
+        self._keeper = LayerKeeper(
+            self.view,
+            parts.engines,
+            parts.store,
+            self._targets,
+            log,
+            clock,
+        )
+        self._news = NewsExchange(
+            self.view,
+            self._daemons,
+            self._keeper.leads,
+            self._heard,
+            clock,
+        )
+        self._followers = self._new_followers()
+        self._servers: list[asyncio.Server] = []
+        self._ticker = Periodic('tick', _TICK_S, self._tick)
+        self._ticked_s = clock.now_s()
+
+    def is_ready(self) -> bool:
+        """Tell whether the daemon can serve."""
+        if self._callers.is_stopping:
+            return False
+        return self.view.tables is not None and self._targets.is_listed
+
+    async def start(self) -> None:
+        """Listen and begin to follow the store."""
+        host = self._host
+        pages = (
+            (self._callers, host.callers_port),
+            (self._ready, host.ready_port),
+            (self._metrics_pages, METRICS_PORT),
+        )
+        for connections, port in pages:
+            server = await listen(connections.connect, host.ip, port)
+            self._servers.append(server)
+        for follower in self._followers:
+            await follower.start()
+        await self._news.start()
+        await self._keeper.start()
+        self._announcing = asyncio.create_task(self._announce())
+        self._ticker.start()
+        self._log.decided(
+            'started',
+            zone=host.availability_zone,
+            cpu_cores=host.limits.cpu_cores,
+            memory_bytes=host.limits.memory_bytes,
+            store=host.store_address,
+        )
+
+    async def stop(self) -> None:
+        """Leave rotation, let requests end, and cut what is left in time."""
+        started_s = self._clock.now_s()
+        self._log.decided('stopping', busy=self._callers.busy())
+        self._callers.is_stopping = True
+        self._news.is_stopping = True
+        await self._keeper.stop()
+        limit_s = self._host.bounds.stop_grace_s * _FINISH_SHARE
+        await asyncio.sleep(min(_OUT_OF_ROTATION_S, limit_s))
+        self._servers[0].close()
+        self._callers.close_idle()
+        while self._callers.busy():
+            if self._clock.now_s() - started_s > limit_s:
+                break
+            await asyncio.sleep(0.05)
+        self._log.decided('stopped', cut=self._callers.busy())
+        self._callers.cut()
+        await self._ticker.stop()
+
+    def _new_callers(self) -> Callers:
+        attempts = Attempts(self._connections, self._parts.dialect, self._clock)
+        own = OwnAnswers(
+            self._parts.dialect,
+            self._log,
+            self.metrics,
+            self.view,
+            self._clock,
+        )
+        view, clock = self.view, self._clock
+        return Callers(
+            view,
+            self._parts.dialect,
+            PlainCalls(view, attempts, own, clock),
+            Drafts(view, attempts, own, self._log, clock),
+            own,
+            clock,
+        )
+
+    def _new_followers(self) -> list[TableFollower]:
+        parts = self._parts
+        tables = TablesListener(
+            parts.tables_row,
+            parts.decode_tables,
+            self.view,
+            self._log,
+            self._tables_changed,
+        )
+        listeners = (
+            (parts.tables_table, tables),
+            (parts.targets_table, self._targets),
+            (DAEMONS_TABLE, self._daemons),
+        )
+        return [
+            TableFollower(name, parts.store, listener, self._log, self._clock)
+            for name, listener in listeners
+        ]
+
+    def _tables_changed(self, tables: EntryTables) -> None:
+        self._callers.limits = tables.limits
+
+    def _heard(self, news: LoadNews) -> None:
+        """Do nothing more with another daemon's news."""
+
+    async def _announce(self) -> None:
+        """Write where this daemon hears news."""
+        key = f'{DAEMONS_TABLE}/{self._host.name}'
+        row = DaemonRow(self._host.ip, self._host.peer_ports[0])
+        write = Write(key, msgspec.json.encode(row))
+        while True:
+            answer = await self._parts.store.commit(Transaction((), (write,)))
+            if isinstance(answer, Committed | Conflict):
+                return
+            await asyncio.sleep(_ANNOUNCE_PAUSE_S)
+
+    async def _tick(self) -> None:
+        now_s = self._clock.now_s()
+        late_s = now_s - self._ticked_s - _TICK_S
+        self._ticked_s = now_s
+        if late_s > _FREEZE_S:
+            await self._woke(late_s)
+        self._connections.close_idle(now_s)
+        for name in self.view.targets.drop_lapsed(now_s):
+            self._log.decided('target_gone', target=name, may_have_lapsed=False)
+
+    async def _woke(self, late_s: float) -> None:
+        """Read everything anew: what was believed is as old as the sleep."""
+        self._log.decided('woke', late_s=round(late_s, 2))
+        self._connections.close_idle()
+        for follower in self._followers:
+            await follower.restart()
--- /dev/null
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -0,0 +1,45 @@
+"""Counters and histograms of an entry host."""
+
+from __future__ import annotations
+
+import aioprometheus
+
+_SECONDS = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0)
+
+
+class EdgeMetrics:
+    """What an entry host counts."""
+
+    def __init__(self) -> None:
+        """Create all metrics at zero."""
+        self.registry = aioprometheus.Registry()
+        self._requests = aioprometheus.Counter(
+            'nutmegspoke_edge_requests_total',
+            'Requests by route and outcome.',
+            registry=self.registry,
+        )
+        self._seconds = aioprometheus.Histogram(
+            'nutmegspoke_edge_request_seconds',
+            'Time from a request to the end of its answer.',
+            registry=self.registry,
+            buckets=_SECONDS,
+        )
+        self._events = aioprometheus.Counter(
+            'nutmegspoke_edge_events_total',
+            'Decisions and changes of belief by kind.',
+            registry=self.registry,
+        )
+
+    def request_ended(self, route: str, outcome: str, took_s: float) -> None:
+        """Count a request and its time."""
+        self._requests.inc({'route': route, 'outcome': outcome})
+        self._seconds.observe({'route': route}, took_s)
+
+    def event(self, kind: str) -> None:
+        """Count a decision or a change of belief."""
+        self._events.inc({'kind': kind})
+
+    def show(self) -> bytes:
+        """Return all metrics in the text form."""
+        text, _ = aioprometheus.render(self.registry, ['text/plain'])
+        return text
--- /dev/null
+++ b/nutmegspoke/edge/layer_keeper.py
@@ -0,0 +1,246 @@
+"""Keeps the layers of all pools placed while this daemon holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.engine_orders import OrderAnswer
+from nutmegspoke.metadata_store import Unavailable
+from nutmegspoke.placement.layer_changes import next_change
+from nutmegspoke.placement.layer_plan import Holder, plan_layers
+from nutmegspoke.placement.lease import (
+    CommitLease,
+    LeaseKeeper,
+    LeaseSettings,
+    ReadLease,
+)
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.listeners import TargetsListener
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.engine_orders import EngineCalls
+    from nutmegspoke.entry_host import ModelProfile, TargetEntry
+    from nutmegspoke.layers import LayerRange
+    from nutmegspoke.metadata_store import TableService
+
+_STEP_S = 0.25
+# Engines list themselves over the first seconds; the plan waits for the last.
+_LIST_CALM_S = 1.5
+# A lease must outlast a slow answer of the store, and pass on soon.
+_LEASE = LeaseSettings(duration_s=4.0, renew_after_s=1.3, order_timeout_s=1.0)
+# Time in which a lost order may still be carried out, or a load end.
+_ORDER_LIMIT_S = 12.0
+# Orders that load at the same time slow each other down beyond this number.
+_MAX_LOADS = 5
+_LEASE_NAME = 'layers'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ordered:
+    layers: LayerRange
+    started_ms: int
+    until_s: float
+
+
+class LayerKeeper:
+    """Plans, orders, and sees to losses.
+
+    :param calls: gives orders to engines.
+    :param tables: where the lease is kept.
+    :param targets: tells when the list of engines last grew or shrank.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        calls: EngineCalls,
+        tables: TableService,
+        targets: TargetsListener,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        """Prepare to keep."""
+        self._view = view
+        self._calls = calls
+        self._tables = tables
+        self._targets = targets
+        self._log = log
+        self._clock = clock
+        holder = f'{view.host.name}/{int(clock.wall_s() * 1_000)}'
+        self._lease = LeaseKeeper(_LEASE_NAME, holder, _LEASE)
+        self._held = False
+        self._ordered: dict[str, _Ordered] = {}
+        self._periodic = Periodic('layers', _STEP_S, self._step)
+
+    async def start(self) -> None:
+        """Begin to keep."""
+        self._periodic.start()
+
+    async def stop(self) -> None:
+        """Keep no more, and give the lease back."""
+        await self._periodic.stop()
+        released = self._lease.release(self._clock.now_s())
+        if released is not None:
+            await self._tables.commit(released.transaction)
+
+    def leads(self) -> bool:
+        """Tell whether this daemon holds the lease."""
+        return self._lease.is_held(self._clock.now_s())
+
+    async def _step(self) -> None:
+        await self._step_lease()
+        now_s = self._clock.now_s()
+        self._note_lease(now_s)
+        if not self._lease.is_held(now_s) or not self._targets.is_listed:
+            return
+        if now_s - self._targets.changed_s < _LIST_CALM_S:
+            if not self._has_placement():
+                return
+        for pool in self._layered_pools():
+            await self._place(pool[0], pool[1], now_s)
+
+    async def _step_lease(self) -> None:
+        now_s = self._clock.now_s()
+        if self._view.board.has_leader(now_s):
+            if not self._lease.is_held(now_s):
+                return
+        step = self._lease.next_step(now_s)
+        if isinstance(step, ReadLease):
+            row = await self._tables.read(step.key)
+            if not isinstance(row, Unavailable):
+                self._lease.row_read(row, self._clock.now_s())
+        elif isinstance(step, CommitLease):
+            answer = await self._tables.commit(step.transaction)
+            self._lease.commit_answered(answer, self._clock.now_s())
+
+    def _note_lease(self, now_s: float) -> None:
+        held = self._lease.is_held(now_s)
+        if held == self._held:
+            return
+        self._held = held
+        self._ordered.clear()
+        self._log.decided(
+            'lease_taken' if held else 'lease_lost',
+            row_version=self._lease.version,
+            fencing_number=(
+                self._lease.seen.fencing_number if self._lease.seen else None
+            ),
+        )
+
+    def _layered_pools(self) -> list[tuple[str, ModelProfile]]:
+        tables = self._view.tables
+        if tables is None:
+            return []
+        return [
+            (pool.name, pool.profile)
+            for pool in tables.pools.values()
+            if pool.profile is not None
+        ]
+
+    def _has_placement(self) -> bool:
+        return any(
+            entry.layers is not None for entry in self._view.targets.all()
+        )
+
+    async def _place(
+        self,
+        pool: str,
+        profile: ModelProfile,
+        now_s: float,
+    ) -> None:
+        live = {entry.name: entry for entry in self._view.targets.live(pool)}
+        self._forget_done(live, now_s)
+        holders = [self._holder(entry) for entry in live.values()]
+        if all(holder.layers is None for holder in holders):
+            plan = plan_layers(holders, profile)
+        else:
+            plan = self._changes(holders, profile)
+        if not plan:
+            return
+        await asyncio.gather(
+            *(self._order(live[name], layers) for name, layers in plan.items()),
+        )
+
+    def _changes(
+        self,
+        holders: list[Holder],
+        profile: ModelProfile,
+    ) -> dict[str, LayerRange]:
+        plan: dict[str, LayerRange] = {}
+        present = {holder.name: holder for holder in holders}
+        while len(plan) + len(self._ordered) < _MAX_LOADS:
+            change = next_change(tuple(present.values()), profile)
+            if change is None or change.target in plan:
+                break
+            plan[change.target] = change.layers
+            present[change.target] = dataclasses.replace(
+                present[change.target],
+                layers=change.layers,
+            )
+        return plan
+
+    def _holder(self, entry: TargetEntry) -> Holder:
+        ordered = self._ordered.get(entry.name)
+        layers = entry.layers if ordered is None else ordered.layers
+        return Holder(entry.name, entry.availability_zone, entry.kind, layers)
+
+    def _forget_done(
+        self,
+        live: dict[str, TargetEntry],
+        now_s: float,
+    ) -> None:
+        for name, ordered in tuple(self._ordered.items()):
+            entry = live.get(name)
+            is_over = (
+                entry is None
+                or entry.layers == ordered.layers
+                or entry.started_ms != ordered.started_ms
+                or now_s > ordered.until_s
+            )
+            if is_over:
+                self._ordered.pop(name)
+
+    async def _order(self, entry: TargetEntry, layers: LayerRange) -> None:
+        now_s = self._clock.now_s()
+        self._ordered[entry.name] = _Ordered(
+            layers,
+            entry.started_ms,
+            now_s + _ORDER_LIMIT_S,
+        )
+        report = await self._calls.report(entry.address)
+        number = self._lease.fencing_number(
+            self._clock.now_s(),
+            checks_fencing=True,
+        )
+        if number is None or report is None or report.is_busy:
+            self._ordered.pop(entry.name, None)
+            return
+        answer = await self._calls.hold(
+            entry.address,
+            entry.name,
+            layers,
+            number,
+            report.order_number,
+        )
+        self._log.decided(
+            'layers_ordered',
+            target=entry.name,
+            kind=entry.kind,
+            zone=entry.availability_zone,
+            held=str(entry.layers),
+            wanted=str(layers),
+            fencing_number=number,
+            order_number=report.order_number,
+            outcome=answer.value,
+        )
+        if answer not in {
+            OrderAnswer.BEGUN,
+            OrderAnswer.DONE,
+            OrderAnswer.IN_DOUBT,
+        }:
+            self._ordered.pop(entry.name, None)
--- /dev/null
+++ b/nutmegspoke/edge/news_exchange.py
@@ -0,0 +1,154 @@
+"""Sends this daemon's news to the others and takes theirs, by datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+
+from nutmegspoke.membership.load_news import LoadNews, TargetFault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.listeners import DaemonsListener
+    from nutmegspoke.edge.view import View
+
+logger = logging.getLogger(__name__)
+
+# Shortest pause between news: a chain fills up in some seconds.
+NEWS_INTERVAL_S = 0.1
+# Pause for each daemon told, which bounds the datagrams of all daemons.
+_INTERVAL_PER_DAEMON_S = 0.01
+# Unchanged news are sent this often, as a sign of life.
+_SIGN_OF_LIFE_S = 0.5
+
+
+class LeaderView(Protocol):
+    """Tells whether this daemon leads."""
+
+    def leads(self) -> bool:
+        """Tell whether this daemon holds the lease on placement."""
+
+
+class NewsExchange(asyncio.DatagramProtocol):
+    """Tells the other daemons the load and the faults that this one sees.
+
+    :param daemons: addresses of the others.
+    :param leads: tells whether this daemon leads.
+    :param took: called with each news of another daemon.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        daemons: DaemonsListener,
+        leads: Callable[[], bool],
+        took: Callable[[LoadNews], None],
+        clock: Clock,
+    ) -> None:
+        """Prepare to exchange."""
+        self._view = view
+        self._daemons = daemons
+        self._leads = leads
+        self._took = took
+        self._clock = clock
+        self._started_ms = int(clock.wall_s() * 1_000)
+        self._number = 0
+        self._sent: tuple[object, ...] = ()
+        self._sent_s = float('-inf')
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(LoadNews)
+        self.is_stopping = False
+
+    @property
+    def started_ms(self) -> int:
+        """Return the start of this daemon, as its news tell."""
+        return self._started_ms
+
+    async def start(self) -> None:
+        """Listen and begin to send."""
+        loop = asyncio.get_running_loop()
+        host = self._view.host
+        await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=(host.ip, host.peer_ports[0]),
+        )
+        self._tick()
+
+    async def stop(self) -> None:
+        """Send and listen no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the transport; the loop's own class shares no base class."""
+        self._transport = transport
+
+    def datagram_received(self, received: bytes, sender: object) -> None:
+        """Take another daemon's news."""
+        try:
+            news = self._decoder.decode(received)
+        except msgspec.MsgspecError as error:
+            logger.info('news: not read from %s: %s', sender, error)
+            return
+        now_s = self._clock.now_s()
+        if not self._view.board.take(news, now_s):
+            return
+        for fault in news.faults:
+            self._view.faults.heard_of(fault.target, fault.left_s, now_s)
+        self._took(news)
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore that a daemon is not there: its silence tells it."""
+        logger.debug('news: %s', error)
+
+    def _tick(self) -> None:
+        others = len(self._daemons.addresses)
+        pause_s = max(NEWS_INTERVAL_S, others * _INTERVAL_PER_DAEMON_S)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(pause_s, self._tick)
+        now_s = self._clock.now_s()
+        news = self._news(now_s)
+        content = msgspec.structs.astuple(news)[3:]
+        is_same = content == self._sent
+        if is_same and now_s - self._sent_s < _SIGN_OF_LIFE_S:
+            return
+        self._sent = content
+        self._sent_s = now_s
+        self._send(self._encoder.encode(news))
+
+    def _news(self, now_s: float) -> LoadNews:
+        self._number += 1
+        promises = self._view.ledger.promised()
+        return LoadNews(
+            host=self._view.host.name,
+            started_ms=self._started_ms,
+            number=self._number,
+            tables_version=self._view.version,
+            promises={
+                engine: (round(promise.token_layers), promise.requests)
+                for engine, promise in promises.items()
+            },
+            faults=tuple(
+                TargetFault(target, round(left_s, 2))
+                for target, left_s in self._view.faults.own_faults(
+                    now_s
+                ).items()
+            ),
+            leads=self._leads(),
+            is_stopping=self.is_stopping,
+        )
+
+    def _send(self, datagram: bytes) -> None:
+        if self._transport is None:
+            return
+        for address in self._daemons.addresses.values():
+            self._transport.sendto(datagram, address)
--- /dev/null
+++ b/nutmegspoke/edge/plain_calls.py
@@ -0,0 +1,180 @@
+"""Serves requests to plain services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.attempts import (
+    Broken,
+    NotSent,
+    Refused,
+    Sending,
+    WholeAnswer,
+)
+from nutmegspoke.edge.work import OwnAnswer
+from nutmegspoke.forwarded import AnswerKind, Dispatch
+from nutmegspoke.retries.target_faults import Fault
+from nutmegspoke.routing.least_loaded import LeastLoaded
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.attempts import Attempts, WholeResult
+    from nutmegspoke.edge.own_answers import OwnAnswers
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.edge.work import Work
+    from nutmegspoke.entry_host import TargetEntry
+
+# Part of the time left that a first attempt gets if a second may follow.
+_FIRST_ATTEMPT_SHARE = 0.45
+# Sends of one request, refused and unreached ones included.
+_MAX_SENDS = 4
+# Time in which a target that refused has room again: a few calls' work.
+_FULL_RETRY_AFTER_S = 0.2
+# Time in which new targets are listed if none is left.
+_NONE_RETRY_AFTER_S = 0.8
+
+
+class PlainCalls:
+    """Sends plain requests, and again where that is allowed."""
+
+    def __init__(
+        self,
+        view: View,
+        attempts: Attempts,
+        own: OwnAnswers,
+        clock: Clock,
+    ) -> None:
+        """Use the view and the connections."""
+        self._view = view
+        self._attempts = attempts
+        self._own = own
+        self._clock = clock
+        self._loads = LeastLoaded(view.host.availability_zone)
+
+    async def serve(self, work: Work) -> None:
+        """Answer a request."""
+        last: WholeResult = NotSent('no target')
+        while work.sends < _MAX_SENDS:
+            now_s = self._clock.now_s()
+            target = self._choose(work, now_s)
+            if target is None or work.left_s(now_s) <= 0:
+                break
+            if work.sends and not self._may_repeat(work, now_s):
+                break
+            last = await self._send(work, target)
+            if self._is_final(work, last):
+                break
+        await self._answer(work, last)
+
+    def _choose(self, work: Work, now_s: float) -> TargetEntry | None:
+        live = self._view.targets.live(work.pool.name)
+        usable = [
+            entry
+            for entry in live
+            if not self._view.faults.is_left_out(entry.name, now_s)
+        ]
+        return self._loads.choose(usable or live, work.avoided, now_s)
+
+    def _may_repeat(self, work: Work, now_s: float) -> bool:
+        if not work.may_be_sent or len(work.targets) >= work.route.max_targets:
+            return False
+        daemons = self._view.budget_daemons(now_s)
+        return self._view.budget(work.pool.name).take(daemons, now_s)
+
+    async def _send(self, work: Work, target: TargetEntry) -> WholeResult:
+        now_s = self._clock.now_s()
+        left_s = work.left_s(now_s)
+        dispatch = Dispatch(target.name, work.team, left_s)
+        may_repeat = work.route.repeat_rule.may_repeat
+        has_next = may_repeat and work.route.max_targets > work.sends + 1
+        self._loads.sent(target.name)
+        try:
+            result = await self._attempts.whole(
+                Sending(
+                    address=target.address,
+                    request_id=work.facts.request_id,
+                    request=self._attempts.dialect.write_request(
+                        work.request,
+                        dispatch,
+                    ),
+                    fresh=not may_repeat,
+                    limit_s=left_s * (_FIRST_ATTEMPT_SHARE if has_next else 1),
+                ),
+            )
+        finally:
+            self._loads.ended(target.name)
+        self._learn(work, target, result)
+        return result
+
+    def _learn(
+        self,
+        work: Work,
+        target: TargetEntry,
+        result: WholeResult,
+    ) -> None:
+        now_s = self._clock.now_s()
+        faults = self._view.faults
+        work.avoided.add(target.name)
+        match result:
+            case NotSent():
+                faults.failed(target.name, Fault.UNREACHABLE, now_s)
+                return
+            case Refused(facts=facts):
+                self._told(target, facts.load, now_s)
+                kind = Fault.FULL if facts.load else Fault.OTHER_TARGET
+                faults.failed(target.name, kind, now_s)
+            case Broken():
+                work.may_have_run = True
+                self._loads.failed(target.name, now_s)
+            case WholeAnswer(facts=facts):
+                work.may_have_run = True
+                self._told(target, facts.load, now_s)
+                faults.worked(target.name, now_s)
+                if facts.kind == AnswerKind.FAILURE:
+                    self._loads.failed(target.name, now_s)
+        work.sends += 1
+        work.targets.append(target.name)
+
+    def _told(
+        self,
+        target: TargetEntry,
+        load: tuple[int, int, int] | None,
+        now_s: float,
+    ) -> None:
+        if load is not None:
+            running, waiting, _ = load
+            self._loads.told(target.name, running + waiting, now_s)
+
+    def _is_final(self, work: Work, result: WholeResult) -> bool:
+        if isinstance(result, WholeAnswer):
+            is_failure = result.facts.kind == AnswerKind.FAILURE
+            return not (is_failure and work.may_be_sent)
+        return not work.may_be_sent
+
+    async def _answer(self, work: Work, last: WholeResult) -> None:
+        if isinstance(last, WholeAnswer):
+            await self._own.pass_on(work, last)
+        elif work.may_have_run:
+            is_late = work.left_s(self._clock.now_s()) <= 0
+            status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
+            await self._own.send(work, status, reason=_reason(last))
+        else:
+            retry_after_s = _NONE_RETRY_AFTER_S
+            if isinstance(last, Refused):
+                retry_after_s = _FULL_RETRY_AFTER_S
+            await self._own.send(
+                work,
+                OwnAnswer.NOT_RUN,
+                reason=_reason(last),
+                retry_after_s=retry_after_s,
+            )
+
+
+def _reason(result: WholeResult) -> str:
+    match result:
+        case NotSent(reason=reason) | Broken(reason=reason):
+            return reason
+        case Refused(status=status):
+            return f'refused with {status}'
+        case _:
+            return ''
--- /dev/null
+++ b/nutmegspoke/edge/platform_parts.py
@@ -0,0 +1,43 @@
+"""What an entry daemon needs of the platform that it runs on."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+from nutmegspoke.metadata_store import ChangeFeed, TableService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.engine_orders import EngineCalls
+    from nutmegspoke.entry_host import EntryTables, TargetEntry
+    from nutmegspoke.forwarded import Dialect
+
+
+class Store(TableService, ChangeFeed, Protocol):
+    """The platform's metadata store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformParts:
+    """The platform, as the daemon sees it.
+
+    :param store: the metadata store.
+    :param engines: calls to engines beside requests.
+    :param dialect: headers of requests and answers.
+    :param tables_table: table of the store that holds the operator's tables.
+    :param tables_row: row of that table.
+    :param decode_tables: reads the row.
+    :param targets_table: table in which targets register themselves.
+    :param decode_target: reads one of its rows.
+    """
+
+    store: Store
+    engines: EngineCalls
+    dialect: Dialect
+    tables_table: str
+    tables_row: str
+    decode_tables: Callable[[bytes], EntryTables]
+    targets_table: str
+    decode_target: Callable[[str, bytes], TargetEntry | None]
--- /dev/null
+++ b/nutmegspoke/edge/target_connections.py
@@ -0,0 +1,329 @@
+"""Connections to targets, each with one request at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+from typing import TYPE_CHECKING, Any
+
+import httptools
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.forwarded import Headers
+
+logger = logging.getLogger(__name__)
+
+# A connection stands within a round trip; a lost packet costs a second.
+CONNECT_TIMEOUT_S = 0.4
+# Bytes of an answer that wait for the caller before the target has to wait.
+_READ_BUFFER_BYTES = 262_144
+# Part of the idle time that a target allows in which a connection is reused.
+_KEPT_SHARE = 0.5
+# Idle time if the target tells none.
+_DEFAULT_KEPT_S = 2.0
+_MAX_IDLE_PER_TARGET = 16
+_INTERIM = range(100, 200)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer."""
+
+    status: int
+    headers: Headers
+    length: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """Some bytes of an answer's body."""
+
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is complete."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerLost:
+    """No more comes of the answer.
+
+    :param reason: what went wrong.
+    """
+
+    reason: str
+
+
+AnswerEvent = AnswerHead | AnswerPart | AnswerEnd | AnswerLost
+
+
+class TargetConnection(asyncio.Protocol):
+    """A connection to a target.
+
+    :param address: ``IP:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Wait for the connection to stand."""
+        self.address = address
+        self.is_fresh = True
+        self.is_usable = True
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._events: collections.deque[AnswerEvent] = collections.deque()
+        self._buffered = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._expects = False
+        self._in_body = False
+        self._is_skipped = False
+        self._belongs: Callable[[Headers], bool] = _always
+        self._ends_with_connection = False
+
+    def connection_made(self, transport: Any) -> None:
+        """Take the transport; the loop's own class shares no base class."""
+        self._transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what came; bytes that belong to no request end the use."""
+        if not self._expects:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as bad:
+            if self._expects:
+                self._lost(f'answer not parsed: {bad}')
+            self.close()
+
+    def eof_received(self) -> bool:
+        """End an answer that has no length; any other is lost."""
+        if self._in_body and self._ends_with_connection:
+            self._complete()
+        elif self._expects:
+            self._lost('connection closed')
+        self.is_usable = False
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell that nothing more comes."""
+        self.is_usable = False
+        if self._expects:
+            self._lost(f'connection lost: {error}')
+        self._transport = None
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; one that nobody asked for ends the use."""
+        self._headers = []
+        self._is_skipped = not self._expects
+        if self._is_skipped:
+            self.is_usable = False
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Take a whole head; skip one that belongs to another request."""
+        if self._is_skipped or self._parser.get_status_code() in _INTERIM:
+            self._is_skipped = True
+            return
+        if not self._belongs(self._headers):
+            logger.info('targets: stray answer of %s skipped', self.address)
+            self._is_skipped = True
+            self.is_usable = False
+            return
+        length, is_chunked = _framing(self._headers)
+        self._ends_with_connection = length is None and not is_chunked
+        self._in_body = True
+        status = self._parser.get_status_code()
+        self._put(AnswerHead(status, self._headers, length))
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of a body."""
+        if self._is_skipped:
+            return
+        self._buffered += len(part)
+        self._put(AnswerPart(part))
+        if self._buffered > _READ_BUFFER_BYTES and self._transport:
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """End the answer; what follows belongs to no request."""
+        if not self._is_skipped:
+            self._complete()
+
+    def send(
+        self,
+        request: bytes,
+        belongs: Callable[[Headers], bool],
+    ) -> None:
+        """Send a request.
+
+        :param belongs: tells by its headers whether an answer is to it.
+        :raises ConnectionError: if the connection is closed.
+        """
+        if self._transport is None or self._transport.is_closing():
+            raise ConnectionError('connection closed before the request')
+        self._events.clear()
+        self._buffered = 0
+        self._belongs = belongs
+        self._expects = True
+        self._in_body = False
+        self._transport.write(request)
+
+    async def next_event(self) -> AnswerEvent:
+        """Wait for the next event of the answer."""
+        while not self._events:
+            if not self._expects:
+                return AnswerLost('nothing expected')
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        event = self._events.popleft()
+        if isinstance(event, AnswerPart):
+            self._buffered -= len(event.body)
+            if self._buffered <= 0 and self._transport is not None:
+                self._transport.resume_reading()
+        return event
+
+    def peek(self) -> AnswerEvent | None:
+        """Return the next event if it is already there."""
+        return self._events[0] if self._events else None
+
+    def close(self) -> None:
+        """Close the connection; a request in work ends with it."""
+        self.is_usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_open_answer(self) -> bool:
+        """Tell whether more of an answer may come."""
+        return self._expects
+
+    def can_be_kept(self) -> bool:
+        """Tell whether another request may follow."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._expects:
+            return False
+        return self.is_usable and transport.get_write_buffer_size() == 0
+
+    def _complete(self) -> None:
+        if self._expects:
+            self._expects = False
+            self._in_body = False
+            self._put(AnswerEnd())
+        if not self._parser.should_keep_alive():
+            self.is_usable = False
+
+    def _lost(self, reason: str) -> None:
+        self._expects = False
+        self.is_usable = False
+        self._put(AnswerLost(reason))
+
+    def _put(self, event: AnswerEvent) -> None:
+        self._events.append(event)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+def _always(headers: Headers) -> bool:
+    return True
+
+
+def _framing(headers: Headers) -> tuple[int | None, bool]:
+    length: int | None = None
+    is_chunked = False
+    for name, text in headers:
+        lowered = name.lower()
+        if lowered == b'content-length' and text.isdigit():
+            length = int(text)
+        elif lowered == b'transfer-encoding':
+            is_chunked = b'chunked' in text.lower()
+    return (None if is_chunked else length), is_chunked
+
+
+class TargetConnections:
+    """Opens connections to targets and keeps idle ones for a while."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._idle: dict[str, list[tuple[TargetConnection, float]]] = {}
+        self.opened = 0
+
+    async def take(
+        self,
+        address: str,
+        now_s: float,
+        *,
+        fresh: bool,
+    ) -> TargetConnection:
+        """Return a connection to a target.
+
+        :param now_s: present time of the clock that :meth:`keep` is given.
+        :param fresh: wants a new connection.
+        :raises OSError: if the target is not reached in time.
+        """
+        idle = self._idle.get(address, [])
+        while idle and not fresh:
+            connection, until_s = idle.pop()
+            if now_s < until_s and connection.can_be_kept():
+                connection.is_fresh = False
+                return connection
+            connection.close()
+        return await self._open(address)
+
+    def keep(
+        self,
+        connection: TargetConnection,
+        keep_open_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Keep a connection after an answer, if it can be used again.
+
+        :param keep_open_s: idle time that the target allows.
+        """
+        idle = self._idle.setdefault(connection.address, [])
+        if not connection.can_be_kept() or len(idle) >= _MAX_IDLE_PER_TARGET:
+            connection.close()
+            return
+        allowed_s = _DEFAULT_KEPT_S if keep_open_s is None else keep_open_s
+        idle.append((connection, now_s + allowed_s * _KEPT_SHARE))
+
+    def close_idle(self, now_s: float | None = None) -> None:
+        """Close idle connections.
+
+        :param now_s: closes only those idle for too long; ``None`` for all.
+        """
+        for address, idle in tuple(self._idle.items()):
+            kept = []
+            for connection, until_s in idle:
+                if now_s is not None and now_s < until_s:
+                    kept.append((connection, until_s))
+                else:
+                    connection.close()
+            self._idle[address] = kept
+            if not kept:
+                self._idle.pop(address)
+
+    async def _open(self, address: str) -> TargetConnection:
+        ip, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: TargetConnection(address),
+                    ip,
+                    int(port),
+                )
+        except TimeoutError as error:
+            raise ConnectionError(
+                f'{address}: no connection in time'
+            ) from error
+        self.opened += 1
+        return connection
--- /dev/null
+++ b/nutmegspoke/edge/view.py
@@ -0,0 +1,153 @@
+"""What the daemon believes now: tables, targets, load and faults."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.admission.draft_room import (
+    NO_PROMISE,
+    AnswerLengths,
+    RoomLedger,
+    sum_promises,
+)
+from nutmegspoke.membership.load_news import LoadBoard
+from nutmegspoke.membership.target_entries import TargetEntries
+from nutmegspoke.retries.target_faults import TargetFaults
+from nutmegspoke.retries.window_budget import WindowBudget, WindowSettings
+from nutmegspoke.routing.entry_routes import RouteIndex
+from nutmegspoke.routing.room_chains import ChainFinder, EngineLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from nutmegspoke.entry_host import (
+        EntryHost,
+        EntryPool,
+        EntryTables,
+        ModelProfile,
+    )
+
+
+# Daemons that may come up unheard while this one starts or is cut off.
+_MIN_OTHERS = 8
+
+
+class View:
+    """Beliefs of the daemon; every part reads them, their owners write.
+
+    :param host: the host of this daemon.
+    """
+
+    def __init__(self, host: EntryHost) -> None:
+        """Start without tables and targets."""
+        self.host = host
+        self.tables: EntryTables | None = None
+        self.routes = RouteIndex(())
+        self.targets = TargetEntries()
+        self.faults = TargetFaults()
+        self.ledger = RoomLedger()
+        self.board = LoadBoard()
+        self.running: dict[str, int] = {}
+        self.slowness: dict[str, float] = {}
+        self._budgets: dict[str, WindowBudget] = {}
+        self._lengths: dict[str, AnswerLengths] = {}
+        self._finders: dict[str, ChainFinder] = {}
+
+    def take_tables(self, tables: EntryTables) -> bool:
+        """Serve by these tables from now on; ``False`` if they are old."""
+        if self.tables is not None and tables.version <= self.tables.version:
+            return False
+        self.tables = tables
+        self.routes = RouteIndex.from_tables(tables)
+        self._finders = {
+            pool.name: ChainFinder(pool.profile, self.host.availability_zone)
+            for pool in tables.pools.values()
+            if pool.profile is not None
+        }
+        return True
+
+    @property
+    def version(self) -> int:
+        """Return the version of the tables; 0 without tables."""
+        return 0 if self.tables is None else self.tables.version
+
+    def pool(self, name: str) -> EntryPool | None:
+        """Return a pool of the tables."""
+        return None if self.tables is None else self.tables.pools.get(name)
+
+    def finder(self, pool: str) -> ChainFinder:
+        """Return the finder of chains of a pool of engines."""
+        return self._finders[pool]
+
+    def budget(self, pool: str) -> WindowBudget:
+        """Return the budget for repeats to a pool."""
+        budget = self._budgets.get(pool)
+        if budget is None:
+            bounds = self.host.bounds
+            settings = WindowSettings(
+                bounds.retry_share,
+                bounds.retry_slack,
+                bounds.retry_window_s,
+            )
+            budget = self._budgets[pool] = WindowBudget(settings)
+        return budget
+
+    def budget_daemons(self, now_s: float) -> int:
+        """Return how many daemons share the budgets, silent ones included."""
+        return 1 + max(_MIN_OTHERS, self.board.hosts_known(now_s))
+
+    def lengths(self, pool: str, profile: ModelProfile) -> AnswerLengths:
+        """Return what is known of the lengths of a pool's answers."""
+        lengths = self._lengths.get(pool)
+        if lengths is None:
+            lengths = AnswerLengths(profile.usual_answer_tokens)
+            self._lengths[pool] = lengths
+        return lengths
+
+    def engine_loads(
+        self,
+        pool: str,
+        profile: ModelProfile,
+        avoided: Collection[str],
+        now_s: float,
+    ) -> list[EngineLoad]:
+        """Return the engines of a pool that may run a part of a chain.
+
+        :param avoided: names of engines that the request has failed on.
+        """
+        promised = sum_promises(
+            (self.ledger.promised(), self.board.promised(now_s)),
+        )
+        loads: list[EngineLoad] = []
+        for entry in self.targets.live(pool):
+            kind = profile.kinds.get(entry.kind)
+            if kind is None or entry.layers is None or entry.name in avoided:
+                continue
+            if self.faults.is_left_out(entry.name, now_s):
+                continue
+            promise = promised.get(entry.name, NO_PROMISE)
+            held = len(entry.layers)
+            loads.append(
+                EngineLoad(
+                    name=entry.name,
+                    address=entry.address,
+                    availability_zone=entry.availability_zone,
+                    layers=entry.layers,
+                    accelerator=kind,
+                    total_token_layers=profile.room_token_layers(
+                        entry.kind,
+                        held,
+                    ),
+                    used_token_layers=promise.token_layers,
+                    requests=promise.requests,
+                    slowness=self.slowness.get(entry.name, 1.0),
+                ),
+            )
+        return loads
+
+    def name_at(self, address: str) -> str | None:
+        """Return the name of the target at an address."""
+        for entry in self.targets.all():
+            if entry.address == address:
+                return entry.name
+        return None
--- a/nutmegspoke/membership/daemon_rows.py
+++ b/nutmegspoke/membership/daemon_rows.py
@@ -9,12 +9,12 @@
 import msgspec
 
 from nutmegspoke.membership.gossip_types import PeerAddress
-from nutmegspoke.platform import Condition, Transaction, Write
+from nutmegspoke.metadata_store import Condition, Transaction, Write
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from nutmegspoke.platform import StoredRow
+    from nutmegspoke.metadata_store import StoredRow
 
 ROW_PREFIX = 'daemon/'
 RENEW_AFTER_S = 600.0
--- a/nutmegspoke/membership/directory.py
+++ b/nutmegspoke/membership/directory.py
@@ -8,7 +8,7 @@
 from nutmegspoke.membership.records import TargetRecord
 from nutmegspoke.membership.selection import PoolSelection
 from nutmegspoke.membership.states import LeavingNote, Source, StateChange
-from nutmegspoke.platform import HostState
+from nutmegspoke.metadata_store import HostState
 from nutmegspoke.tables.rows import PoolKind
 from nutmegspoke.targets import Target, TargetState
 
@@ -16,7 +16,7 @@
     from collections.abc import Iterator, Sequence
 
     from nutmegspoke.engine_protocol import LoadReport
-    from nutmegspoke.platform import HostEntry
+    from nutmegspoke.metadata_store import HostEntry
     from nutmegspoke.tables.rows import PoolRow, Tables
 
 MAX_REPORT_AGE_S = 2.5
--- /dev/null
+++ b/nutmegspoke/membership/load_news.py
@@ -0,0 +1,132 @@
+"""What daemons tell each other of their load, some times a second.
+
+Each news replaces the earlier one of its daemon, so lost ones are harmless.
+A daemon that is not heard for a while no longer counts.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from nutmegspoke.admission.draft_room import Promise, sum_promises
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+# Several lost news in a row, as news leave some times a second.
+SILENCE_LIMIT_S = 2.0
+# A daemon of which nothing was heard for so long is forgotten.
+_FORGET_S = 30.0
+
+
+class TargetFault(msgspec.Struct, frozen=True, array_like=True):
+    """A target that a daemon avoids.
+
+    :param target: name of the target.
+    :param left_s: for how much longer.
+    """
+
+    target: str
+    left_s: float
+
+
+class Offence(msgspec.Struct, frozen=True, array_like=True):
+    """A request that has crashed targets.
+
+    :param digest: stands for path, caller and body.
+    :param crashes: targets that it has crashed, as far as known.
+    """
+
+    digest: str
+    crashes: int
+
+
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """News of one daemon.
+
+    :param host: name of its host.
+    :param started_ms: start of the daemon; tells two of its lives apart.
+    :param number: rises with each news.
+    :param tables_version: version of the tables that it serves by.
+    :param promises: token layers and requests promised, by engine.
+    :param faults: targets that it avoids.
+    :param offences: requests that crash targets.
+    :param leads: it holds the lease on placement.
+    :param is_stopping: it takes no more requests.
+    """
+
+    host: str
+    started_ms: int
+    number: int
+    tables_version: int
+    promises: dict[str, tuple[float, int]]
+    faults: tuple[TargetFault, ...] = ()
+    offences: tuple[Offence, ...] = ()
+    leads: bool = False
+    is_stopping: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    news: LoadNews
+    heard_s: float
+    promises: Mapping[str, Promise]
+
+
+class LoadBoard:
+    """The last news of each other daemon."""
+
+    def __init__(self) -> None:
+        """Start without news."""
+        self._heard: dict[str, _Heard] = {}
+
+    def take(self, news: LoadNews, now_s: float) -> bool:
+        """Take news; ``False`` if they are older than those known."""
+        known = self._heard.get(news.host)
+        if known is not None:
+            known_order = (known.news.started_ms, known.news.number)
+            if (news.started_ms, news.number) <= known_order:
+                return False
+        promises = {
+            engine: Promise(*sums) for engine, sums in news.promises.items()
+        }
+        self._heard[news.host] = _Heard(news, now_s, promises)
+        return True
+
+    def promised(self, now_s: float) -> dict[str, Promise]:
+        """Return what the other daemons have promised on each engine."""
+        return sum_promises(heard.promises for heard in self._recent(now_s))
+
+    def newest_tables(self, now_s: float) -> int:
+        """Return the newest version of the tables that others serve by."""
+        return max(
+            (heard.news.tables_version for heard in self._recent(now_s)),
+            default=0,
+        )
+
+    def has_leader(self, now_s: float) -> bool:
+        """Tell whether another daemon says that it holds the lease."""
+        return any(heard.news.leads for heard in self._recent(now_s))
+
+    def daemons(self, now_s: float) -> int:
+        """Return how many other daemons are heard."""
+        return sum(1 for _ in self._recent(now_s))
+
+    def hosts_known(self, now_s: float) -> int:
+        """Return how many others were heard lately, silent ones included."""
+        self._heard = {
+            host: heard
+            for host, heard in self._heard.items()
+            if now_s - heard.heard_s < _FORGET_S
+        }
+        return len(self._heard)
+
+    def _recent(self, now_s: float) -> Iterator[_Heard]:
+        return (
+            heard
+            for heard in self._heard.values()
+            if now_s - heard.heard_s < SILENCE_LIMIT_S
+        )
--- a/nutmegspoke/membership/records.py
+++ b/nutmegspoke/membership/records.py
@@ -12,7 +12,7 @@
 from nutmegspoke.targets import Target, TargetState
 
 if TYPE_CHECKING:
-    from nutmegspoke.platform import HostEntry
+    from nutmegspoke.metadata_store import HostEntry
 
 
 @dataclasses.dataclass(slots=True)
--- a/nutmegspoke/membership/selection.py
+++ b/nutmegspoke/membership/selection.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from nutmegspoke.platform import HostEntry
+    from nutmegspoke.metadata_store import HostEntry
     from nutmegspoke.tables.rows import PoolRow
 
 
--- /dev/null
+++ b/nutmegspoke/membership/target_entries.py
@@ -0,0 +1,114 @@
+"""The targets that discovery lists, through outages of the store.
+
+An entry that vanishes while the store is in trouble may only have lapsed: the
+target writes it again as soon as it can. It is kept until a little after the
+store is back, and dropped if it is still missing then.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.targets import TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from nutmegspoke.entry_host import TargetEntry
+
+# Targets write lapsed entries again within two seconds of the store's return.
+LAPSE_GRACE_S = 2.2
+# How long before a removal the store's trouble may have caused it.
+_TROUBLE_REACH_S = 5.0
+
+
+class TargetEntries:
+    """Entries by name, with those that may have lapsed."""
+
+    def __init__(self) -> None:
+        """Start without entries."""
+        self._entries: dict[str, TargetEntry] = {}
+        self._lapsed: dict[str, float] = {}
+        self._trouble_s = float('-inf')
+        self._back_s = float('-inf')
+        self._is_in_trouble = False
+
+    def store_failed(self, now_s: float) -> None:
+        """Take that the store does not answer as it should."""
+        self._is_in_trouble = True
+        self._trouble_s = now_s
+
+    def store_answered(self, now_s: float) -> None:
+        """Take that the store answers."""
+        if self._is_in_trouble:
+            self._is_in_trouble = False
+            self._back_s = now_s
+            self._trouble_s = now_s
+
+    def put(self, entry: TargetEntry) -> None:
+        """Take an entry as it is now; older starts at its address end."""
+        self._lapsed.pop(entry.name, None)
+        self._entries[entry.name] = entry
+        replaced = [
+            other.name
+            for other in self._entries.values()
+            if other.address == entry.address
+            and other.started_ms < entry.started_ms
+        ]
+        for name in replaced:
+            self._drop(name)
+
+    def remove(self, name: str, now_s: float) -> bool:
+        """Take that an entry is gone.
+
+        :returns: whether it is dropped now; else it may have lapsed.
+        """
+        entry = self._entries.get(name)
+        if entry is None:
+            return True
+        may_have_lapsed = now_s - self._trouble_s < _TROUBLE_REACH_S
+        if entry.state == TargetState.LIVE and may_have_lapsed:
+            self._lapsed.setdefault(name, now_s)
+            return False
+        self._drop(name)
+        return True
+
+    def keep_only(self, names: Iterable[str], now_s: float) -> None:
+        """Take a whole list: entries not on it are gone."""
+        listed = frozenset(names)
+        for name in tuple(self._entries):
+            if name not in listed:
+                self.remove(name, now_s)
+
+    def drop_lapsed(self, now_s: float) -> tuple[str, ...]:
+        """Drop the entries that did not come back in time; return them."""
+        if self._is_in_trouble:
+            return ()
+        dropped = tuple(
+            name
+            for name, lapsed_s in self._lapsed.items()
+            if now_s - max(lapsed_s, self._back_s) >= LAPSE_GRACE_S
+        )
+        for name in dropped:
+            self._drop(name)
+        return dropped
+
+    def all(self) -> tuple[TargetEntry, ...]:
+        """Return all entries, leaving and lapsed ones included."""
+        return tuple(self._entries.values())
+
+    def find(self, name: str) -> TargetEntry | None:
+        """Return an entry; ``None`` if it is not known."""
+        return self._entries.get(name)
+
+    def live(self, pool: str) -> tuple[TargetEntry, ...]:
+        """Return the targets of a pool that may get new work."""
+        return tuple(
+            entry
+            for entry in self._entries.values()
+            if entry.pool == pool and entry.state == TargetState.LIVE
+        )
+
+    def _drop(self, name: str) -> None:
+        self._entries.pop(name, None)
+        self._lapsed.pop(name, None)
--- a/nutmegspoke/platform.py
+++ b/nutmegspoke/metadata_store.py
@@ -90,6 +90,25 @@
 CommitResult = Committed | Conflict | InDoubt | Unavailable
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableChanges:
+    """What happened to a table since a version.
+
+    :param version: version up to which the changes are complete.
+    :param rows: rows written, in the order of their last writes.
+    :param removed: names of rows that are gone, within their table.
+    """
+
+    version: int
+    rows: tuple[StoredRow, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer knows what happened since that version."""
+
+
 def row_of(key: str, found: tuple[StoredRow, ...]) -> StoredRow | None:
     """Return the row of a key among several; ``None`` if it is not there."""
     return next((row for row in found if row.key == key), None)
@@ -133,6 +152,21 @@
         """Carry out a transaction."""
 
 
+class ChangeFeed(Protocol):
+    """Tells what happens to tables."""
+
+    async def snapshot(self, table: str) -> TableChanges | Unavailable:
+        """Return all rows of a table and the version that they are of."""
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> TableChanges | HistoryLost | Unavailable:
+        """Return the changes after a version, waiting for the first one."""
+
+
 class ObjectStore(Protocol):
     """The platform's object store."""
 
--- a/nutmegspoke/placement/lease.py
+++ b/nutmegspoke/placement/lease.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from nutmegspoke.platform import (
+from nutmegspoke.metadata_store import (
     ABSENT_VERSION,
     Condition,
     InDoubt,
@@ -27,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from nutmegspoke.platform import CommitResult
+    from nutmegspoke.metadata_store import CommitResult
 
 LEASE_PREFIX = 'lease/'
 _CLOCK_DRIFT = 0.01
--- a/nutmegspoke/placement/orders.py
+++ b/nutmegspoke/placement/orders.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from nutmegspoke.layers import LayerRange
-from nutmegspoke.platform import (
+from nutmegspoke.metadata_store import (
     Committed,
     Condition,
     Conflict,
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     from nutmegspoke.placement.lease import LeaseKeeper
-    from nutmegspoke.platform import CommitResult
+    from nutmegspoke.metadata_store import CommitResult
 
 ORDER_PREFIX = 'order/'
 
--- /dev/null
+++ b/nutmegspoke/platform/boot_settings.py
@@ -0,0 +1,147 @@
+"""The platform's settings file: lines of ``a.b=value``."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from nutmegspoke.entry_host import EntryHost, HostLimits, RecoveryBounds
+from nutmegspoke.errors import SettingsError
+
+SETTINGS_VARIABLE = 'NUTMEGSPOKE_SETTINGS'
+_MS_PER_S = 1_000
+_BYTES_PER_MB = 1_000_000
+# Descriptors that the platform keeps back for files.
+_RESERVED_DESCRIPTORS = 200
+
+_Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:\d+$')]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _Listen(msgspec.Struct):
+    front: _Address
+    ready_address: _Address
+
+
+class _Limits(msgspec.Struct):
+    cpu_share: _Positive
+    cores: _Positive
+    memory_mb: _Positive
+    max_fds: int
+
+
+class _Bounds(msgspec.Struct):
+    config_apply_ms: _Positive = 2_000
+    drain_ms: _Positive = 2_000
+    # Seconds, unlike its neighbours.
+    grace_s: _Positive = 8
+    retry_ratio: float = 0.2
+    retry_slack: float = 100
+    retry_window_s: _Positive = 10
+    stall_ms: _Positive = 2_000
+
+
+class _Store(msgspec.Struct):
+    address: _Address
+
+
+class _Settings(msgspec.Struct):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: str
+    limits: _Limits
+    platform: _Store
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform puts the settings.
+
+    :raises SettingsError: if the environment does not say.
+    """
+    name = os.environ.get(SETTINGS_VARIABLE)
+    if not name:
+        raise SettingsError((f'{SETTINGS_VARIABLE} is not set',))
+    return pathlib.Path(name)
+
+
+def read_settings(path: pathlib.Path) -> EntryHost:
+    """Read and check the settings file.
+
+    :raises SettingsError: if it can't be read or a value is wrong.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((f'{path}: {error}',)) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> EntryHost:
+    """Decode the text of a settings file.
+
+    :raises SettingsError: if a value is missing or wrong.
+    """
+    try:
+        decoded = msgspec.convert(_nested(text), _Settings, strict=False)
+        return _entry_host(decoded)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise SettingsError((f'settings: {error}',)) from error
+
+
+def _nested(text: str) -> dict[str, object]:
+    root: dict[str, object] = {}
+    for line in text.splitlines():
+        name, found, text_value = line.partition('=')
+        if not found:
+            continue
+        *parents, last = name.strip().split('.')
+        table = root
+        for parent in parents:
+            child = table.setdefault(parent, {})
+            if not isinstance(child, dict):
+                raise ValueError(f'{name}: is both a value and a section')
+            table = child
+        table[last] = text_value.strip()
+    return root
+
+
+def _entry_host(decoded: _Settings) -> EntryHost:
+    first_port, last_port = decoded.port_range.split(',')
+    limits = decoded.limits
+    return EntryHost(
+        name=decoded.node_name,
+        availability_zone=decoded.zone,
+        ip=decoded.ip,
+        callers_port=_port(decoded.listen.front),
+        ready_port=_port(decoded.listen.ready_address),
+        peer_ports=(int(first_port), int(last_port)),
+        store_address=decoded.platform.address,
+        limits=HostLimits(
+            cpu_cores=limits.cpu_share * limits.cores,
+            memory_bytes=int(limits.memory_mb * _BYTES_PER_MB),
+            max_connections=limits.max_fds - _RESERVED_DESCRIPTORS,
+        ),
+        bounds=_recovery_bounds(decoded.bounds),
+    )
+
+
+def _recovery_bounds(bounds: _Bounds) -> RecoveryBounds:
+    return RecoveryBounds(
+        apply_config_s=bounds.config_apply_ms / _MS_PER_S,
+        drain_s=bounds.drain_ms / _MS_PER_S,
+        stop_grace_s=bounds.grace_s,
+        retry_share=bounds.retry_ratio,
+        retry_slack=bounds.retry_slack,
+        retry_window_s=bounds.retry_window_s,
+        stall_s=bounds.stall_ms / _MS_PER_S,
+    )
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(':')[2])
--- /dev/null
+++ b/nutmegspoke/platform/store_client.py
@@ -0,0 +1,293 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+import logging
+import socket
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgspec
+
+from nutmegspoke.metadata_store import (
+    ABSENT_VERSION,
+    Committed,
+    Conflict,
+    HistoryLost,
+    InDoubt,
+    StoredRow,
+    TableChanges,
+    Unavailable,
+)
+
+if TYPE_CHECKING:
+    from nutmegspoke.metadata_store import (
+        CommitResult,
+        Transaction,
+    )
+
+logger = logging.getLogger(__name__)
+
+# An answer takes a few milliseconds; a slow store some tens of times that.
+CALL_TIMEOUT_S = 1.5
+# Idle connections are probed each second and given up after two lost probes.
+_PROBE_INTERVAL_S = 1
+_LOST_PROBES = 2
+_IDLE_LIMIT_S = 20.0
+_PAGE_ROWS = 500
+
+_OK = 200
+_CONFLICT = 412
+_GONE = 410
+_NOTHING_DONE = frozenset((400, 403, 429, 503))
+_CONNECT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class _WireRow(msgspec.Struct):
+    table: str
+    key: str
+    ver: int = ABSENT_VERSION
+    # Base64; absent for a dropped row.
+    value: str | None = None
+    removed: bool = False
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow] = msgspec.field(default_factory=list)
+    # The newest version of the whole store, not of these rows.
+    ver: int = 0
+    truncated: bool = False
+
+
+_rows_decoder = msgspec.json.Decoder(_WireRows)
+
+
+def probed_socket(address_info: Any) -> socket.socket:
+    """Return a socket whose connection notices a silent peer by itself."""
+    family, kind, protocol, _, _ = address_info
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S),
+        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, _LOST_PROBES),
+    ):
+        opened.setsockopt(socket.IPPROTO_TCP, option, setting)
+    return opened
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return a session of probed connections; the loop must be running."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=_IDLE_LIMIT_S,
+        socket_factory=probed_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+    )
+
+
+class StoreClient:
+    """Rows, transactions and feeds of the store.
+
+    :param address: ``IP:PORT`` of the store.
+    :param session: session for all calls.
+    """
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        """Use a session."""
+        self._url = f'http://{address}'
+        self._session = session
+
+    async def read(self, key: str) -> StoredRow | Unavailable:
+        """Return a row; version 0 if it is absent.
+
+        :param key: ``TABLE/NAME``.
+        """
+        table, _, name = key.partition('/')
+        query = {'table': table, 'part': '', 'from': name, 'limit': '1'}
+        answer = await self._rows('/v1/rows-get', query, CALL_TIMEOUT_S)
+        if isinstance(answer, Unavailable):
+            return answer
+        for row in answer.rows:
+            if row.key == name:
+                return _stored(row)
+        return StoredRow(key, ABSENT_VERSION)
+
+    async def snapshot(self, table: str) -> TableChanges | Unavailable:
+        """Return all rows of a table and the version that they are of.
+
+        A table of several pages is read page by page; the version is that of
+        the first, so that changes meanwhile are seen again.
+        """
+        query = {'table': table, 'part': '', 'limit': str(_PAGE_ROWS)}
+        rows: list[StoredRow] = []
+        version: int | None = None
+        while True:
+            answer = await self._rows('/v1/rows-get', query, CALL_TIMEOUT_S)
+            if isinstance(answer, Unavailable):
+                return answer
+            rows.extend(_stored(row) for row in answer.rows)
+            version = answer.ver if version is None else version
+            if not answer.truncated or not answer.rows:
+                return TableChanges(version, tuple(rows))
+            query['from'] = f'{answer.rows[-1].key}\0'
+
+    async def changes(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+    ) -> TableChanges | HistoryLost | Unavailable:
+        """Return the changes after a version, waiting for the first one."""
+        query = {
+            'table': table,
+            'after': str(after),
+            'wait_ms': str(int(wait_s * 1_000)),
+        }
+        limit_s = wait_s + CALL_TIMEOUT_S
+        answer = await self._rows('/v1/rows-feed', query, limit_s)
+        if isinstance(answer, HistoryLost | Unavailable):
+            return answer
+        return TableChanges(
+            version=answer.ver,
+            rows=tuple(_stored(row) for row in answer.rows if not row.removed),
+            removed=tuple(row.key for row in answer.rows if row.removed),
+        )
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Carry out a transaction.
+
+        A failure before the connection stood is ``Unavailable``; any later
+        one is ``InDoubt``.
+        """
+        body = msgspec.json.encode(_wire_transaction(transaction))
+        try:
+            status, answer = await self._call(
+                'POST', '/v1/rows-tx', {}, CALL_TIMEOUT_S, body
+            )
+        except _CONNECT_ERRORS as error:
+            return Unavailable(repr(error))
+        except _CALL_ERRORS as error:
+            return InDoubt(repr(error))
+        return _commit_result(status, answer, transaction)
+
+    async def _rows(
+        self,
+        path: str,
+        query: dict[str, str],
+        limit_s: float,
+    ) -> Any:
+        try:
+            status, body = await self._call('GET', path, query, limit_s)
+        except _CALL_ERRORS as error:
+            return Unavailable(repr(error))
+        if status == _GONE:
+            return HistoryLost()
+        if status != _OK:
+            return Unavailable(f'status {status}')
+        try:
+            return _rows_decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            return Unavailable(f'unreadable answer: {error}')
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        limit_s: float,
+        body: bytes | None = None,
+    ) -> tuple[int, bytes]:
+        headers = {'Content-Type': 'application/json'} if body else None
+        async with asyncio.timeout(limit_s):
+            async with self._session.request(
+                method,
+                f'{self._url}{path}',
+                params=query,
+                data=body,
+                headers=headers,
+            ) as response:
+                return response.status, await response.read()
+
+
+def _stored(row: _WireRow) -> StoredRow:
+    key = f'{row.table}/{row.key}'
+    try:
+        body = base64.b64decode(row.value or '', validate=True)
+    except (binascii.Error, ValueError) as error:
+        logger.warning('store: row %s is not base64: %s', key, error)
+        body = b''
+    return StoredRow(key, row.ver, body)
+
+
+def _wire_key(key: str) -> dict[str, str]:
+    table, _, name = key.partition('/')
+    return {'table': table, 'part': '', 'key': name}
+
+
+def _wire_transaction(transaction: Transaction) -> dict[str, Any]:
+    writes: list[dict[str, str]] = []
+    removed: list[dict[str, str]] = []
+    for write in transaction.writes:
+        wire = _wire_key(write.key)
+        if write.body is None:
+            removed.append(wire)
+        else:
+            text = base64.b64encode(write.body).decode()
+            writes.append(wire | {'value': text})
+    return {
+        'precondition': [
+            _wire_key(condition.key) | {'ver': condition.version}
+            for condition in transaction.conditions
+        ],
+        'writes': writes,
+        'remove': removed,
+    }
+
+
+def _commit_result(
+    status: int,
+    body: bytes,
+    transaction: Transaction,
+) -> CommitResult:
+    if status in _NOTHING_DONE:
+        return Unavailable(f'status {status}')
+    try:
+        answer = _rows_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return InDoubt(f'status {status}, unreadable answer: {error}')
+    if status == _CONFLICT:
+        return Conflict(_conflict_rows(answer, transaction))
+    if status != _OK:
+        return InDoubt(f'status {status}')
+    return Committed(
+        tuple(
+            StoredRow(write.key, answer.ver, write.body or b'')
+            for write in transaction.writes
+        ),
+    )
+
+
+def _conflict_rows(
+    answer: _WireRows,
+    transaction: Transaction,
+) -> tuple[StoredRow, ...]:
+    """Return the conditions' rows as they are; missing ones as absent."""
+    found = {row.key: row for row in map(_stored, answer.rows)}
+    return tuple(
+        found.get(condition.key, StoredRow(condition.key, ABSENT_VERSION))
+        for condition in transaction.conditions
+    )
--- /dev/null
+++ b/nutmegspoke/routing/room_chains.py
@@ -0,0 +1,223 @@
+"""Puts chains of engines together by the room they have and by their pace.
+
+An engine may run any part of the layers it holds: a chain enters it at any of
+these and stays to the last.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke.layers import LayerRange, Stage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from nutmegspoke.entry_host import AcceleratorKind, ModelProfile
+    from nutmegspoke.layers import Chain
+
+# Engines allot memory for tokens in blocks of this size.
+TOKEN_BLOCK = 16
+# Crossing a zone takes a link that all share: its time counts several times.
+_CROSSING_WEIGHT = 6.0
+# A chain that starts in another zone brings its answer back from there.
+_REMOTE_START_S = 0.05
+# Added time for a full engine, as a share of its own time: spreads load.
+_FILL_WEIGHT = 1.0
+# Share of an engine's room that may be promised to requests.
+FILL_LIMIT = 0.97
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DraftNeed:
+    """What a draft asks of each engine of its chain.
+
+    :param prompt_tokens: tokens to read, events already sent included.
+    :param answer_tokens: tokens that are expected to be written.
+    """
+
+    prompt_tokens: float
+    answer_tokens: float
+
+    @property
+    def room_tokens(self) -> float:
+        """Return the memory it takes at its end, in tokens."""
+        return self.prompt_tokens + self.answer_tokens + TOKEN_BLOCK
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """An engine that may run a part of a chain.
+
+    :param name: name of the target.
+    :param address: ``IP:PORT``.
+    :param availability_zone: where it is.
+    :param layers: layers that it holds.
+    :param accelerator: its kind.
+    :param total_token_layers: memory for requests.
+    :param used_token_layers: memory promised to requests.
+    :param requests: requests that pass through it.
+    :param slowness: 1 is the usual pace, more is slower.
+    """
+
+    name: str
+    address: str
+    availability_zone: str
+    layers: LayerRange
+    accelerator: AcceleratorKind
+    total_token_layers: float
+    used_token_layers: float = 0.0
+    requests: int = 0
+    slowness: float = 1.0
+
+    def fits(self, need: DraftNeed, layer_count: int) -> bool:
+        """Tell whether there is room for a request in so many layers."""
+        asked = need.room_tokens * layer_count
+        limit = self.total_token_layers * FILL_LIMIT
+        return self.used_token_layers + asked <= limit
+
+    def run_s(
+        self,
+        need: DraftNeed,
+        layer_count: int,
+        profile: ModelProfile,
+    ) -> float:
+        """Return the time that a request spends here, weighted by fill."""
+        share = layer_count / profile.layer_count
+        held = max(1, len(self.layers))
+        context_tokens = self.used_token_layers / held
+        step_s = (
+            profile.step_s
+            + profile.step_per_request_s * (self.requests + 1)
+            + profile.step_per_context_token_s * context_tokens
+        )
+        prompt = need.prompt_tokens
+        read_s = (
+            prompt / profile.read_tokens_per_s
+            + profile.read_per_pair_s * prompt * prompt / 2
+        )
+        run_s = (
+            need.answer_tokens * step_s * self.accelerator.step_factor
+            + read_s * self.accelerator.read_factor
+        )
+        fill = self.used_token_layers / max(1.0, self.total_token_layers)
+        weight = 1 + _FILL_WEIGHT * fill * fill
+        return share * run_s * self.slowness * weight
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Path:
+    """The cheapest way found to a layer, ending in one zone."""
+
+    cost_s: float
+    stages: tuple[tuple[EngineLoad, int, int], ...]
+
+    @property
+    def zone(self) -> str:
+        return self.stages[-1][0].availability_zone
+
+    def visits(self, engine: EngineLoad) -> bool:
+        return any(stage[0] is engine for stage in self.stages)
+
+
+class ChainFinder:
+    """Finds the chain that costs a draft the least time.
+
+    :param profile: how the engines run the model.
+    :param home_zone: availability zone of this daemon.
+    """
+
+    def __init__(self, profile: ModelProfile, home_zone: str) -> None:
+        """Use a profile."""
+        self._profile = profile
+        self._home_zone = home_zone
+
+    def find(
+        self,
+        engines: Sequence[EngineLoad],
+        need: DraftNeed,
+    ) -> Chain | None:
+        """Return the cheapest chain with room; ``None`` without one.
+
+        :param engines: engines that may be used.
+        """
+        layer_count = self._profile.layer_count
+        borders = _borders(engines, layer_count)
+        paths: dict[int, dict[str, _Path]] = {}
+        for border in borders[:-1]:
+            known = paths.get(border, {})
+            if border and not known:
+                continue
+            for engine in engines:
+                if engine.layers.start <= border < engine.layers.stop:
+                    self._extend(paths, known.values(), border, engine, need)
+        ends = paths.get(layer_count, {}).values()
+        best = min(ends, key=lambda path: path.cost_s, default=None)
+        return None if best is None else _chain(best)
+
+    def _extend(
+        self,
+        paths: dict[int, dict[str, _Path]],
+        known: Iterable[_Path],
+        border: int,
+        engine: EngineLoad,
+        need: DraftNeed,
+    ) -> None:
+        origin = self._origin(known, border, engine, need)
+        if origin is None:
+            return
+        cost_s, stages = origin
+        stop = min(engine.layers.stop, self._profile.layer_count)
+        if not engine.fits(need, stop - border):
+            return
+        zone = engine.availability_zone
+        total_s = cost_s + engine.run_s(need, stop - border, self._profile)
+        reached = paths.setdefault(stop, {})
+        if zone not in reached or total_s < reached[zone].cost_s:
+            stage = (engine, border, stop)
+            reached[zone] = _Path(total_s, (*stages, stage))
+
+    def _origin(
+        self,
+        known: Iterable[_Path],
+        border: int,
+        engine: EngineLoad,
+        need: DraftNeed,
+    ) -> tuple[float, tuple[tuple[EngineLoad, int, int], ...]] | None:
+        """Return the cheapest way to the engine's first layer."""
+        zone = engine.availability_zone
+        if border == 0:
+            return (0.0 if zone == self._home_zone else _REMOTE_START_S), ()
+        crossing_s = self._crossing_s(need)
+        costs = [
+            (path.cost_s + (0.0 if path.zone == zone else crossing_s), path)
+            for path in known
+            if not path.visits(engine)
+        ]
+        if not costs:
+            return None
+        cost_s, path = min(costs, key=lambda pair: pair[0])
+        return cost_s, path.stages
+
+    def _crossing_s(self, need: DraftNeed) -> float:
+        rate = self._profile.zone_link_bytes_per_s
+        if rate <= 0:
+            return 0.0
+        moved = need.room_tokens * self._profile.activation_bytes
+        return _CROSSING_WEIGHT * moved / rate
+
+
+def _borders(engines: Sequence[EngineLoad], layer_count: int) -> list[int]:
+    marks = {0, layer_count}
+    for engine in engines:
+        marks.add(engine.layers.start)
+        marks.add(engine.layers.stop)
+    return sorted(mark for mark in marks if 0 <= mark <= layer_count)
+
+
+def _chain(path: _Path) -> Chain:
+    return tuple(
+        Stage(engine.name, engine.address, LayerRange(start, stop))
+        for engine, start, stop in path.stages
+    )
--- a/nutmegspoke/tables/apply.py
+++ b/nutmegspoke/tables/apply.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.platform import Condition, Transaction, Write
+from nutmegspoke.metadata_store import Condition, Transaction, Write
 from nutmegspoke.tables import changes, codec, snapshot
 
 if TYPE_CHECKING:
--- a/nutmegspoke/tables/snapshot.py
+++ b/nutmegspoke/tables/snapshot.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.platform import ABSENT_VERSION, StoredRow
+from nutmegspoke.metadata_store import ABSENT_VERSION, StoredRow
 from nutmegspoke.tables import codec
 from nutmegspoke.tables.rows import PoolRow, RouteRow, Row, Tables
 
--- a/tests/border/test_apply.py
+++ b/tests/border/test_apply.py
@@ -12,7 +12,7 @@
     read_changes,
     read_snapshot,
 )
-from nutmegspoke.platform import StoredRow, Unavailable
+from nutmegspoke.metadata_store import StoredRow, Unavailable
 from nutmegspoke.tables import codec, snapshot
 from nutmegspoke.tables.apply import NoChange, RowConflict, rebase
 from nutmegspoke.tables.changes import row_changes
--- a/tests/border/test_platform_client.py
+++ b/tests/border/test_platform_client.py
@@ -9,7 +9,7 @@
 from aiohttp import test_utils
 
 from nutmegspoke.border.platform_client import Connections, PlatformClient
-from nutmegspoke.platform import Committed, InDoubt, Transaction, Write
+from nutmegspoke.metadata_store import Committed, InDoubt, Transaction, Write
 from nutmegspoke.standins.faults import FaultOrder
 from nutmegspoke.standins.platform import Platform
 
--- a/tests/builders_claims.py
+++ b/tests/builders_claims.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke import platform
+from nutmegspoke import metadata_store
 from nutmegspoke.claims.steps import ClaimRequest
 from nutmegspoke.requests import CallRequest
 from nutmegspoke.tables.rows import PoolKind, PoolRow, RouteRow
@@ -37,15 +37,17 @@
 
     def __init__(self) -> None:
         """Create a store without rows."""
-        self.rows: dict[str, platform.StoredRow] = {}
+        self.rows: dict[str, metadata_store.StoredRow] = {}
         self.last_versions: dict[str, int] = {}
         self.commit_count = 0
 
-    def row(self, key: str) -> platform.StoredRow:
+    def row(self, key: str) -> metadata_store.StoredRow:
         """Return a row; version 0 if it is absent."""
-        return self.rows.get(key, platform.StoredRow(key, 0))
+        return self.rows.get(key, metadata_store.StoredRow(key, 0))
 
-    def apply(self, transaction: platform.Transaction) -> platform.CommitResult:
+    def apply(
+        self, transaction: metadata_store.Transaction
+    ) -> metadata_store.CommitResult:
         """Carry out a transaction whole or not at all."""
         self.commit_count += 1
         failed = tuple(
@@ -54,19 +56,19 @@
             if self.row(condition.key).version != condition.version
         )
         if failed:
-            return platform.Conflict(failed)
+            return metadata_store.Conflict(failed)
         for write in transaction.writes:
             self._write(write)
         keys = [write.key for write in transaction.writes]
-        return platform.Committed(tuple(map(self.row, keys)))
+        return metadata_store.Committed(tuple(map(self.row, keys)))
 
-    def _write(self, write: platform.Write) -> None:
+    def _write(self, write: metadata_store.Write) -> None:
         version = self.last_versions.get(write.key, 0) + 1
         self.last_versions[write.key] = version
         if write.body is None:
             self.rows.pop(write.key, None)
             return
-        self.rows[write.key] = platform.StoredRow(
+        self.rows[write.key] = metadata_store.StoredRow(
             write.key,
             version,
             write.body,
@@ -84,16 +86,18 @@
         """Create a table service with a script of faults."""
         self.store = RowStore()
         self.script = list(script)
-        self.late: list[platform.Transaction] = []
+        self.late: list[metadata_store.Transaction] = []
         self.is_down = False
 
-    async def read(self, key: str) -> platform.StoredRow | platform.Unavailable:
+    async def read(
+        self, key: str
+    ) -> metadata_store.StoredRow | metadata_store.Unavailable:
         """Return a row."""
         if self.is_down:
-            return platform.Unavailable('down')
+            return metadata_store.Unavailable('down')
         return self.store.row(key)
 
-    async def scan(self, prefix: str) -> tuple[platform.StoredRow, ...]:
+    async def scan(self, prefix: str) -> tuple[metadata_store.StoredRow, ...]:
         """Return the rows with a prefix."""
         rows = self.store.rows
         return tuple(
@@ -102,20 +106,20 @@
 
     async def commit(
         self,
-        transaction: platform.Transaction,
-    ) -> platform.CommitResult:
+        transaction: metadata_store.Transaction,
+    ) -> metadata_store.CommitResult:
         """Carry out a transaction, or show the next fault."""
         fault = self.script.pop(0) if self.script else ''
         if self.is_down or fault == 'down':
-            return platform.Unavailable('down')
+            return metadata_store.Unavailable('down')
         if fault == 'late':
             self.late.append(transaction)
         if fault in {'late', 'dropped'}:
-            return platform.InDoubt(fault)
+            return metadata_store.InDoubt(fault)
         result = self.store.apply(transaction)
-        return platform.InDoubt(fault) if fault == 'lost' else result
+        return metadata_store.InDoubt(fault) if fault == 'lost' else result
 
-    def land(self) -> list[platform.CommitResult]:
+    def land(self) -> list[metadata_store.CommitResult]:
         """Let the late writes arrive."""
         late, self.late = self.late, []
         return [self.store.apply(transaction) for transaction in late]
--- a/tests/builders_membership.py
+++ b/tests/builders_membership.py
@@ -4,7 +4,7 @@
 
 from nutmegspoke.engine_protocol import LoadReport
 from nutmegspoke.membership.directory import Directory
-from nutmegspoke.platform import HostEntry, HostState
+from nutmegspoke.metadata_store import HostEntry, HostState
 from nutmegspoke.tables.rows import PoolKind, PoolRow, Tables
 
 ADDRESS = '127.0.0.1:7001'
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from nutmegspoke.placement.orders import Order, OrderRow
-from nutmegspoke.platform import (
+from nutmegspoke.metadata_store import (
     Committed,
     CommitResult,
     Conflict,
--- a/tests/builders_tables.py
+++ b/tests/builders_tables.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.platform import (
+from nutmegspoke.metadata_store import (
     CommitResult,
     Committed,
     Conflict,
--- a/tests/claims/test_decider.py
+++ b/tests/claims/test_decider.py
@@ -82,7 +82,10 @@
                 self.assertEqual(self.row().nonce, 'n1')
                 results = self.tables.land()
                 self.assertTrue(
-                    all(isinstance(each, platform.Conflict) for each in results)
+                    all(
+                        isinstance(each, metadata_store.Conflict)
+                        for each in results
+                    )
                 )
 
     async def test_given_up_is_released_before_the_late_insert(self) -> None:
@@ -225,7 +228,9 @@
     async def test_a_row_that_cannot_be_read_is_unknown(self) -> None:
         """A row of a later release is not taken for a free key."""
         self.tables.store.apply(
-            platform.Transaction((), (platform.Write(build.KEY, b'\xc1'),)),
+            metadata_store.Transaction(
+                (), (metadata_store.Write(build.KEY, b'\xc1'),)
+            ),
         )
         step = await self.claim(decider('d1'))
         self.assertIsInstance(step.outcome, outcomes.Unknown)
--- a/tests/claims/test_grouping.py
+++ b/tests/claims/test_grouping.py
@@ -10,11 +10,11 @@
 from tests import builders_claims as build
 
 
-def insert(key: str) -> platform.Transaction:
+def insert(key: str) -> metadata_store.Transaction:
     """Build the insert of an absent row."""
-    return platform.Transaction(
-        (platform.Condition(key, 0),),
-        (platform.Write(key, b'new'),),
+    return metadata_store.Transaction(
+        (metadata_store.Condition(key, 0),),
+        (metadata_store.Write(key, b'new'),),
     )
 
 
@@ -26,7 +26,7 @@
         self.store = build.RowStore()
         self.groups = CommitGroups(max_members=4)
 
-    def run_all(self) -> dict[int, platform.CommitResult]:
+    def run_all(self) -> dict[int, metadata_store.CommitResult]:
         """Commit groups until none is left."""
         found = {}
         while (group := self.groups.take()) is not None:
@@ -44,10 +44,12 @@
             self.assertEqual(
                 [row.key for row in found[numbers[key]].rows], [key]
             )
-            self.assertIsInstance(found[numbers[key]], platform.Committed)
+            self.assertIsInstance(found[numbers[key]], metadata_store.Committed)
         self.assertEqual(
             found[numbers['b']],
-            platform.Conflict((platform.StoredRow('b', 1, b'new'),)),
+            metadata_store.Conflict(
+                (metadata_store.StoredRow('b', 1, b'new'),)
+            ),
         )
 
     def test_one_commit_for_a_whole_group(self) -> None:
@@ -63,14 +65,14 @@
         first = self.groups.take()
         self.assertEqual(len(first.members), 1)
         self.assertIsNone(self.groups.take())
-        self.groups.resolve(first, platform.Unavailable('down'))
+        self.groups.resolve(first, metadata_store.Unavailable('down'))
         self.assertEqual(len(self.groups.take().members), 1)
 
     def test_doubt_is_shared_by_all_members(self) -> None:
         """No member is told that its write failed or took effect."""
         for key in 'ab':
             self.groups.add(insert(key))
-        doubt = platform.InDoubt('timeout')
+        doubt = metadata_store.InDoubt('timeout')
         parts = self.groups.resolve(self.groups.take(), doubt)
         self.assertEqual([part.commit for part in parts], [doubt, doubt])
 
--- a/tests/claims/test_machine.py
+++ b/tests/claims/test_machine.py
@@ -74,7 +74,7 @@
         self.now_s = 1000.0
         self.number = 0
         self.store = build.RowStore()
-        self.late: list[platform.Transaction] = []
+        self.late: list[metadata_store.Transaction] = []
         self.is_down = False
         self.journal = collections.defaultdict(list)
         self.told: list[tuple[Caller, outcomes.Outcome]] = []
@@ -94,17 +94,17 @@
 
     def _commit(
         self,
-        transaction: platform.Transaction,
+        transaction: metadata_store.Transaction,
         fault: str,
-    ) -> platform.CommitResult:
+    ) -> metadata_store.CommitResult:
         if self.is_down or fault == 'down':
-            return platform.Unavailable('down')
+            return metadata_store.Unavailable('down')
         if fault == 'late':
             self.late.append(transaction)
         if fault in {'late', 'dropped'}:
-            return platform.InDoubt(fault)
+            return metadata_store.InDoubt(fault)
         result = self.store.apply(transaction)
-        return platform.InDoubt(fault) if fault == 'lost' else result
+        return metadata_store.InDoubt(fault) if fault == 'lost' else result
 
     def _tell(self, caller: Caller, outcome: outcomes.Outcome) -> None:
         self.told.append((caller, outcome))
@@ -156,7 +156,7 @@
             case steps.ReadClaim(key):
                 found = self.store.row(key)
                 if self.is_down or fault == 'down':
-                    found = platform.Unavailable(fault)
+                    found = metadata_store.Unavailable(fault)
                 caller.step = decider.read(key, found, self.now_s)
             case steps.Proceed():
                 self._check_dispatch(caller)
@@ -297,7 +297,7 @@
         verdict = Verdict.RAN if self.journal[key] else Verdict.NOT_RUN
         found = self.store.row(key)
         write = settle(found, verdict, 'operator', live)
-        if isinstance(write, platform.Transaction):
+        if isinstance(write, metadata_store.Transaction):
             self.store.apply(write)
 
     @invariant()
--- a/tests/claims/test_settlement.py
+++ b/tests/claims/test_settlement.py
@@ -10,7 +10,7 @@
 from tests import builders_claims as build
 
 
-def stored(**fields: object) -> platform.StoredRow:
+def stored(**fields: object) -> metadata_store.StoredRow:
     """Build the stored row of a claim of the daemon ``d1``."""
     row = rows.ClaimRow(
         **{
@@ -21,7 +21,7 @@
             **fields,
         },
     )
-    return platform.StoredRow(build.KEY, 7, rows.encode_claim(row))
+    return metadata_store.StoredRow(build.KEY, 7, rows.encode_claim(row))
 
 
 class SettleTest(unittest.TestCase):
@@ -31,7 +31,11 @@
         """No claim, a known outcome, a release, or a holder that lives."""
         done = rows.StoredOutcome(rows.OutcomeKind.COMPLETED, 200)
         for found, live, refusal in (
-            (platform.StoredRow(build.KEY, 0), (), SettleRefusal.NO_CLAIM),
+            (
+                metadata_store.StoredRow(build.KEY, 0),
+                (),
+                SettleRefusal.NO_CLAIM,
+            ),
             (
                 stored(state=rows.ClaimState.DONE, outcome=done),
                 (),
@@ -56,7 +60,7 @@
             write = settle(found, Verdict.RAN, 'ann', live)
             self.assertEqual(
                 write.conditions,
-                (platform.Condition(build.KEY, 7),),
+                (metadata_store.Condition(build.KEY, 7),),
             )
             row = rows.decode_claim(write.writes[0].body)
             self.assertEqual(row.state, rows.ClaimState.SETTLED)
--- a/tests/membership/test_daemon_rows.py
+++ b/tests/membership/test_daemon_rows.py
@@ -8,7 +8,7 @@
 
 from nutmegspoke.membership.daemon_rows import DaemonRow, DaemonRows
 from nutmegspoke.membership.gossip_types import PeerAddress
-from nutmegspoke.platform import StoredRow
+from nutmegspoke.metadata_store import StoredRow
 
 _OTHER = DaemonRow('daemon-2', 2, '10.0.0.2:7000', 'pnw-1')
 
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.membership.states import LeavingNote, Source
-from nutmegspoke.platform import HostState
+from nutmegspoke.metadata_store import HostState
 from nutmegspoke.tables.rows import PoolKind, PoolRow, Tables
 from nutmegspoke.targets import TargetState
 from tests import builders_membership as build
--- a/tests/mutation_list_claims.py
+++ b/tests/mutation_list_claims.py
@@ -19,7 +19,7 @@
     Mutation(
         'promise-4 claim insert has no condition',
         f'{_CLAIMS}/held.py',
-        '            conditions=(platform.Condition(key, self.version),),',
+        '            conditions=(metadata_store.Condition(key, self.version),),',
         '            conditions=(),',
         _MACHINE,
     ),
@@ -49,8 +49,8 @@
     Mutation(
         'promise-4 release deletes the row',
         f'{_CLAIMS}/held.py',
-        '            writes=(platform.Write(key, rows.encode_claim(self.row)),),',
-        '            writes=(platform.Write(key, None if self.phase is Phase.RELEASING else rows.encode_claim(self.row)),),',
+        '            writes=(metadata_store.Write(key, rows.encode_claim(self.row)),),',
+        '            writes=(metadata_store.Write(key, None if self.phase is Phase.RELEASING else rows.encode_claim(self.row)),),',
         _DECIDER,
     ),
     Mutation(
--- a/tests/placement/lease_world.py
+++ b/tests/placement/lease_world.py
@@ -22,7 +22,12 @@
     SendOrder,
     SendResult,
 )
-from nutmegspoke.platform import Committed, CommitResult, InDoubt, Transaction
+from nutmegspoke.metadata_store import (
+    Committed,
+    CommitResult,
+    InDoubt,
+    Transaction,
+)
 from tests import builders_placement as build
 
 if TYPE_CHECKING:
--- a/tests/placement/test_lease.py
+++ b/tests/placement/test_lease.py
@@ -10,7 +10,7 @@
     LeaseSettings,
     ReadLease,
 )
-from nutmegspoke.platform import InDoubt, StoredRow, Unavailable
+from nutmegspoke.metadata_store import InDoubt, StoredRow, Unavailable
 from tests.builders_placement import Store
 
 _SETTINGS = LeaseSettings(9.0, 3.0, 2.0)
--- a/tests/placement/test_orders.py
+++ b/tests/placement/test_orders.py
@@ -15,7 +15,7 @@
     SendOrder,
     SendResult,
 )
-from nutmegspoke.platform import InDoubt, Unavailable
+from nutmegspoke.metadata_store import InDoubt, Unavailable
 from tests import builders_placement as build
 
 
