Place a quick row with copies in each zone, and leave rotation for good

Ruled out: copies in rows of their own (9 to 15 drafts a second a zone in the capacity model, against 24 to 45 of a quick row).

--- a/nutmegspoke/claims/decider.py
+++ b/nutmegspoke/claims/decider.py
@@ -5,7 +5,7 @@
 import dataclasses
 import logging
 
-from nutmegspoke import outcomes, platform
+from nutmegspoke import metadata_store, outcomes
 from nutmegspoke.claims import replies, rows
 from nutmegspoke.claims.held import HeldClaim, Phase
 from nutmegspoke.claims.pending import PendingWrites
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -51,8 +51,9 @@
 _FREEZE_S = 1.0
 # The balancer asks each second and takes a host out after two misses.
 _OUT_OF_ROTATION_S = 2.5
-# Part of the grace period in which requests may end by themselves.
-_FINISH_SHARE = 5 / 6
+# Part of the grace period in which requests may end by themselves; the rest
+# is for closing connections before the process is killed.
+_FINISH_SHARE = 0.93
 _ANNOUNCE_PAUSE_S = 0.5
 
 
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -343,7 +343,7 @@
             self._own.record(work, 'cut', 0, reason)
             work.answer.cut()
             return
-        is_late = work.left_s(self._clock.now_s()) <= 0
+        is_late = work.is_out_of_time(self._clock.now_s())
         if work.may_have_run:
             status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
             await self._own.send(work, status, reason=reason)
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -309,7 +309,7 @@
             return
         if not answer.has_ended:
             self.abort()
-        elif not self._keeps_open:
+        elif self.closes_after_answer():
             self._transport.close()
         elif self._ahead:
             self._next()
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -155,7 +155,7 @@
         if isinstance(last, WholeAnswer):
             await self._own.pass_on(work, last)
         elif work.may_have_run:
-            is_late = work.left_s(self._clock.now_s()) <= 0
+            is_late = work.is_out_of_time(self._clock.now_s())
             status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
             await self._own.send(work, status, reason=_reason(last))
         else:
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -43,7 +43,7 @@
         self.host = host
         self.tables: EntryTables | None = None
         self.routes = RouteIndex(())
-        self.targets = TargetEntries()
+        self.targets = TargetEntries(host.bounds.drain_s)
         self.faults = TargetFaults()
         self.ledger = RoomLedger()
         self.board = LoadBoard()
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -12,6 +12,10 @@
     from nutmegspoke.forwarded import CallerRequest, RequestFacts
 
 
+# Timers fire a few milliseconds early or late.
+_TIME_OVER_S = 0.01
+
+
 class OwnAnswer(enum.Enum):
     """Answers of the router's own, by status."""
 
@@ -60,6 +64,10 @@
         """Return the time until the answer must be there."""
         return self.deadline_s - now_s
 
+    def is_out_of_time(self, now_s: float) -> bool:
+        """Tell whether the time is over, or as good as."""
+        return self.left_s(now_s) < _TIME_OVER_S
+
     @property
     def may_be_sent(self) -> bool:
         """Tell whether one more attempt is allowed by the route's rule."""
--- a/nutmegspoke/membership/target_entries.py
+++ b/nutmegspoke/membership/target_entries.py
@@ -17,16 +17,22 @@
     from nutmegspoke.entry_host import TargetEntry
 
 # Targets write lapsed entries again within two seconds of the store's return.
-LAPSE_GRACE_S = 2.2
-# How long before a removal the store's trouble may have caused it.
-_TROUBLE_REACH_S = 5.0
+_RETURN_S = 2.2
+# A target that has left after all is out of use before its time to drain ends.
+_DRAIN_MARGIN_S = 0.4
+# A removal told later than this after the store's return is none of its doing.
+_TROUBLE_REACH_S = 1.0
 
 
 class TargetEntries:
     """Entries by name, with those that may have lapsed."""
 
-    def __init__(self) -> None:
-        """Start without entries."""
+    def __init__(self, drain_s: float) -> None:
+        """Start without entries.
+
+        :param drain_s: time in which a target that leaves is out of use.
+        """
+        self._grace_s = min(_RETURN_S, drain_s - _DRAIN_MARGIN_S)
         self._entries: dict[str, TargetEntry] = {}
         self._lapsed: dict[str, float] = {}
         self._trouble_s = float('-inf')
@@ -87,7 +93,7 @@
         dropped = tuple(
             name
             for name, lapsed_s in self._lapsed.items()
-            if now_s - max(lapsed_s, self._back_s) >= LAPSE_GRACE_S
+            if now_s - max(lapsed_s, self._back_s) >= self._grace_s
         )
         for name in dropped:
             self._drop(name)
--- a/nutmegspoke/placement/layer_changes.py
+++ b/nutmegspoke/placement/layer_changes.py
@@ -5,19 +5,22 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.layers import LayerRange
-from nutmegspoke.placement.layer_plan import zone_room
+from nutmegspoke.placement.layer_plan import (
+    copy_layers,
+    held_room,
+    need_of,
+    neediest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from nutmegspoke.entry_host import ModelProfile
+    from nutmegspoke.layers import LayerRange
     from nutmegspoke.placement.layer_plan import Holder
 
-# A layer that nobody holds counts like one with room for this many tokens.
-_GAP_TOKENS = 200.0
-# Rows that a zone's memory is shared out for when an engine is filled.
-_ROWS_TO_FILL = 2
+# Part of an engine's memory that is filled with layers.
+_COPY_SHARE = 0.7
 # An engine in work is changed only for a gain of so many times what it loses.
 _CHANGE_FACTOR = 3.0
 
@@ -59,11 +62,11 @@
     profile: ModelProfile,
 ) -> tuple[float, LayerChange] | None:
     empty = [holder for holder in members if holder.layers is None]
-    room = _room(members, profile)
+    room = held_room(members, profile)
     if empty:
-        holder = max(empty, key=lambda one: _memory(one, profile))
-        layers = _neediest(room, _layer_count(holder, members, profile))
-        return _need(room, layers), LayerChange(holder.name, layers)
+        holder = max(empty, key=lambda one: profile.max_layers(one.kind))
+        layers = neediest(room, copy_layers(holder.kind, profile, _COPY_SHARE))
+        return need_of(room, layers), LayerChange(holder.name, layers)
     if min(room, default=0.0) > 0:
         return None
     return _close_gap(members, profile, room)
@@ -80,60 +83,14 @@
         if holder.layers is None:
             continue
         others = [one for one in members if one is not holder]
-        without = _room(others, profile)
-        layers = _neediest(without, _layer_count(holder, members, profile))
-        gained = _need(without, layers)
-        lost = _need(without, holder.layers)
+        without = held_room(others, profile)
+        layers = neediest(
+            without, copy_layers(holder.kind, profile, _COPY_SHARE)
+        )
+        gained = need_of(without, layers)
+        lost = need_of(without, holder.layers)
         if layers == holder.layers or gained < _CHANGE_FACTOR * lost:
             continue
         if best is None or gained - lost > best[0]:
             best = gained - lost, LayerChange(holder.name, layers)
     return best
-
-
-def _room(members: list[Holder], profile: ModelProfile) -> list[float]:
-    held = [
-        (
-            holder.layers,
-            profile.room_token_layers(holder.kind, len(holder.layers))
-            / len(holder.layers),
-        )
-        for holder in members
-        if holder.layers is not None
-    ]
-    return zone_room(held, profile.layer_count)
-
-
-def _layer_count(
-    holder: Holder,
-    members: list[Holder],
-    profile: ModelProfile,
-) -> int:
-    total = sum(_memory(one, profile) for one in members)
-    share = _memory(holder, profile) / max(1.0, total)
-    rows = _ROWS_TO_FILL
-    wanted = round(share * rows * profile.layer_count)
-    return max(1, min(wanted, profile.max_layers(holder.kind)))
-
-
-def _neediest(room: list[float], count: int) -> LayerRange:
-    """Return the window of so many layers that needs a holder most."""
-    needs = [1 / (tokens + _GAP_TOKENS) for tokens in room]
-    window = sum(needs[:count])
-    best_start, best = 0, window
-    for start in range(1, len(room) - count + 1):
-        window += needs[start + count - 1] - needs[start - 1]
-        if window > best * (1 + 1e-9):
-            best_start, best = start, window
-    return LayerRange(best_start, best_start + count)
-
-
-def _need(room: list[float], layers: LayerRange) -> float:
-    return sum(
-        1 / (tokens + _GAP_TOKENS)
-        for tokens in room[layers.start : layers.stop]
-    )
-
-
-def _memory(holder: Holder, profile: ModelProfile) -> float:
-    return profile.room_token_layers(holder.kind, 0)
--- a/nutmegspoke/placement/layer_plan.py
+++ b/nutmegspoke/placement/layer_plan.py
@@ -1,9 +1,10 @@
 """Plans which engine holds which layers of a model.
 
-Within an availability zone engines form rows: each row holds every layer
-once, in shares of its engines' memory. More rows outlast more losses, fewer
-leave more memory for requests. The number of rows in each zone is chosen by
-what is left after losses, up to the load that is expected.
+Within an availability zone the quickest engines form a row that holds every
+layer once, in shares of their memory; the others hold second copies where
+room is shortest. How many engines go into the row is chosen by the drafts a
+second that the zone carries, whole and after the loss of an engine: a long
+row has more room, and its drafts take longer.
 """
 
 from __future__ import annotations
@@ -13,22 +14,24 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.layers import LayerRange
+from nutmegspoke.placement.chain_capacity import drafts_per_s
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Iterable, Iterator, Sequence
 
     from nutmegspoke.entry_host import ModelProfile
 
 LayerPlan = dict[str, LayerRange]
 
-MAX_ROWS = 4
-# Every so many engines lost at once: about those that one rolling change,
-# scaling in and a crash take together.
-_LOSS_STRIDE = 6
-# Expected load before any is seen, as a share of all engines' memory.
-DEFAULT_LOAD_SHARE = 0.16
-# Weights of no loss, any single loss and a broad loss.
-_WEIGHTS = (0.4, 0.3, 0.3)
+# Part of the time in which an engine of a zone is missing: a loss is made good
+# in some seconds, and comes several times in a minute of trouble.
+_LOSS_WEIGHT = 0.33
+# Losses tried for each plan, spread over the zone's engines.
+_MAX_LOSSES = 6
+# Parts of an engine's memory that second copies may fill.
+_COPY_SHARES = (0.6, 0.85)
+# A layer that nobody holds counts like one with room for so many tokens.
+_GAP_TOKENS = 200.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,61 +53,31 @@
 def plan_layers(
     holders: Sequence[Holder],
     profile: ModelProfile,
-    load_tokens: float | None = None,
 ) -> LayerPlan:
-    """Return the best plan for engines that hold nothing yet.
+    """Return a plan for engines that hold nothing yet."""
+    plan: LayerPlan = {}
+    for members in _by_zone(holders):
+        plan.update(_best_of_zone(members, profile))
+    return plan
 
-    :param load_tokens: tokens that requests hold at the same time; ``None``
-        if no load was seen yet.
-    """
-    if load_tokens is None:
-        load_tokens = default_load(holders, profile)
-    by_zone = _by_zone(holders)
-    options = [_zone_options(members, profile) for members in by_zone.values()]
-    best: LayerPlan = {}
-    best_score = -1.0
-    for combination in itertools.product(*options):
-        plan = {
-            name: held for part in combination for name, held in part.items()
-        }
-        score = plan_score(holders, plan, profile, load_tokens)
-        if score > best_score:
-            best, best_score = plan, score
-    return best
-
-
-def default_load(holders: Sequence[Holder], profile: ModelProfile) -> float:
-    """Return the tokens to expect in work before any load was seen."""
-    memory = sum(profile.room_token_layers(one.kind, 0) for one in holders)
-    return DEFAULT_LOAD_SHARE * memory / profile.layer_count
-
-
-def plan_score(
-    holders: Sequence[Holder],
-    plan: Mapping[str, LayerRange],
+
+def plan_value(
+    members: Sequence[Holder],
+    plan: LayerPlan,
     profile: ModelProfile,
-    load_tokens: float,
 ) -> float:
-    """Return the part of the load that a plan carries, losses included."""
-    rooms = _rooms(holders, plan, profile)
-    whole = _carried(rooms, profile, load_tokens)
+    """Return the drafts a second that a zone carries, losses weighed in."""
+    whole = drafts_per_s(members, plan, profile)
+    if not whole:
+        return 0.0
     names = sorted(plan)
-    singles = [
-        _carried(_without(rooms, {name}), profile, load_tokens)
-        for name in names
-    ]
-    broad = [
-        _carried(
-            _without(rooms, set(names[first::_LOSS_STRIDE])),
-            profile,
-            load_tokens,
-        )
-        for first in range(min(_LOSS_STRIDE, len(names)))
+    step = max(1, len(names) // _MAX_LOSSES)
+    left = [
+        drafts_per_s(_without(members, name), plan, profile)
+        for name in names[::step]
     ]
-    parts = (whole, _mean(singles), _mean(broad))
-    return sum(
-        weight * part for weight, part in zip(_WEIGHTS, parts, strict=True)
-    )
+    after_loss = sum(left) / len(left)
+    return (1 - _LOSS_WEIGHT) * whole + _LOSS_WEIGHT * after_loss
 
 
 def zone_room(
@@ -122,97 +95,109 @@
     return list(itertools.accumulate(steps[:layer_count]))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Room:
-    name: str
-    zone: str
-    layers: LayerRange
-    tokens: float
-
-
-def _rooms(
-    holders: Sequence[Holder],
-    plan: Mapping[str, LayerRange],
+def held_room(
+    holders: Iterable[Holder],
     profile: ModelProfile,
-) -> list[_Room]:
-    rooms = []
-    for holder in holders:
-        layers = plan.get(holder.name)
-        if layers is None:
-            continue
-        held = len(layers)
-        tokens = profile.room_token_layers(holder.kind, held) / held
-        rooms.append(
-            _Room(holder.name, holder.availability_zone, layers, tokens),
+) -> list[float]:
+    """Return the tokens that fit in each layer with the engines given."""
+    held = [
+        (
+            holder.layers,
+            profile.room_token_layers(holder.kind, len(holder.layers))
+            / len(holder.layers),
         )
-    return rooms
+        for holder in holders
+        if holder.layers is not None
+    ]
+    return zone_room(held, profile.layer_count)
 
 
-def _without(rooms: list[_Room], lost: set[str]) -> list[_Room]:
-    return [room for room in rooms if room.name not in lost]
+def neediest(room: Sequence[float], count: int) -> LayerRange:
+    """Return the window of so many layers that needs a holder most.
 
+    :param room: tokens that fit in each layer.
+    """
+    needs = [1 / (tokens + _GAP_TOKENS) for tokens in room]
+    window = sum(needs[:count])
+    best_start, best = 0, window
+    for start in range(1, len(room) - count + 1):
+        window += needs[start + count - 1] - needs[start - 1]
+        if window > best * (1 + 1e-9):
+            best_start, best = start, window
+    return LayerRange(best_start, best_start + count)
 
-def _carried(
-    rooms: list[_Room],
-    profile: ModelProfile,
-    load_tokens: float,
-) -> float:
-    """Return the part of the load for which whole chains have room."""
-    by_zone: dict[str, list[tuple[LayerRange, float]]] = {}
-    for room in rooms:
-        by_zone.setdefault(room.zone, []).append((room.layers, room.tokens))
-    fitting = sum(
-        min(zone_room(held, profile.layer_count)) for held in by_zone.values()
-    )
-    return min(1.0, fitting / max(1.0, load_tokens))
 
+def need_of(room: Sequence[float], layers: LayerRange) -> float:
+    """Return how much a window of layers needs a holder."""
+    window = room[layers.start : layers.stop]
+    return sum(1 / (tokens + _GAP_TOKENS) for tokens in window)
 
-def _mean(numbers: list[float]) -> float:
-    return sum(numbers) / len(numbers) if numbers else 0.0
 
+def copy_layers(kind: str, profile: ModelProfile, share: float) -> int:
+    """Return the layers that fill a share of an engine's memory."""
+    return max(1, int(profile.max_layers(kind) * share))
 
-def _by_zone(holders: Iterable[Holder]) -> dict[str, list[Holder]]:
-    by_zone: dict[str, list[Holder]] = {}
-    for holder in sorted(holders, key=lambda one: one.name):
-        by_zone.setdefault(holder.availability_zone, []).append(holder)
-    return by_zone
+
+def _best_of_zone(
+    members: list[Holder],
+    profile: ModelProfile,
+) -> LayerPlan:
+    options = list(_zone_options(members, profile))
+    if not options:
+        return _copies(members, {}, profile, max(_COPY_SHARES))
+    return max(
+        options,
+        key=lambda plan: plan_value(members, plan, profile),
+    )
 
 
 def _zone_options(
     members: list[Holder],
     profile: ModelProfile,
-) -> list[LayerPlan]:
-    options: list[LayerPlan] = [{}]
-    for rows in range(1, MAX_ROWS + 1):
-        plan = _zone_plan(members, rows, profile)
-        if plan is None:
-            break
-        options.append(plan)
-    return options
+) -> Iterator[LayerPlan]:
+    by_pace = sorted(
+        members,
+        key=lambda one: (profile.kinds[one.kind].step_factor, one.name),
+    )
+    for length in range(1, len(by_pace) + 1):
+        kinds_end = (
+            length < len(by_pace)
+            and by_pace[length - 1].kind == by_pace[length].kind
+        )
+        row = _row_plan(by_pace[:length], profile)
+        if row is None or (kinds_end and length % 2):
+            continue
+        for share in _COPY_SHARES:
+            yield _copies(by_pace[length:], row, profile, share, members)
 
 
-def _zone_plan(
-    members: list[Holder],
-    row_count: int,
+def _copies(
+    spare: Sequence[Holder],
+    row: LayerPlan,
     profile: ModelProfile,
-) -> LayerPlan | None:
-    """Return a plan of so many rows; ``None`` if they don't fit."""
-    rows: list[list[Holder]] = [[] for _ in range(row_count)]
-    weights = [0.0] * row_count
-    for holder in sorted(members, key=lambda one: -_memory(one, profile)):
-        lightest = weights.index(min(weights))
-        rows[lightest].append(holder)
-        weights[lightest] += _memory(holder, profile)
-    plan: LayerPlan = {}
-    for row in rows:
-        part = _row_plan(row, profile)
-        if part is None:
-            return None
-        plan.update(part)
+    share: float,
+    members: Sequence[Holder] = (),
+) -> LayerPlan:
+    """Add second copies by the engines that are not in the row."""
+    plan = dict(row)
+    placed = [
+        dataclasses.replace(one, layers=row[one.name])
+        for one in members
+        if one.name in row
+    ]
+    for holder in spare:
+        count = copy_layers(holder.kind, profile, share)
+        layers = neediest(held_room(placed, profile), count)
+        plan[holder.name] = layers
+        placed.append(dataclasses.replace(holder, layers=layers))
     return plan
 
 
-def _row_plan(row: list[Holder], profile: ModelProfile) -> LayerPlan | None:
+def _row_plan(
+    row: Sequence[Holder],
+    profile: ModelProfile,
+) -> LayerPlan | None:
+    """Return a plan for one row; ``None`` if it can't hold all layers."""
     counts = share_layers(
         [_memory(holder, profile) for holder in row],
         [profile.max_layers(holder.kind) for holder in row],
@@ -220,13 +205,12 @@
     )
     if counts is None:
         return None
-    plan: LayerPlan = {}
-    start = 0
-    for holder, count in zip(row, counts, strict=True):
-        if count:
-            plan[holder.name] = LayerRange(start, start + count)
-            start += count
-    return plan
+    stops = list(itertools.accumulate(counts))
+    return {
+        holder.name: LayerRange(stop - count, stop)
+        for holder, count, stop in zip(row, counts, stops, strict=True)
+        if count
+    }
 
 
 def share_layers(
@@ -256,3 +240,14 @@
 
 def _memory(holder: Holder, profile: ModelProfile) -> float:
     return profile.room_token_layers(holder.kind, 0)
+
+
+def _without(members: Sequence[Holder], name: str) -> list[Holder]:
+    return [holder for holder in members if holder.name != name]
+
+
+def _by_zone(holders: Iterable[Holder]) -> list[list[Holder]]:
+    by_zone: dict[str, list[Holder]] = {}
+    for holder in sorted(holders, key=lambda one: one.name):
+        by_zone.setdefault(holder.availability_zone, []).append(holder)
+    return list(by_zone.values())
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -23,6 +23,8 @@
 _CROSSING_WEIGHT = 6.0
 # A chain that starts in another zone brings its answer back from there.
 _REMOTE_START_S = 0.05
+# Part of a pass that a request waits for on a busy engine.
+_PASS_WAIT = 0.5
 # Added time for a full engine, as a share of its own time: spreads load.
 _FILL_WEIGHT = 1.0
 # Share of an engine's room that may be promised to requests.
@@ -71,11 +73,15 @@
     requests: int = 0
     slowness: float = 1.0
 
+    @property
+    def free_token_layers(self) -> float:
+        """Return the memory that may still be promised."""
+        limit = self.total_token_layers * FILL_LIMIT
+        return max(0.0, limit - self.used_token_layers)
+
     def fits(self, need: DraftNeed, layer_count: int) -> bool:
         """Tell whether there is room for a request in so many layers."""
-        asked = need.room_tokens * layer_count
-        limit = self.total_token_layers * FILL_LIMIT
-        return self.used_token_layers + asked <= limit
+        return need.room_tokens * layer_count <= self.free_token_layers
 
     def run_s(
         self,
@@ -83,27 +89,43 @@
         layer_count: int,
         profile: ModelProfile,
     ) -> float:
-        """Return the time that a request spends here, weighted by fill."""
+        """Return the time that a request spends here.
+
+        Requests take turns on the engines of a chain, so that a pass has as
+        many of them as the engine's part of the layers. A request waits for
+        the pass that runs when it comes: half a pass on a busy engine.
+        """
         share = layer_count / profile.layer_count
+        writers = self.requests * share
         held = max(1, len(self.layers))
-        context_tokens = self.used_token_layers / held
+        context_tokens = self.used_token_layers / held * share
         step_s = (
             profile.step_s
-            + profile.step_per_request_s * (self.requests + 1)
+            + profile.step_per_request_s * (writers + 1)
             + profile.step_per_context_token_s * context_tokens
         )
+        wait = 1 + _PASS_WAIT * min(1.0, writers)
         prompt = need.prompt_tokens
         read_s = (
             prompt / profile.read_tokens_per_s
             + profile.read_per_pair_s * prompt * prompt / 2
         )
         run_s = (
-            need.answer_tokens * step_s * self.accelerator.step_factor
+            need.answer_tokens * step_s * self.accelerator.step_factor * wait
             + read_s * self.accelerator.read_factor
         )
+        return share * run_s * self.slowness
+
+    def cost_s(
+        self,
+        need: DraftNeed,
+        layer_count: int,
+        profile: ModelProfile,
+    ) -> float:
+        """Return the time, weighted by how full the engine is."""
         fill = self.used_token_layers / max(1.0, self.total_token_layers)
         weight = 1 + _FILL_WEIGHT * fill * fill
-        return share * run_s * self.slowness * weight
+        return self.run_s(need, layer_count, profile) * weight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +194,7 @@
         if not engine.fits(need, stop - border):
             return
         zone = engine.availability_zone
-        total_s = cost_s + engine.run_s(need, stop - border, self._profile)
+        total_s = cost_s + engine.cost_s(need, stop - border, self._profile)
         reached = paths.setdefault(stop, {})
         if zone not in reached or total_s < reached[zone].cost_s:
             stage = (engine, border, stop)
--- a/tests/claims/test_decider.py
+++ b/tests/claims/test_decider.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from nutmegspoke import outcomes, platform
+from nutmegspoke import metadata_store, outcomes
 from nutmegspoke.claims import rows, steps
 from nutmegspoke.claims.decider import ClaimDecider, ClaimLimits
 from tests import builders_claims as build
--- a/tests/claims/test_machine.py
+++ b/tests/claims/test_machine.py
@@ -20,7 +20,7 @@
     rule,
 )
 
-from nutmegspoke import outcomes, platform
+from nutmegspoke import metadata_store, outcomes
 from nutmegspoke.claims import steps
 from nutmegspoke.claims.decider import ClaimDecider, ClaimLimits
 from nutmegspoke.claims.settlement import Verdict, settle
