Ask why a stream stalls, let drafts wait in line, change placement by capacity

Cause: a burst of slow first events after a restart was taken for silence, the first engine was left out on every daemon, and for two seconds no chain was found; gaps were closed by the engine that seemed to be missed least, whatever the zone then carried; the lease passed on eight seconds after its holder lost the store. Ruled out: memory after the restart (promises start at zero).

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -121,17 +121,27 @@
         self.connections = connections
         self._clock = clock
 
-    async def open(self, sending: Sending) -> OpenResult:
-        """Send a request and wait for the head of its answer."""
+    async def send(self, sending: Sending) -> TargetConnection | NotSent:
+        """Send a request; its answer is to be read from the connection."""
         try:
             connection = await self.connections.take(
                 sending.address,
                 self._clock.now_s(),
                 fresh=sending.fresh,
             )
-            connection.send(sending.request, self._belongs(sending.request_id))
+            connection.send(
+                sending.request,
+                self._belongs(sending.request_id),
+            )
         except OSError as error:
             return NotSent(repr(error))
+        return connection
+
+    async def open(self, sending: Sending) -> OpenResult:
+        """Send a request and wait for the head of its answer."""
+        connection = await self.send(sending)
+        if isinstance(connection, NotSent):
+            return connection
         try:
             async with asyncio.timeout(sending.limit_s):
                 event = await connection.next_event()
@@ -141,7 +151,7 @@
         except BaseException:
             connection.close()
             raise
-        return self._opened(connection, event)
+        return self.opened(connection, event)
 
     async def whole(self, sending: Sending) -> WholeResult:
         """Send a request and wait for its whole answer."""
@@ -207,11 +217,12 @@
 
         return belongs
 
-    def _opened(
+    def opened(
         self,
         connection: TargetConnection,
         event: AnswerEvent,
     ) -> OpenResult:
+        """Return what the first event of an answer tells."""
         if not isinstance(event, AnswerHead):
             connection.close()
             return Broken(_lost_reason(event))
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -26,6 +26,7 @@
 from nutmegspoke.edge.own_answers import OwnAnswers
 from nutmegspoke.edge.plain_calls import PlainCalls
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
+from nutmegspoke.edge.stream_watch import StreamWatch
 from nutmegspoke.edge.target_connections import TargetConnections
 from nutmegspoke.edge.view import View
 from nutmegspoke.metadata_store import (
@@ -40,7 +41,6 @@
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.platform_parts import PlatformParts
     from nutmegspoke.entry_host import EntryHost, EntryTables
-    from nutmegspoke.membership.load_news import LoadNews
 
 logger = logging.getLogger(__name__)
 
@@ -97,8 +97,7 @@
         self._news = NewsExchange(
             self.view,
             self._daemons,
-            self._keeper.leads,
-            self._heard,
+            self._keeper,
             clock,
         )
         self._followers = self._new_followers()
@@ -170,7 +169,14 @@
             view,
             self._parts.dialect,
             PlainCalls(view, attempts, own, clock),
-            Drafts(view, attempts, own, self._log, clock),
+            Drafts(
+                view,
+                attempts,
+                own,
+                StreamWatch(self._parts.engines),
+                self._log,
+                clock,
+            ),
             own,
             clock,
         )
@@ -197,9 +203,6 @@
     def _tables_changed(self, tables: EntryTables) -> None:
         self._callers.limits = tables.limits
 
-    def _heard(self, news: LoadNews) -> None:
-        """Do nothing more with another daemon's news."""
-
     async def _announce(self) -> None:
         """Write where this daemon hears news."""
         key = f'{DAEMONS_TABLE}/{self._host.name}'
--- /dev/null
+++ b/nutmegspoke/edge/draft_admission.py
@@ -0,0 +1,100 @@
+"""Lets drafts wait in line for a chain with room."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from nutmegspoke.admission.draft_line import DraftLine, Place, ReturnTimes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.edge.work import Work
+    from nutmegspoke.layers import Chain
+    from nutmegspoke.routing.room_chains import DraftNeed
+
+# A draft waits for room at most for this part of its goal: its prompt takes
+# some of the rest.
+_WAIT_SHARE = 0.5
+# A stream that broke off waits longer: its caller keeps listening.
+_RESUME_WAIT_S = 0.8
+# News of other daemons' load come this often.
+_LOOK_AGAIN_S = 0.05
+# Time in which lost layers are held again: a load of some layers.
+_LAYERS_RETURN_S = 2.0
+
+
+class DraftAdmission:
+    """Finds chains with room, in the order of the line.
+
+    :param find: returns the best chain for a draft now, and promises room.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        find: Callable[[Work, DraftNeed], Chain | None],
+        clock: Clock,
+    ) -> None:
+        """Start with nobody in line."""
+        self._view = view
+        self._find = find
+        self._clock = clock
+        self._line = DraftLine()
+        self.returns = ReturnTimes(random.Random())  # noqa: S311
+
+    async def admit(
+        self,
+        work: Work,
+        need: DraftNeed,
+        *,
+        is_new: bool,
+    ) -> Chain | None:
+        """Return a chain with room for a draft; ``None`` if none comes soon.
+
+        :param is_new: nothing of the answer was passed on yet.
+        """
+        place = Place(is_new, *work.priority, work.arrived_s, work.room_key)
+        if self._line.may_go(place):
+            chain = self._find(work, need)
+            if chain is not None:
+                return chain
+        if not self._may_come(work, need) or not self._line.join(place):
+            return None
+        try:
+            return await self._wait(work, need, place)
+        finally:
+            self._line.leave(place)
+
+    def retry_after_s(self, work: Work, need: DraftNeed) -> float:
+        """Return when a refused caller may come back."""
+        earliest_s = 0.0 if self._may_come(work, need) else _LAYERS_RETURN_S
+        return self.returns.retry_after_s(earliest_s, self._clock.now_s())
+
+    async def _wait(
+        self,
+        work: Work,
+        need: DraftNeed,
+        place: Place,
+    ) -> Chain | None:
+        limit_s = _RESUME_WAIT_S
+        if place.is_new:
+            limit_s = work.route.goal_s * _WAIT_SHARE
+        until_s = self._clock.now_s() + limit_s
+        if place.is_new:
+            until_s = min(until_s, work.arrived_s + limit_s)
+        while self._clock.now_s() < until_s:
+            await asyncio.sleep(_LOOK_AGAIN_S)
+            if self._line.may_go(place):
+                chain = self._find(work, need)
+                if chain is not None:
+                    return chain
+        return None
+
+    def _may_come(self, work: Work, need: DraftNeed) -> bool:
+        """Tell whether some chain would do if nothing else ran on it."""
+        return self._view.has_layers(work.pool.name, need, self._clock.now_s())
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -4,11 +4,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.attempts import Broken, NotSent, Opened, Refused, Sending
+from nutmegspoke.edge.draft_admission import DraftAdmission
+from nutmegspoke.edge.stream_watch import ASK_FIRST_S, ASK_GAP_S, Stalled
 from nutmegspoke.edge.target_connections import AnswerEnd, AnswerPart
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
@@ -21,6 +22,11 @@
     from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import OwnAnswers
+    from nutmegspoke.edge.stream_watch import StreamWatch
+    from nutmegspoke.edge.target_connections import (
+        AnswerEvent,
+        TargetConnection,
+    )
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import Work
     from nutmegspoke.entry_host import ModelProfile
@@ -28,14 +34,8 @@
 
 # Sends of one request, refused and unreached ones included.
 _MAX_SENDS = 4
-# Callers give a stream up after two seconds without an event; a second run
-# needs some of that time to read the prompt.
-_FIRST_EVENT_LIMIT_S = 1.2
-_GAP_LIMIT_S = 0.9
-# Time in which a chain that lost an engine has its layers again.
-_NO_CHAIN_RETRY_AFTER_S = 2.0
-# Time in which a full chain has room again: part of a usual draft's run.
-_FULL_RETRY_AFTER_S = 0.8
+# An engine that refuses while it is so full is short of room, not lost.
+_FULL_SHARE = 0.6
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,10 +60,13 @@
         view: View,
         attempts: Attempts,
         own: OwnAnswers,
+        watch: StreamWatch,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Use the view and the connections."""
+        self._watch = watch
+        self._admission = DraftAdmission(view, self._find, clock)
         self._view = view
         self._attempts = attempts
         self._own = own
@@ -78,7 +81,11 @@
         reason = 'no chain'
         try:
             while work.sends < _MAX_SENDS:
-                chain = self._admit(work, profile, stream)
+                chain = await self._admission.admit(
+                    work,
+                    self._need(work, profile, stream),
+                    is_new=not stream.has_head,
+                )
                 if chain is None:
                     break
                 ended = await self._run(work, chain, stream, profile)
@@ -88,8 +95,8 @@
                 if not self._may_go_on(work):
                     break
         finally:
-            self._view.ledger.release(_room_key(work))
-        await self._give_up(work, stream, reason)
+            self._view.ledger.release(work.room_key)
+        await self._give_up(work, stream, profile, reason)
 
     def _need(
         self,
@@ -109,17 +116,19 @@
             max(profile.tokens_per_event, answer_tokens - written),
         )
 
-    def _admit(
-        self,
-        work: Work,
-        profile: ModelProfile,
-        stream: _Stream,
-    ) -> Chain | None:
+    def _find(self, work: Work, need: DraftNeed) -> Chain | None:
         now_s = self._clock.now_s()
-        pool = work.pool.name
-        need = self._need(work, profile, stream)
-        engines = self._view.engine_loads(pool, profile, work.avoided, now_s)
-        chain = self._view.finder(pool).find(engines, need)
+        pool = work.pool
+        engines = self._view.engine_loads(
+            pool.name,
+            pool.profile,
+            work.avoided,
+            now_s,
+        )
+        chain = self._view.finder(pool.name).find(engines, need)
+        if chain is None:
+            return None
+        self._view.ledger.promise(work.room_key, chain, need.room_tokens)
         self._log.decided(
             'chain_chosen',
             request=work.facts.request_id,
@@ -127,14 +136,8 @@
             engines=len(engines),
             avoided=sorted(work.avoided),
             daemons_heard=self._view.board.daemons(now_s),
-            chain=[f'{stage.target}={stage.layers}' for stage in chain or ()],
+            chain=[f'{stage.target}={stage.layers}' for stage in chain],
         )
-        if chain is not None:
-            self._view.ledger.promise(
-                _room_key(work),
-                chain,
-                need.room_tokens,
-            )
         return chain
 
     async def _run(
@@ -177,17 +180,39 @@
             resume_after=resume_after,
         )
         request = self._attempts.dialect.write_request(work.request, dispatch)
-        may_repeat = work.route.repeat_rule.may_repeat
-        limit_s = min(left_s, _FIRST_EVENT_LIMIT_S) if may_repeat else left_s
-        return await self._attempts.open(
+        sent = await self._attempts.send(
             Sending(
                 address=chain[0].address,
                 request_id=work.facts.request_id,
                 request=request,
-                fresh=not may_repeat,
-                limit_s=max(0.0, limit_s),
+                fresh=not work.route.repeat_rule.may_repeat,
+                limit_s=left_s,
             ),
         )
+        if isinstance(sent, NotSent):
+            return sent
+        try:
+            event = await self._next_event(work, sent, ASK_FIRST_S)
+        except BaseException:
+            sent.close()
+            raise
+        if isinstance(event, Stalled):
+            sent.close()
+            return Broken(event.address, is_silent=True)
+        return self._attempts.opened(sent, event)
+
+    async def _next_event(
+        self,
+        work: Work,
+        connection: TargetConnection,
+        ask_after_s: float,
+    ) -> AnswerEvent | Stalled:
+        return await self._watch.next_event(
+            connection,
+            work.facts.request_id,
+            ask_after_s,
+            max(0.0, work.left_s(self._clock.now_s())),
+        )
 
     def _learn(self, work: Work, chain: Chain, result: OpenResult) -> None:
         now_s = self._clock.now_s()
@@ -200,15 +225,26 @@
             work.targets.append(first)
         if isinstance(result, Refused):
             at_fault = self._view.name_at(result.facts.target_at_fault)
-            self._fault(work, at_fault or first, Fault.NAMED_AT_FAULT, now_s)
+            target = at_fault or first
+            is_full = self._view.fill_of(target, now_s) > _FULL_SHARE
+            kind = Fault.FULL if is_full else Fault.NAMED_AT_FAULT
+            self._fault(work, target, kind, now_s)
             return
         work.may_have_run = True
         if isinstance(result, Broken):
-            kind = Fault.SILENT if result.is_silent else Fault.BROKE_OFF
-            self._fault(work, first, kind, now_s)
+            if result.is_silent:
+                self._stalled(work, result.reason, now_s)
+            else:
+                self._fault(work, first, Fault.BROKE_OFF, now_s)
         else:
             self._view.faults.worked(first, now_s)
 
+    def _stalled(self, work: Work, address: str, now_s: float) -> None:
+        """Leave out the engine that a stream waits for, if it is known."""
+        target = self._view.name_at(address)
+        if target is not None:
+            self._fault(work, target, Fault.SILENT, now_s)
+
     def _fault(
         self,
         work: Work,
@@ -261,13 +297,14 @@
         splitter = EventSplitter()
         try:
             while True:
-                left_s = work.left_s(self._clock.now_s())
-                limit_s = max(0.0, min(_GAP_LIMIT_S, left_s))
-                try:
-                    async with asyncio.timeout(limit_s):
-                        event = await opened.connection.next_event()
-                except TimeoutError:
-                    return 'stream fell silent'
+                event = await self._next_event(
+                    work,
+                    opened.connection,
+                    ASK_GAP_S,
+                )
+                if isinstance(event, Stalled):
+                    self._stalled(work, event.address, self._clock.now_s())
+                    return f'stream stalled at {event.address}'
                 if isinstance(event, AnswerPart):
                     await self._pass_on(work, stream, opened, splitter, event)
                 elif isinstance(event, AnswerEnd) and not splitter.has_rest:
@@ -324,6 +361,7 @@
         tokens = stream.events * profile.tokens_per_event
         lengths = self._view.lengths(work.pool.name, profile)
         lengths.ended(work.route.name, tokens)
+        self._admission.returns.draft_ended(self._clock.now_s())
         self._own.record(work, 'answered', opened.head.status, '')
         await work.answer.end()
 
@@ -338,7 +376,13 @@
         daemons = self._view.budget_daemons(now_s)
         return self._view.budget(work.pool.name).take(daemons, now_s)
 
-    async def _give_up(self, work: Work, stream: _Stream, reason: str) -> None:
+    async def _give_up(
+        self,
+        work: Work,
+        stream: _Stream,
+        profile: ModelProfile,
+        reason: str,
+    ) -> None:
         if stream.has_head:
             self._own.record(work, 'cut', 0, reason)
             work.answer.cut()
@@ -352,14 +396,13 @@
             work,
             OwnAnswer.NOT_RUN,
             reason=reason,
-            retry_after_s=_FULL_RETRY_AFTER_S,
+            retry_after_s=self._admission.retry_after_s(
+                work,
+                self._need(work, profile, stream),
+            ),
         )
 
 
-def _room_key(work: Work) -> str:
-    return work.facts.request_id
-
-
 def _reason(result: OpenResult) -> str:
     match result:
         case NotSent(reason=reason) | Broken(reason=reason):
--- a/nutmegspoke/edge/layer_keeper.py
+++ b/nutmegspoke/edge/layer_keeper.py
@@ -6,9 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.engine_orders import OrderAnswer
-from nutmegspoke.metadata_store import Unavailable
+from nutmegspoke.metadata_store import StoredRow, Unavailable
 from nutmegspoke.placement.layer_changes import next_change
 from nutmegspoke.placement.layer_plan import Holder, plan_layers
 from nutmegspoke.placement.lease import (
@@ -31,8 +33,8 @@
 _STEP_S = 0.25
 # Engines list themselves over the first seconds; the plan waits for the last.
 _LIST_CALM_S = 1.5
-# A lease must outlast a slow answer of the store, and pass on soon.
-_LEASE = LeaseSettings(duration_s=4.0, renew_after_s=1.3, order_timeout_s=1.0)
+# A lease must outlast some slow answers of the store, and pass on soon.
+_LEASE = LeaseSettings(duration_s=2.4, renew_after_s=0.8, order_timeout_s=1.0)
 # Time in which a lost order may still be carried out, or a load end.
 _ORDER_LIMIT_S = 12.0
 # Orders that load at the same time slow each other down beyond this number.
@@ -75,6 +77,7 @@
         self._lease = LeaseKeeper(_LEASE_NAME, holder, _LEASE)
         self._held = False
         self._ordered: dict[str, _Ordered] = {}
+        self._settled: tuple[Holder, ...] = ()
         self._periodic = Periodic('layers', _STEP_S, self._step)
 
     async def start(self) -> None:
@@ -92,11 +95,27 @@
         """Tell whether this daemon holds the lease."""
         return self._lease.is_held(self._clock.now_s())
 
+    def lease(self) -> tuple[int, bytes] | None:
+        """Return version and body of the lease row, if this daemon leads."""
+        if not self.leads() or self._lease.seen is None:
+            return None
+        return self._lease.version, msgspec.msgpack.encode(self._lease.seen)
+
+    def heard_lease(self, version: int, body: bytes) -> None:
+        """Take the lease row as another daemon tells it.
+
+        The time for which it stays unchanged counts from here, without a
+        call to the store.
+        """
+        if version > self._lease.version:
+            row = StoredRow(self._lease.key, version, body)
+            self._lease.row_read(row, self._clock.now_s())
+
     async def _step(self) -> None:
         await self._step_lease()
         now_s = self._clock.now_s()
         self._note_lease(now_s)
-        if not self._lease.is_held(now_s) or not self._targets.is_listed:
+        if not self._lease.is_held(now_s) or not self._targets.is_current:
             return
         if now_s - self._targets.changed_s < _LIST_CALM_S:
             if not self._has_placement():
@@ -156,11 +175,15 @@
         live = {entry.name: entry for entry in self._view.targets.live(pool)}
         self._forget_done(live, now_s)
         holders = [self._holder(entry) for entry in live.values()]
+        if self._settled == tuple(holders):
+            return
         if all(holder.layers is None for holder in holders):
             plan = plan_layers(holders, profile)
         else:
             plan = self._changes(holders, profile)
         if not plan:
+            if not self._ordered:
+                self._settled = tuple(holders)
             return
         await asyncio.gather(
             *(self._order(live[name], layers) for name, layers in plan.items()),
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -89,6 +89,12 @@
         self._log = log
         self.changed_s = float('-inf')
         self.is_listed = False
+        self._is_lost = False
+
+    @property
+    def is_current(self) -> bool:
+        """Tell whether the list was read and the store still answers."""
+        return self.is_listed and not self._is_lost
 
     def listed(self, table: TableChanges, now_s: float) -> None:
         """Take the whole list."""
@@ -113,10 +119,12 @@
 
     def failed(self, reason: str, now_s: float) -> None:
         """Remember that entries may lapse now."""
+        self._is_lost = True
         self._view.targets.store_failed(now_s)
 
     def answered(self, now_s: float) -> None:
         """Let entries that are still missing go after a while."""
+        self._is_lost = False
         self._view.targets.store_answered(now_s)
 
     def _put(self, row: StoredRow, now_s: float) -> None:
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -11,8 +11,6 @@
 from nutmegspoke.membership.load_news import LoadNews, TargetFault
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.listeners import DaemonsListener
     from nutmegspoke.edge.view import View
@@ -27,34 +25,37 @@
 _SIGN_OF_LIFE_S = 0.5
 
 
-class LeaderView(Protocol):
-    """Tells whether this daemon leads."""
+class Leader(Protocol):
+    """Tells whether this daemon leads, and hears who else does."""
 
     def leads(self) -> bool:
         """Tell whether this daemon holds the lease on placement."""
 
+    def lease(self) -> tuple[int, bytes] | None:
+        """Return version and body of the lease row, if this daemon leads."""
+
+    def heard_lease(self, version: int, body: bytes) -> None:
+        """Take the lease row as another daemon tells it."""
+
 
 class NewsExchange(asyncio.DatagramProtocol):
     """Tells the other daemons the load and the faults that this one sees.
 
     :param daemons: addresses of the others.
-    :param leads: tells whether this daemon leads.
-    :param took: called with each news of another daemon.
+    :param leader: tells whether this daemon leads.
     """
 
     def __init__(
         self,
         view: View,
         daemons: DaemonsListener,
-        leads: Callable[[], bool],
-        took: Callable[[LoadNews], None],
+        leader: Leader,
         clock: Clock,
     ) -> None:
         """Prepare to exchange."""
         self._view = view
         self._daemons = daemons
-        self._leads = leads
-        self._took = took
+        self._leader = leader
         self._clock = clock
         self._started_ms = int(clock.wall_s() * 1_000)
         self._number = 0
@@ -104,7 +105,8 @@
             return
         for fault in news.faults:
             self._view.faults.heard_of(fault.target, fault.left_s, now_s)
-        self._took(news)
+        if news.lease is not None:
+            self._leader.heard_lease(*news.lease)
 
     def error_received(self, error: Exception) -> None:
         """Ignore that a daemon is not there: its silence tells it."""
@@ -143,7 +145,8 @@
                     now_s
                 ).items()
             ),
-            leads=self._leads(),
+            leads=self._leader.leads(),
+            lease=self._leader.lease(),
             is_stopping=self.is_stopping,
         )
 
--- /dev/null
+++ b/nutmegspoke/edge/stream_watch.py
@@ -0,0 +1,84 @@
+"""Waits for events of a stream and asks why none comes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from nutmegspoke.edge.target_connections import (
+        AnswerEvent,
+        TargetConnection,
+    )
+    from nutmegspoke.engine_orders import EngineCalls
+
+# Events come some tens of milliseconds apart; a full chain takes up to the
+# pause that callers bear, of some hundred.
+ASK_GAP_S = 0.35
+# A first event takes the reading of the prompt besides.
+ASK_FIRST_S = 0.55
+# Callers give a stream up after two seconds without an event.
+PATIENCE_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stalled:
+    """No event comes.
+
+    :param address: the engine that is lost; empty if none is known to be.
+    """
+
+    address: str
+
+
+class StreamWatch:
+    """Waits for events of streams.
+
+    :param calls: asks engines for reports.
+    """
+
+    def __init__(self, calls: EngineCalls) -> None:
+        """Ask by these calls."""
+        self._calls = calls
+
+    async def next_event(
+        self,
+        connection: TargetConnection,
+        request_id: str,
+        ask_after_s: float,
+        limit_s: float,
+    ) -> AnswerEvent | Stalled:
+        """Wait for an event.
+
+        :param ask_after_s: time without an event after which the first
+            engine is asked.
+        :param limit_s: time left for the request.
+        """
+        waited_s = 0.0
+        limit_s = min(limit_s, PATIENCE_S)
+        while waited_s < limit_s:
+            pause_s = min(ask_after_s, limit_s - waited_s)
+            try:
+                async with asyncio.timeout(pause_s):
+                    return await connection.next_event()
+            except TimeoutError:
+                waited_s += pause_s
+            lost = await self._lost(connection, request_id)
+            if lost and connection.peek() is None:
+                return Stalled(lost)
+        return Stalled('')
+
+    async def _lost(
+        self,
+        connection: TargetConnection,
+        request_id: str,
+    ) -> str:
+        """Return the address of the engine that a request waits for."""
+        report = await self._calls.report(connection.address)
+        if report is None:
+            return connection.address
+        for stalled_id, address in report.stalled:
+            if stalled_id == request_id:
+                return address
+        return ''
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from nutmegspoke.admission.draft_room import (
@@ -26,6 +27,7 @@
         EntryTables,
         ModelProfile,
     )
+    from nutmegspoke.routing.room_chains import DraftNeed
 
 
 # Daemons that may come up unheard while this one starts or is cut off.
@@ -145,6 +147,35 @@
             )
         return loads
 
+    def has_layers(self, pool: str, need: DraftNeed, now_s: float) -> bool:
+        """Tell whether chains of a pool's engines could run a draft.
+
+        Load and faults of the moment don't count.
+        """
+        found = self.pool(pool)
+        if found is None or found.profile is None:
+            return False
+        profile = found.profile
+        engines = [
+            dataclasses.replace(load, used_token_layers=0.0)
+            for load in self.engine_loads(pool, profile, (), now_s)
+        ]
+        return self.finder(pool).find(engines, need) is not None
+
+    def fill_of(self, target: str, now_s: float) -> float:
+        """Return how full an engine is, as far as promises tell; 0 to 1."""
+        entry = self.targets.find(target)
+        pool = None if entry is None else self.pool(entry.pool)
+        if entry is None or entry.layers is None or pool is None:
+            return 0.0
+        if pool.profile is None:
+            return 0.0
+        held = len(entry.layers)
+        total = pool.profile.room_token_layers(entry.kind, held)
+        own = self.ledger.promised().get(target, NO_PROMISE)
+        others = self.board.promised(now_s).get(target, NO_PROMISE)
+        return own.plus(others).token_layers / max(1.0, total)
+
     def name_at(self, address: str) -> str | None:
         """Return the name of the target at an address."""
         for entry in self.targets.all():
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -60,6 +60,11 @@
     targets: list[str] = dataclasses.field(default_factory=list)
     avoided: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def room_key(self) -> str:
+        """Return the key of the memory that is promised to it."""
+        return self.facts.request_id
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the answer must be there."""
         return self.deadline_s - now_s
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -55,6 +55,7 @@
     :param faults: targets that it avoids.
     :param offences: requests that crash targets.
     :param leads: it holds the lease on placement.
+    :param lease: version and body of the lease row, if it leads.
     :param is_stopping: it takes no more requests.
     """
 
@@ -66,6 +67,7 @@
     faults: tuple[TargetFault, ...] = ()
     offences: tuple[Offence, ...] = ()
     leads: bool = False
+    lease: tuple[int, bytes] | None = None
     is_stopping: bool = False
 
 
--- a/nutmegspoke/placement/layer_changes.py
+++ b/nutmegspoke/placement/layer_changes.py
@@ -5,7 +5,10 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.placement.chain_capacity import drafts_per_s
 from nutmegspoke.placement.layer_plan import (
+    by_zone,
     copy_layers,
     held_room,
     need_of,
@@ -13,16 +16,18 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterator, Sequence
 
     from nutmegspoke.entry_host import ModelProfile
-    from nutmegspoke.layers import LayerRange
     from nutmegspoke.placement.layer_plan import Holder
 
-# Part of an engine's memory that is filled with layers.
-_COPY_SHARE = 0.7
-# An engine in work is changed only for a gain of so many times what it loses.
-_CHANGE_FACTOR = 3.0
+# Parts of an engine's memory that may be filled with layers.
+_FILL_SHARES = (0.5, 0.7, 0.9)
+# An engine in work is changed only if its zone then carries so much more.
+_MOVE_GAIN = 1.25
+# Drafts a second that a layer without holder is taken to cost, so that of two
+# gaps one can be closed first.
+_GAP_COST = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,58 +44,98 @@
 ) -> LayerChange | None:
     """Return the change that helps most; ``None`` if none is worth it.
 
-    Empty engines are filled first. An engine in work is changed only if some
-    layer has no holder in its zone.
+    Empty engines are filled first. An engine in work is changed only if its
+    zone then carries clearly more.
 
     :param holders: live engines, with the layers held or ordered.
     """
-    by_zone: dict[str, list[Holder]] = {}
-    for holder in holders:
-        by_zone.setdefault(holder.availability_zone, []).append(holder)
-    changes = [
-        change
-        for members in by_zone.values()
-        if (change := _zone_change(members, profile)) is not None
-    ]
-    if not changes:
-        return None
-    return max(changes, key=lambda pair: pair[0])[1]
-
-
-def _zone_change(
+    zones = by_zone(holders)
+    for members in zones:
+        change = _fill(members, profile)
+        if change is not None:
+            return change
+    for members in zones:
+        change = _move(members, profile)
+        if change is not None:
+            return change
+    return None
+
+
+def _fill(
     members: list[Holder],
     profile: ModelProfile,
-) -> tuple[float, LayerChange] | None:
+) -> LayerChange | None:
+    """Fill the largest empty engine where the zone gains most."""
     empty = [holder for holder in members if holder.layers is None]
-    room = held_room(members, profile)
-    if empty:
-        holder = max(empty, key=lambda one: profile.max_layers(one.kind))
-        layers = neediest(room, copy_layers(holder.kind, profile, _COPY_SHARE))
-        return need_of(room, layers), LayerChange(holder.name, layers)
-    if min(room, default=0.0) > 0:
+    if not empty:
         return None
-    return _close_gap(members, profile, room)
-
-
-def _close_gap(
+    holder = max(empty, key=lambda one: profile.max_layers(one.kind))
+    others = [one for one in members if one is not holder]
+    room = held_room(others, profile)
+    best = max(
+        _windows(holder, others, profile),
+        key=lambda layers: (
+            _value([*others, _holding(holder, layers)], profile),
+            need_of(room, layers),
+        ),
+    )
+    return LayerChange(holder.name, best)
+
+
+def _move(
     members: list[Holder],
     profile: ModelProfile,
-    room: list[float],
-) -> tuple[float, LayerChange] | None:
-    """Move the engine that is missed least to the gap."""
-    best: tuple[float, LayerChange] | None = None
+) -> LayerChange | None:
+    """Move an engine of a zone with a gap, if that is worth it."""
+    if min(held_room(members, profile), default=1.0) > 0:
+        return None
+    present = _value(members, profile)
+    best: LayerChange | None = None
+    best_value = present * _MOVE_GAIN if present > 0 else present + _GAP_COST
     for holder in members:
-        if holder.layers is None:
-            continue
         others = [one for one in members if one is not holder]
-        without = held_room(others, profile)
-        layers = neediest(
-            without, copy_layers(holder.kind, profile, _COPY_SHARE)
-        )
-        gained = need_of(without, layers)
-        lost = need_of(without, holder.layers)
-        if layers == holder.layers or gained < _CHANGE_FACTOR * lost:
-            continue
-        if best is None or gained - lost > best[0]:
-            best = gained - lost, LayerChange(holder.name, layers)
+        for layers in _windows(holder, others, profile):
+            value = _value([*others, _holding(holder, layers)], profile)
+            if value > best_value:
+                best, best_value = LayerChange(holder.name, layers), value
     return best
+
+
+def _windows(
+    holder: Holder,
+    others: list[Holder],
+    profile: ModelProfile,
+) -> Iterator[LayerRange]:
+    """Return the windows that an engine may usefully hold."""
+    room = held_room(others, profile)
+    for share in _FILL_SHARES:
+        yield neediest(room, copy_layers(holder.kind, profile, share))
+    gap = _first_gap(room)
+    if gap is not None and len(gap) <= profile.max_layers(holder.kind):
+        yield gap
+
+
+def _first_gap(room: Sequence[float]) -> LayerRange | None:
+    """Return the first run of layers that nobody holds."""
+    start = next((at for at, tokens in enumerate(room) if not tokens), None)
+    if start is None:
+        return None
+    after = (at for at in range(start, len(room)) if room[at])
+    return LayerRange(start, next(after, len(room)))
+
+
+def _value(members: list[Holder], profile: ModelProfile) -> float:
+    """Return what a zone carries; below zero by the layers that it lacks."""
+    missing = sum(1 for tokens in held_room(members, profile) if not tokens)
+    if missing:
+        return -_GAP_COST * missing
+    plan = {
+        holder.name: holder.layers
+        for holder in members
+        if holder.layers is not None
+    }
+    return drafts_per_s(members, plan, profile)
+
+
+def _holding(holder: Holder, layers: LayerRange) -> Holder:
+    return dataclasses.replace(holder, layers=layers)
--- a/nutmegspoke/placement/layer_plan.py
+++ b/nutmegspoke/placement/layer_plan.py
@@ -56,7 +56,7 @@
 ) -> LayerPlan:
     """Return a plan for engines that hold nothing yet."""
     plan: LayerPlan = {}
-    for members in _by_zone(holders):
+    for members in by_zone(holders):
         plan.update(_best_of_zone(members, profile))
     return plan
 
@@ -246,8 +246,9 @@
     return [holder for holder in members if holder.name != name]
 
 
-def _by_zone(holders: Iterable[Holder]) -> list[list[Holder]]:
-    by_zone: dict[str, list[Holder]] = {}
+def by_zone(holders: Iterable[Holder]) -> list[list[Holder]]:
+    """Return the engines of each availability zone, in order of names."""
+    zones: dict[str, list[Holder]] = {}
     for holder in sorted(holders, key=lambda one: one.name):
-        by_zone.setdefault(holder.availability_zone, []).append(holder)
-    return list(by_zone.values())
+        zones.setdefault(holder.availability_zone, []).append(holder)
+    return list(zones.values())
