Tell a reset from the end of an answer, and read engines' paces

The socket is now asked for its error before such an answer counts as complete.

Engines turned 12 times slower were used as if nothing had happened: the leader reads all reports each second and tells slow engines with its news. Feeds of the store gather changes for 0.2 s and wait up to 10 s; a silent one is noticed by the news of the others.

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -13,6 +13,7 @@
 from nutmegspoke.edge.callers import Callers
 from nutmegspoke.edge.drafts import Drafts
 from nutmegspoke.edge.edge_metrics import EdgeMetrics
+from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.followers import TableFollower
 from nutmegspoke.edge.http_server import ConnectionSet, listen
 from nutmegspoke.edge.layer_keeper import LayerKeeper
@@ -94,13 +95,21 @@
             log,
             clock,
         )
+        self._polls = EnginePolls(
+            self.view,
+            parts.engines,
+            self._keeper.leads,
+            log,
+            clock,
+        )
+        self._followers = self._new_followers()
         self._news = NewsExchange(
             self.view,
             self._daemons,
             self._keeper,
+            self._followers,
             clock,
         )
-        self._followers = self._new_followers()
         self._servers: list[asyncio.Server] = []
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._ticked_s = clock.now_s()
@@ -126,6 +135,7 @@
             await follower.start()
         await self._news.start()
         await self._keeper.start()
+        await self._polls.start()
         self._announcing = asyncio.create_task(self._announce())
         self._ticker.start()
         self._log.decided(
@@ -142,6 +152,7 @@
         self._log.decided('stopping', busy=self._callers.busy())
         self._callers.is_stopping = True
         self._news.is_stopping = True
+        await self._polls.stop()
         await self._keeper.stop()
         limit_s = self._host.bounds.stop_grace_s * _FINISH_SHARE
         await asyncio.sleep(min(_OUT_OF_ROTATION_S, limit_s))
@@ -221,6 +232,13 @@
         if late_s > _FREEZE_S:
             await self._woke(late_s)
         self._connections.close_idle(now_s)
+        for feed in self._news.silent_feeds(now_s):
+            self._log.decided(
+                'feed_silent',
+                table=feed.table,
+                newest_change=feed.newest_change,
+            )
+            await feed.restart()
         for name in self.view.targets.drop_lapsed(now_s):
             self._log.decided('target_gone', target=name, may_have_lapsed=False)
 
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -16,8 +16,11 @@
 
 logger = logging.getLogger(__name__)
 
-# Longest wait for a change: bounds how long a silent feed goes unnoticed.
-FEED_WAIT_S = 4.0
+# Longest wait for a change. A feed that goes silent is noticed sooner, by the
+# news of daemons whose feed has not.
+FEED_WAIT_S = 10.0
+# Pause after changes, so that several that come together cost one call.
+_GATHER_S = 0.2
 # Pauses after a failed call: the first short, as a call may fail by chance.
 _PAUSES_S = (0.05, 0.2, 0.5)
 
@@ -53,15 +56,21 @@
         clock: Clock,
     ) -> None:
         """Prepare to follow."""
-        self._table = table
+        self.table = table
         self._feed = feed
         self._listener = listener
         self._log = log
         self._clock = clock
         self._version: int | None = None
+        self._newest_change = 0
         self._failures = 0
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def newest_change(self) -> int | None:
+        """Return the newest change that was read; ``None`` before a list."""
+        return None if self._version is None else self._newest_change
+
     async def start(self) -> None:
         """Begin to follow."""
         self._task = asyncio.create_task(self._run())
@@ -83,14 +92,16 @@
     async def _run(self) -> None:
         while True:
             if self._version is None:
-                read = await self._feed.snapshot(self._table)
+                read = await self._feed.snapshot(self.table)
             else:
                 read = await self._feed.changes(
-                    self._table,
+                    self.table,
                     self._version,
                     FEED_WAIT_S,
                 )
-            if not self._take(read):
+            if self._take(read):
+                await asyncio.sleep(_GATHER_S)
+            else:
                 last = len(_PAUSES_S)
                 await asyncio.sleep(_PAUSES_S[min(self._failures, last) - 1])
 
@@ -100,8 +111,10 @@
             self._failed(read.reason, now_s)
             return False
         self._answered(now_s)
+        if isinstance(read, TableChanges):
+            self._newest_change = max(self._newest_change, read.newest_change)
         if isinstance(read, HistoryLost):
-            self._log.decided('history_lost', table=self._table)
+            self._log.decided('history_lost', table=self.table)
             self._version = None
         elif self._version is None:
             self._version = read.version
@@ -114,14 +127,14 @@
     def _failed(self, reason: str, now_s: float) -> None:
         self._failures += 1
         if self._failures == 1:
-            self._log.decided('store_lost', table=self._table, reason=reason)
+            self._log.decided('store_lost', table=self.table, reason=reason)
         self._listener.failed(reason, now_s)
 
     def _answered(self, now_s: float) -> None:
         if self._failures:
             self._log.decided(
                 'store_regained',
-                table=self._table,
+                table=self.table,
                 failures=self._failures,
             )
         self._failures = 0
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -8,10 +8,14 @@
 
 import msgspec
 
+from nutmegspoke.membership.feed_versions import FeedVersions
 from nutmegspoke.membership.load_news import LoadNews, TargetFault
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.followers import TableFollower
     from nutmegspoke.edge.listeners import DaemonsListener
     from nutmegspoke.edge.view import View
 
@@ -43,6 +47,7 @@
 
     :param daemons: addresses of the others.
     :param leader: tells whether this daemon leads.
+    :param feeds: feeds of the store that this daemon follows.
     """
 
     def __init__(
@@ -50,12 +55,15 @@
         view: View,
         daemons: DaemonsListener,
         leader: Leader,
+        feeds: Sequence[TableFollower],
         clock: Clock,
     ) -> None:
         """Prepare to exchange."""
         self._view = view
         self._daemons = daemons
         self._leader = leader
+        self._feeds = feeds
+        self._feed_versions = FeedVersions()
         self._clock = clock
         self._started_ms = int(clock.wall_s() * 1_000)
         self._number = 0
@@ -105,6 +113,8 @@
             return
         for fault in news.faults:
             self._view.faults.heard_of(fault.target, fault.left_s, now_s)
+        self._feed_versions.heard(news.feeds)
+        self._view.paces.heard(news.slowness, now_s)
         if news.lease is not None:
             self._leader.heard_lease(*news.lease)
 
@@ -112,6 +122,18 @@
         """Ignore that a daemon is not there: its silence tells it."""
         logger.debug('news: %s', error)
 
+    def silent_feeds(self, now_s: float) -> list[TableFollower]:
+        """Return the feeds that others show to be behind."""
+        return [
+            feed
+            for feed in self._feeds
+            if self._feed_versions.must_restart(
+                feed.table,
+                feed.newest_change,
+                now_s,
+            )
+        ]
+
     def _tick(self) -> None:
         others = len(self._daemons.addresses)
         pause_s = max(NEWS_INTERVAL_S, others * _INTERVAL_PER_DAEMON_S)
@@ -147,9 +169,14 @@
             ),
             leads=self._leader.leads(),
             lease=self._leader.lease(),
+            slowness=self._slowness(now_s),
+            feeds={feed.table: feed.newest_change or 0 for feed in self._feeds},
             is_stopping=self.is_stopping,
         )
 
+    def _slowness(self, now_s: float) -> dict[str, float]:
+        return self._view.paces.slow(now_s) if self._leader.leads() else {}
+
     def _send(self, datagram: bytes) -> None:
         if self._transport is None:
             return
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import logging
+import socket
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -104,7 +105,8 @@
 
     def eof_received(self) -> bool:
         """End an answer that has no length; any other is lost."""
-        if self._in_body and self._ends_with_connection:
+        ends_here = self._in_body and self._ends_with_connection
+        if ends_here and not _was_reset(self._transport):
             self._complete()
         elif self._expects:
             self._lost('connection closed')
@@ -232,6 +234,21 @@
             self._waiter.set_result(None)
 
 
+def _was_reset(transport: Any) -> bool:
+    """Tell whether a connection that seems to have ended was reset.
+
+    libuv tells the end of the stream when the last bytes and a reset arrive
+    together; the socket still knows.
+    """
+    opened = transport.get_extra_info('socket')
+    try:
+        opened.getpeername()
+        error = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError:
+        return True
+    return error != 0
+
+
 def _always(headers: Headers) -> bool:
     return True
 
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -11,6 +11,7 @@
     RoomLedger,
     sum_promises,
 )
+from nutmegspoke.membership.engine_health import EnginePaces
 from nutmegspoke.membership.load_news import LoadBoard
 from nutmegspoke.membership.target_entries import TargetEntries
 from nutmegspoke.retries.target_faults import TargetFaults
@@ -49,8 +50,7 @@
         self.faults = TargetFaults()
         self.ledger = RoomLedger()
         self.board = LoadBoard()
-        self.running: dict[str, int] = {}
-        self.slowness: dict[str, float] = {}
+        self.paces = EnginePaces()
         self._budgets: dict[str, WindowBudget] = {}
         self._lengths: dict[str, AnswerLengths] = {}
         self._finders: dict[str, ChainFinder] = {}
@@ -142,7 +142,7 @@
                     ),
                     used_token_layers=promise.token_layers,
                     requests=promise.requests,
-                    slowness=self.slowness.get(entry.name, 1.0),
+                    slowness=self.paces.of(entry.name, now_s),
                 ),
             )
         return loads
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -56,6 +56,8 @@
     :param offences: requests that crash targets.
     :param leads: it holds the lease on placement.
     :param lease: version and body of the lease row, if it leads.
+    :param slowness: engines that are slow, as the leader reads it.
+    :param feeds: versions of the store that its feeds have read, by table.
     :param is_stopping: it takes no more requests.
     """
 
@@ -68,6 +70,8 @@
     offences: tuple[Offence, ...] = ()
     leads: bool = False
     lease: tuple[int, bytes] | None = None
+    slowness: dict[str, float] = {}
+    feeds: dict[str, int] = {}
     is_stopping: bool = False
 
 
--- a/nutmegspoke/metadata_store.py
+++ b/nutmegspoke/metadata_store.py
@@ -97,11 +97,13 @@
     :param version: version up to which the changes are complete.
     :param rows: rows written, in the order of their last writes.
     :param removed: names of rows that are gone, within their table.
+    :param newest_change: version of the newest change told; 0 for none.
     """
 
     version: int
     rows: tuple[StoredRow, ...] = ()
     removed: tuple[str, ...] = ()
+    newest_change: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -142,7 +142,8 @@
             rows.extend(_stored(row) for row in answer.rows)
             version = answer.ver if version is None else version
             if not answer.truncated or not answer.rows:
-                return TableChanges(version, tuple(rows))
+                newest = max((row.version for row in rows), default=0)
+                return TableChanges(version, tuple(rows), (), newest)
             query['from'] = f'{answer.rows[-1].key}\0'
 
     async def changes(
@@ -165,6 +166,7 @@
             version=answer.ver,
             rows=tuple(_stored(row) for row in answer.rows if not row.removed),
             removed=tuple(row.key for row in answer.rows if row.removed),
+            newest_change=max((row.ver for row in answer.rows), default=0),
         )
 
     async def commit(self, transaction: Transaction) -> CommitResult:
