--- a/nutmegspoke/platform/discovery.py
+++ b/nutmegspoke/platform/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -30,7 +30,7 @@
 class _Server(msgspec.Struct):
     # The pool; "service" is the platform's word for it.
     service: str
-    address: str
+    address: Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:\d+$')]
     zone: str
     state: Literal['ready', 'draining']
     slots: int = 1
--- /dev/null
+++ b/tests/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding on entry hosts."""
--- /dev/null
+++ b/tests/placement/test_layer_plan.py
@@ -0,0 +1,125 @@
+"""Tests of first placing."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from nutmegspoke.layers import LayerRange
+from nutmegspoke.placement.chain_capacity import drafts_per_s
+from nutmegspoke.placement.layer_plan import (
+    Holder,
+    held_room,
+    need_of,
+    neediest,
+    plan_layers,
+    plan_value,
+    share_layers,
+)
+from tests import builders_edge as build
+
+
+def _zone(zone: str, quick: int, middle: int, slow: int) -> list[Holder]:
+    kinds = (
+        (build.QUICK, quick),
+        (build.MIDDLE, middle),
+        (build.SLOW, slow),
+    )
+    return [
+        build.holder(f'{zone}-{kind.name}-{number}', kind, zone)
+        for kind, count in kinds
+        for number in range(count)
+    ]
+
+
+class PlanLayersTest(unittest.TestCase):
+    """Covers all layers, within the memory of each engine."""
+
+    def test_every_zone_holds_all_layers(self) -> None:
+        """Zones that can hold the model do, none beyond its memory."""
+        profile = build.profile()
+        holders = _zone('a', 1, 6, 5) + _zone('b', 2, 2, 5)
+        plan = plan_layers(holders, profile)
+        for zone in 'ab':
+            held = [
+                Holder(one.name, zone, one.kind, plan[one.name])
+                for one in holders
+                if one.availability_zone == zone and one.name in plan
+            ]
+            self.assertGreater(min(held_room(held, profile)), 0)
+        for one in holders:
+            if one.name in plan:
+                fitting = profile.max_layers(one.kind)
+                self.assertLessEqual(len(plan[one.name]), fitting)
+
+    def test_small_zone_holds_what_it_can(self) -> None:
+        """A zone short of memory holds a part, for chains that cross."""
+        holders = _zone('a', 0, 1, 0)
+        plan = plan_layers(holders, build.profile())
+        self.assertEqual(len(plan), 1)
+
+    def test_survives_any_single_loss_somewhere(self) -> None:
+        """Pattern: one engine is gone. Drafts still have a chain."""
+        profile = build.profile()
+        holders = (
+            _zone('a', 1, 6, 5) + _zone('b', 2, 2, 5) + _zone('c', 1, 3, 8)
+        )
+        plan = plan_layers(holders, profile)
+        for lost in holders:
+            left = [one for one in holders if one is not lost]
+            self.assertGreater(drafts_per_s(left, plan, profile), 10.0)
+
+    def test_close_to_the_best_of_small_cases(self) -> None:
+        """Against every plan of three engines in steps of eight layers."""
+        profile = build.profile(layer_count=24, layer_bytes=1.75e9)
+        cases = ((1, 2, 0), (2, 1, 0), (0, 3, 0), (1, 1, 1))
+        for counts in cases:
+            holders = _zone('a', *counts)
+            plan = plan_layers(holders, profile)
+            found = plan_value(holders, plan, profile)
+            best = max(
+                plan_value(holders, other, profile)
+                for other in _all_plans(holders, 24, 4)
+            )
+            with self.subTest(counts):
+                self.assertGreaterEqual(found, 0.7 * best)
+
+
+def _all_plans(
+    holders: list[Holder],
+    layer_count: int,
+    step: int,
+) -> list[dict[str, LayerRange]]:
+    profile = build.profile(layer_count=layer_count)
+    ranges = [
+        [
+            LayerRange(start, stop)
+            for start in range(0, layer_count, step)
+            for stop in range(start + step, layer_count + 1, step)
+            if stop - start <= profile.max_layers(one.kind)
+        ]
+        for one in holders
+    ]
+    return [
+        dict(zip([one.name for one in holders], chosen, strict=True))
+        for chosen in itertools.product(*ranges)
+    ]
+
+
+class SharesTest(unittest.TestCase):
+    """Shares and windows of layers."""
+
+    def test_shares_by_weight(self) -> None:
+        """All layers are given out, none above a limit."""
+        self.assertEqual(share_layers([2.0, 1.0, 1.0], [9, 9, 9], 8), [4, 2, 2])
+        self.assertEqual(share_layers([2.0, 1.0], [3, 9], 8), [3, 5])
+        self.assertIsNone(share_layers([1.0], [7], 8))
+
+    def test_neediest_window(self) -> None:
+        """The window lies where room is shortest."""
+        room = [100.0] * 10 + [0.0] * 4 + [100.0] * 6
+        window = neediest(room, 4)
+        self.assertEqual(window, LayerRange(10, 14))
+        self.assertGreater(
+            need_of(room, window), need_of(room, LayerRange(0, 4))
+        )
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,56 @@
+"""Tests of the operator's configuration row."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.entry_host import PoolShare, RepeatRule, Team
+from nutmegspoke.platform.configuration import (
+    ConfigurationError,
+    decode_configuration,
+)
+from tests import builders_edge as build
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Decodes routes, pools, teams and the engines' model."""
+
+    def test_decodes_routes(self) -> None:
+        """What may be repeated follows from the kind and from resuming."""
+        tables = decode_configuration(build.wire_configuration())
+        drafts, calls = tables.routes
+        self.assertIs(drafts.repeat_rule, RepeatRule.RESUMABLE_STREAM)
+        self.assertIs(calls.repeat_rule, RepeatRule.AT_MOST_ONCE)
+        self.assertEqual(calls.pools, (PoolShare('records', 1),))
+        self.assertEqual(len(drafts.pools), 2)
+        self.assertEqual((drafts.timeout_s, drafts.goal_s), (20.0, 0.5))
+        self.assertEqual((calls.max_targets, drafts.max_targets), (1, 2))
+
+    def test_decodes_teams(self) -> None:
+        """Each key stands for its team."""
+        tables = decode_configuration(build.wire_configuration())
+        self.assertTrue(tables.has_teams)
+        self.assertEqual(
+            dict(tables.team_by_key),
+            dict.fromkeys(('k1', 'k2'), Team('t', 1)),
+        )
+
+    def test_decodes_the_model(self) -> None:
+        """Memory of a token is told for all layers and used by the layer."""
+        pool = decode_configuration(build.wire_configuration()).pools['engines']
+        profile = pool.profile
+        assert profile is not None
+        self.assertEqual(profile.layer_bytes, 1.75e9)
+        self.assertEqual(profile.token_layer_bytes, 22_950.0)
+        self.assertAlmostEqual(profile.step_s, 0.00102)
+        self.assertAlmostEqual(profile.step_per_context_token_s, 1.9e-8)
+        self.assertEqual(profile.zone_link_bytes_per_s, 2.25e9)
+        self.assertEqual(int(profile.room_token_layers('quick', 40)), 87_145)
+        self.assertEqual(profile.max_layers('quick'), 41)
+        self.assertEqual(profile.max_layers('unknown'), 0)
+
+    def test_refuses_other_rows(self) -> None:
+        """A row that is no configuration is an error, not half a table."""
+        for body in (b'', b'{}', build.wire_configuration(version='x')):
+            with self.subTest(body[:20]), self.assertRaises(ConfigurationError):
+                decode_configuration(body)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,127 @@
+"""Tests of the headers of requests and answers."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.forwarded import AnswerKind, CallerRequest, Dispatch
+from nutmegspoke.platform import headers
+
+_HEADERS = [
+    (b'Host', b'Drafts.Example:80'),
+    (b'Attempt-Id', b'abc'),
+    (b'Deadline-Ms', b'1500'),
+    (b'Key', b'secret'),
+    (b'Tenant', b'somebody-else'),
+    (b'Token-Counts', b'1460,80'),
+    (b'Length-Hint', b'37'),
+    (b'Connection', b'keep-alive'),
+    (b'X-Own', b'stays'),
+]
+
+
+def _request(body: bytes = b'{}') -> CallerRequest:
+    return CallerRequest(b'POST', b'/drafts/2f?q=1', _HEADERS, body)
+
+
+class RequestHeadersTest(unittest.TestCase):
+    """Reads callers' requests and writes them for targets."""
+
+    def test_reads_a_request(self) -> None:
+        """Times become seconds, and the host loses its port."""
+        facts = headers.read_request(_request())
+        self.assertEqual(facts.request_id, 'abc')
+        self.assertEqual(facts.host_name, 'drafts.example')
+        self.assertEqual(facts.path, '/drafts/2f')
+        self.assertEqual(facts.deadline_s, 1.5)
+        self.assertEqual(
+            (facts.prompt_tokens, facts.max_answer_tokens), (1460, 80)
+        )
+        self.assertEqual(facts.hinted_answer_tokens, 37.0)
+
+    def test_wrong_numbers_count_as_absent(self) -> None:
+        """A caller's nonsense is no deadline."""
+        request = CallerRequest(
+            b'GET',
+            b'/',
+            [(b'Deadline-Ms', b'soon'), (b'Token-Counts', b'1')],
+            b'',
+        )
+        facts = headers.read_request(request)
+        self.assertIsNone(facts.deadline_s)
+        self.assertEqual(facts.prompt_tokens, 0)
+
+    def test_writes_its_own_headers_only(self) -> None:
+        """Key, team and deadline of the caller don't reach the target."""
+        chain = (('10.0.0.1:80', 0, 20), ('10.0.0.2:80', 20, 80))
+        written = headers.write_request(
+            _request(),
+            Dispatch('i-1', 'team-1', 0.75, chain, '12'),
+        )
+        head, _, body = written.partition(b'\r\n\r\n')
+        lines = head.split(b'\r\n')
+        self.assertEqual(body, b'{}')
+        self.assertEqual(lines[0], b'POST /drafts/2f?q=1 HTTP/1.1')
+        self.assertNotIn(b'secret', written)
+        self.assertNotIn(b'somebody-else', written)
+        for line in (
+            b'Attempt-Id: abc',
+            b'X-Own: stays',
+            b'Deadline-Ms: 750',
+            b'Expect-Instance: i-1',
+            b'Tenant: team-1',
+            b'Last-Event-Id: 12',
+            b'Hops: 10.0.0.1:80=0-20,10.0.0.2:80=20-80',
+            b'Content-Length: 2',
+        ):
+            self.assertEqual(lines.count(line), 1, line)
+
+
+class AnswerHeadersTest(unittest.TestCase):
+    """Reads what the head of a target's answer says."""
+
+    def test_tells_kinds(self) -> None:
+        """Only a sealed 2xx without encoding is a success."""
+        seal = (b'Response-Seal', b'x')
+        echoed = (b'Attempt-Id', b'abc')
+        cases = (
+            (200, [seal], AnswerKind.SUCCESS),
+            (200, [], AnswerKind.SPOILT),
+            (200, [seal, (b'Content-Encoding', b'gzip')], AnswerKind.SPOILT),
+            (503, [(b'Not-Executed', b'1')], AnswerKind.NOT_RUN),
+            (421, [], AnswerKind.NOT_RUN),
+            (400, [], AnswerKind.NOT_RUN),
+            (400, [echoed, seal], AnswerKind.FAILURE),
+            (503, [seal], AnswerKind.FAILURE),
+            (500, [seal], AnswerKind.FAILURE),
+        )
+        for status, found, kind in cases:
+            with self.subTest(f'{status} {found}'):
+                self.assertIs(headers.read_answer(status, found).kind, kind)
+
+    def test_reads_load_and_idle_time(self) -> None:
+        """Broken values count as absent."""
+        facts = headers.read_answer(
+            200,
+            [
+                (b'Server-Load', b'2,0,96'),
+                (b'Keep-Alive', b'timeout=10'),
+                (b'At-Server', b'10.0.0.2:80'),
+                (b'Connection', b'Close'),
+            ],
+        )
+        self.assertEqual(facts.load, (2, 0, 96))
+        self.assertEqual(facts.keep_open_s, 10.0)
+        self.assertEqual(facts.target_at_fault, '10.0.0.2:80')
+        self.assertTrue(facts.must_close)
+        broken = headers.read_answer(200, [(b'Server-Load', b'2,x,96')])
+        self.assertIsNone(broken.load)
+
+    def test_tells_stray_answers(self) -> None:
+        """An answer with another id belongs to another request."""
+        self.assertTrue(
+            headers.answers_request([(b'Attempt-Id', b'abc')], 'abc'),
+        )
+        self.assertFalse(
+            headers.answers_request([(b'Attempt-Id', b'old')], 'abc'),
+        )
