--- a/nutmegspoke/cmd/entry.py
+++ b/nutmegspoke/cmd/entry.py
@@ -15,9 +15,12 @@
 from nutmegspoke.edge.daemon import EdgeDaemon
 from nutmegspoke.edge.platform_parts import PlatformParts
 from nutmegspoke.errors import SettingsError
-from nutmegspoke.platform import boot_settings, headers
-from nutmegspoke.platform.configuration import decode_configuration
-from nutmegspoke.platform.discovery import decode_target
+from nutmegspoke.platform import (
+    boot_settings,
+    configuration,
+    discovery,
+    headers,
+)
 from nutmegspoke.platform.engine_calls import EngineClient
 from nutmegspoke.platform.store_client import StoreClient, new_session
 
@@ -38,11 +41,11 @@
             store=StoreClient(host.store_address, session),
             engines=EngineClient(session),
             dialect=headers,
-            tables_table='op',
-            tables_row='config',
-            decode_tables=decode_configuration,
-            targets_table='servers',
-            decode_target=decode_target,
+            tables_table=configuration.TABLE,
+            tables_row=configuration.ROW,
+            decode_tables=configuration.decode_configuration,
+            targets_table=discovery.TABLE,
+            decode_target=discovery.decode_target,
         )
         daemon = EdgeDaemon(host, parts, log, clock)
         stopping = _catch_signals(log)
--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.target_connections import (
+from nutmegspoke.edge.answer_reader import (
     AnswerEnd,
     AnswerHead,
     AnswerLost,
@@ -18,8 +18,8 @@
     from collections.abc import Callable
 
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.target_connections import (
-        AnswerEvent,
         TargetConnection,
         TargetConnections,
     )
@@ -190,25 +190,28 @@
         )
 
     async def _body(self, opened: Opened, limit_s: float) -> bytes | Broken:
-        parts: list[bytes] = []
-        size = 0
         try:
             async with asyncio.timeout(limit_s):
-                while size <= MAX_WHOLE_BYTES:
-                    event = await opened.connection.next_event()
-                    if not isinstance(event, AnswerPart):
-                        break
-                    parts.append(event.body)
-                    size += len(event.body)
+                return await self._collect(opened.connection)
         except TimeoutError:
             opened.connection.close()
             return Broken('no whole answer in time', is_silent=True)
         except BaseException:
             opened.connection.close()
             raise
-        if isinstance(event, AnswerEnd):
-            return b''.join(parts)
-        opened.connection.close()
+
+    async def _collect(self, connection: TargetConnection) -> bytes | Broken:
+        parts: list[bytes] = []
+        size = 0
+        while size <= MAX_WHOLE_BYTES:
+            event = await connection.next_event()
+            if isinstance(event, AnswerEnd):
+                return b''.join(parts)
+            if not isinstance(event, AnswerPart):
+                break
+            parts.append(event.body)
+            size += len(event.body)
+        connection.close()
         return Broken(_lost_reason(event))
 
     def _belongs(self, request_id: str) -> Callable[[Headers], bool]:
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -9,9 +9,6 @@
 import msgspec
 
 from nutmegspoke.border.periodic import Periodic
-from nutmegspoke.edge.attempts import Attempts
-from nutmegspoke.edge.callers import Callers
-from nutmegspoke.edge.drafts import Drafts
 from nutmegspoke.edge.edge_metrics import EdgeMetrics
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.followers import TableFollower
@@ -24,10 +21,8 @@
     TargetsListener,
 )
 from nutmegspoke.edge.news_exchange import NewsExchange
-from nutmegspoke.edge.own_answers import OwnAnswers
-from nutmegspoke.edge.plain_calls import PlainCalls
+from nutmegspoke.edge.serving import new_callers
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
-from nutmegspoke.edge.stream_watch import StreamWatch
 from nutmegspoke.edge.target_connections import TargetConnections
 from nutmegspoke.edge.view import View
 from nutmegspoke.metadata_store import (
@@ -84,7 +79,16 @@
         self._connections = TargetConnections()
         self._ready = ConnectionSet(ReadyPage(self.is_ready))
         self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
-        self._callers = ConnectionSet(self._new_callers())
+        self._callers = ConnectionSet(
+            new_callers(
+                parts,
+                self.view,
+                self._connections,
+                self.metrics,
+                log,
+                clock,
+            ),
+        )
         self._daemons = DaemonsListener(host.name)
         self._targets = TargetsListener(parts.decode_target, self.view, log)
         self._keeper = LayerKeeper(
@@ -166,32 +170,6 @@
         self._callers.cut()
         await self._ticker.stop()
 
-    def _new_callers(self) -> Callers:
-        attempts = Attempts(self._connections, self._parts.dialect, self._clock)
-        own = OwnAnswers(
-            self._parts.dialect,
-            self._log,
-            self.metrics,
-            self.view,
-            self._clock,
-        )
-        view, clock = self.view, self._clock
-        return Callers(
-            view,
-            self._parts.dialect,
-            PlainCalls(view, attempts, own, clock),
-            Drafts(
-                view,
-                attempts,
-                own,
-                StreamWatch(self._parts.engines),
-                self._log,
-                clock,
-            ),
-            own,
-            clock,
-        )
-
     def _new_followers(self) -> list[TableFollower]:
         parts = self._parts
         tables = TablesListener(
--- a/nutmegspoke/edge/decision_log.py
+++ b/nutmegspoke/edge/decision_log.py
@@ -81,7 +81,7 @@
         if self.dropped > self._dropped_told:
             line['lines_dropped'] = self.dropped - self._dropped_told
             self._dropped_told = self.dropped
-        self._write_out(self._encoder.encode(line) + b'\n')
+        self._write_out(b'%s\n' % self._encoder.encode(line))
 
     def _write_out(self, line: bytes) -> None:
         try:
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -7,10 +7,10 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from nutmegspoke.edge.answer_reader import AnswerEnd, AnswerPart
 from nutmegspoke.edge.attempts import Broken, NotSent, Opened, Refused, Sending
 from nutmegspoke.edge.draft_admission import DraftAdmission
 from nutmegspoke.edge.stream_watch import ASK_FIRST_S, ASK_GAP_S, Stalled
-from nutmegspoke.edge.target_connections import AnswerEnd, AnswerPart
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
 from nutmegspoke.pipelines.event_stream import EventSplitter
@@ -23,10 +23,8 @@
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import OwnAnswers
     from nutmegspoke.edge.stream_watch import StreamWatch
-    from nutmegspoke.edge.target_connections import (
-        AnswerEvent,
-        TargetConnection,
-    )
+    from nutmegspoke.edge.answer_reader import AnswerEvent
+    from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import Work
     from nutmegspoke.entry_host import ModelProfile
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -7,20 +7,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
-import httptools
-
+from nutmegspoke.edge.request_reader import RequestReader
+from nutmegspoke.edge.write_gate import WriteGate
 from nutmegspoke.entry_host import CallerLimits
-from nutmegspoke.forwarded import CallerRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from nutmegspoke.forwarded import Headers
+    from nutmegspoke.forwarded import CallerRequest, Headers
 
 logger = logging.getLogger(__name__)
 
@@ -144,112 +142,53 @@
     def __init__(self, owner: ConnectionSet) -> None:
         """Wait for a request."""
         self._owner = owner
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(owner.limits, self._took)
         self._transport: asyncio.Transport | None = None
-        self._url = b''
-        self._headers: Headers = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self._keeps_open = True
-        self._is_reading = False
         self._ahead: list[CallerRequest] = []
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._writable: asyncio.Future[None] | None = None
+        self._gate = WriteGate()
 
     @property
     def is_busy(self) -> bool:
         """Tell whether a request is being read or answered."""
-        return self._task is not None or bool(self._ahead) or self._is_reading
+        if self._task is not None or self._ahead:
+            return True
+        return self._reader.is_reading
 
     def connection_made(self, transport: Any) -> None:
         """Take the transport; the loop's own class shares no base class."""
         self._transport = transport
         transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         self._owner.open.add(self)
-        self._expect_request()
+        self._arm(self._owner.limits.idle_timeout_s)
 
     def data_received(self, received: bytes) -> None:
         """Parse what came."""
-        if not self._is_reading and not self._ahead and self._task is None:
+        if not self.is_busy:
             self._arm(self._owner.limits.header_timeout_s)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
-        except httptools.HttpParserError as error:
-            logger.info('callers: request not parsed: %s', error)
-            self._reject(HTTPStatus.BAD_REQUEST)
-
-    def eof_received(self) -> bool:
-        """Treat a half-closed connection as one that the caller left."""
-        return False
+        self._reader.limits = self._owner.limits
+        fault = self._reader.feed(received)
+        if fault is not None:
+            self._reject(fault)
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the work for the caller."""
         self._owner.open.discard(self)
-        self._disarm()
-        self._resume(CallerGoneError('caller left'))
+        self._arm(None)
+        self._gate.open(CallerGoneError('caller left'))
         if self._task is not None:
             self._task.cancel()
         self._transport = None
 
     def pause_writing(self) -> None:
         """Let the writer wait."""
-        if self._writable is None:
-            self._writable = asyncio.get_running_loop().create_future()
+        self._gate.close()
 
     def resume_writing(self) -> None:
         """Let the writer go on."""
-        self._resume(None)
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        self._is_reading = True
-        self._url = b''
-        self._headers = []
-        self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-
-    def on_url(self, part: bytes) -> None:
-        """Take a part of the path."""
-        self._url += part
-        self._count_header(len(part))
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name, text))
-        self._count_header(len(name) + len(text) + 4)
-
-    def on_body(self, part: bytes) -> None:
-        """Take a part of the body."""
-        self._body_bytes += len(part)
-        if self._body_bytes > self._owner.limits.max_body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            return
-        self._body.append(part)
-
-    def on_message_complete(self) -> None:
-        """Take a whole request."""
-        self._is_reading = False
-        if self._transport is None or self._transport.is_closing():
-            return
-        self._disarm()
-        self._keeps_open = self._parser.should_keep_alive()
-        self._ahead.append(
-            CallerRequest(
-                method=self._parser.get_method(),
-                url=self._url,
-                headers=self._headers,
-                body=b''.join(self._body),
-            ),
-        )
-        if self._task is None:
-            self._next()
-        elif len(self._ahead) > _MAX_AHEAD:
-            self._reject(HTTPStatus.BAD_REQUEST)
+        self._gate.open()
 
     async def write(self, part: bytes) -> None:
         """Write, waiting while the caller does not read.
@@ -259,11 +198,8 @@
         if self._transport is None or self._transport.is_closing():
             raise CallerGoneError('caller left')
         self._transport.write(part)
-        if self._writable is None:
-            return
         try:
-            async with asyncio.timeout(_WRITE_TIMEOUT_S):
-                await self._writable
+            await self._gate.wait(_WRITE_TIMEOUT_S)
         except TimeoutError as error:
             self.abort()
             raise CallerGoneError('caller does not read') from error
@@ -284,6 +220,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _took(self, request: CallerRequest) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._arm(None)
+        self._keeps_open = self._reader.keeps_open
+        self._ahead.append(request)
+        if self._task is None:
+            self._next()
+        elif len(self._ahead) > _MAX_AHEAD:
+            self._reject(HTTPStatus.BAD_REQUEST)
+
     def _next(self) -> None:
         request = self._ahead.pop(0)
         self._task = asyncio.create_task(self._serve(request))
@@ -314,30 +261,21 @@
         elif self._ahead:
             self._next()
         else:
-            self._expect_request()
-
-    def _expect_request(self) -> None:
-        self._arm(self._owner.limits.idle_timeout_s)
-
-    def _arm(self, limit_s: float) -> None:
-        self._disarm()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(limit_s, self._timed_out)
+            self._arm(self._owner.limits.idle_timeout_s)
 
-    def _disarm(self) -> None:
+    def _arm(self, limit_s: float | None) -> None:
+        """Close the connection after a time without a request in work."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        if limit_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(limit_s, self._timed_out)
 
     def _timed_out(self) -> None:
         if self._task is None and self._transport is not None:
             self._transport.close()
 
-    def _count_header(self, added: int) -> None:
-        self._header_bytes += added
-        if self._header_bytes > self._owner.limits.max_header_bytes:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
     def _reject(self, status: HTTPStatus) -> None:
         """Answer a request that can't be read, and close."""
         if self._transport is None or self._transport.is_closing():
@@ -349,17 +287,6 @@
             )
         self._transport.close()
 
-    def _resume(self, error: Exception | None) -> None:
-        if self._writable is None:
-            return
-        waiting, self._writable = self._writable, None
-        with contextlib.suppress(asyncio.InvalidStateError):
-            if error is None:
-                waiting.set_result(None)
-            else:
-                waiting.set_exception(error)
-                waiting.exception()
-
 
 def _phrase(status: int) -> bytes:
     try:
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -54,18 +54,21 @@
     async def serve(self, work: Work) -> None:
         """Answer a request."""
         last: WholeResult = NotSent('no target')
-        while work.sends < _MAX_SENDS:
-            now_s = self._clock.now_s()
-            target = self._choose(work, now_s)
-            if target is None or work.left_s(now_s) <= 0:
-                break
-            if work.sends and not self._may_repeat(work, now_s):
+        while self._may_send(work):
+            target = self._choose(work, self._clock.now_s())
+            if target is None:
                 break
             last = await self._send(work, target)
             if self._is_final(work, last):
                 break
         await self._answer(work, last)
 
+    def _may_send(self, work: Work) -> bool:
+        now_s = self._clock.now_s()
+        if work.sends >= _MAX_SENDS or work.left_s(now_s) <= 0:
+            return False
+        return not work.sends or self._may_repeat(work, now_s)
+
     def _choose(self, work: Work, now_s: float) -> TargetEntry | None:
         live = self._view.targets.live(work.pool.name)
         usable = [
@@ -113,27 +116,24 @@
         result: WholeResult,
     ) -> None:
         now_s = self._clock.now_s()
-        faults = self._view.faults
-        work.avoided.add(target.name)
-        match result:
-            case NotSent():
-                faults.failed(target.name, Fault.UNREACHABLE, now_s)
-                return
-            case Refused(facts=facts):
-                self._told(target, facts.load, now_s)
-                kind = Fault.FULL if facts.load else Fault.OTHER_TARGET
-                faults.failed(target.name, kind, now_s)
-            case Broken():
-                work.may_have_run = True
-                self._loads.failed(target.name, now_s)
-            case WholeAnswer(facts=facts):
-                work.may_have_run = True
-                self._told(target, facts.load, now_s)
-                faults.worked(target.name, now_s)
-                if facts.kind == AnswerKind.FAILURE:
-                    self._loads.failed(target.name, now_s)
+        name = target.name
+        work.avoided.add(name)
+        if isinstance(result, NotSent):
+            self._view.faults.failed(name, Fault.UNREACHABLE, now_s)
+            return
         work.sends += 1
-        work.targets.append(target.name)
+        work.targets.append(name)
+        if isinstance(result, Refused):
+            self._told(target, result.facts.load, now_s)
+            fault = Fault.FULL if result.facts.load else Fault.OTHER_TARGET
+            self._view.faults.failed(name, fault, now_s)
+            return
+        work.may_have_run = True
+        if _is_error(result):
+            self._loads.failed(name, now_s)
+        if isinstance(result, WholeAnswer):
+            self._told(target, result.facts.load, now_s)
+            self._view.faults.worked(name, now_s)
 
     def _told(
         self,
@@ -146,9 +146,9 @@
             self._loads.told(target.name, running + waiting, now_s)
 
     def _is_final(self, work: Work, result: WholeResult) -> bool:
-        if isinstance(result, WholeAnswer):
-            is_failure = result.facts.kind == AnswerKind.FAILURE
-            return not (is_failure and work.may_be_sent)
+        is_whole = isinstance(result, WholeAnswer)
+        if is_whole and not _is_error(result):
+            return True
         return not work.may_be_sent
 
     async def _answer(self, work: Work, last: WholeResult) -> None:
@@ -170,6 +170,13 @@
             )
 
 
+def _is_error(result: WholeResult) -> bool:
+    """Tell whether a target answered with an error of its own, or not."""
+    if isinstance(result, WholeAnswer):
+        return result.facts.kind == AnswerKind.FAILURE
+    return isinstance(result, Broken)
+
+
 def _reason(result: WholeResult) -> str:
     match result:
         case NotSent(reason=reason) | Broken(reason=reason):
--- /dev/null
+++ b/nutmegspoke/edge/request_reader.py
@@ -0,0 +1,100 @@
+"""Collects the parts of requests that the parser finds."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+import httptools
+
+from nutmegspoke.forwarded import CallerRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.entry_host import CallerLimits
+    from nutmegspoke.forwarded import Headers
+
+# Colon, space and line end around a header.
+_HEADER_EXTRA_BYTES = 4
+
+
+class RequestReader:
+    """Reads requests, one after the other, within the callers' limits.
+
+    :param limits: what callers may send.
+    :param took: called with each whole request.
+    """
+
+    def __init__(
+        self,
+        limits: CallerLimits,
+        took: Callable[[CallerRequest], None],
+    ) -> None:
+        """Wait for a request."""
+        self.limits = limits
+        self.is_reading = False
+        self.keeps_open = True
+        self._took = took
+        self._parser = httptools.HttpRequestParser(self)
+        self._fault: HTTPStatus | None = None
+        self._url = b''
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    def feed(self, received: bytes) -> HTTPStatus | None:
+        """Read on; the status that refuses a request that can't be taken."""
+        try:
+            self._parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            return self._fault or HTTPStatus.BAD_REQUEST
+        return self._fault
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.is_reading = True
+        self._url = b''
+        self._headers = []
+        self._header_bytes = 0
+        self._body = []
+        self._body_bytes = 0
+
+    def on_url(self, part: bytes) -> None:
+        """Take a part of the path."""
+        self._url += part
+        self._count_header(len(part))
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, text))
+        self._count_header(len(name) + len(text) + _HEADER_EXTRA_BYTES)
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body; drop it if the body is too long."""
+        self._body_bytes += len(part)
+        if self._body_bytes > self.limits.max_body_bytes:
+            self._fault = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        else:
+            self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hand on a whole request, unless it is refused."""
+        self.is_reading = False
+        if self._fault is not None:
+            return
+        self.keeps_open = self._parser.should_keep_alive()
+        self._took(
+            CallerRequest(
+                method=self._parser.get_method(),
+                url=self._url,
+                headers=self._headers,
+                body=b''.join(self._body),
+            ),
+        )
+
+    def _count_header(self, added: int) -> None:
+        self._header_bytes += added
+        if self._header_bytes > self.limits.max_header_bytes:
+            self._fault = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- /dev/null
+++ b/nutmegspoke/edge/serving.py
@@ -0,0 +1,42 @@
+"""Puts together the parts that answer callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.attempts import Attempts
+from nutmegspoke.edge.callers import Callers
+from nutmegspoke.edge.drafts import Drafts
+from nutmegspoke.edge.own_answers import OwnAnswers
+from nutmegspoke.edge.plain_calls import PlainCalls
+from nutmegspoke.edge.stream_watch import StreamWatch
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.edge_metrics import EdgeMetrics
+    from nutmegspoke.edge.platform_parts import PlatformParts
+    from nutmegspoke.edge.target_connections import TargetConnections
+    from nutmegspoke.edge.view import View
+
+
+def new_callers(
+    parts: PlatformParts,
+    view: View,
+    connections: TargetConnections,
+    metrics: EdgeMetrics,
+    log: DecisionLog,
+    clock: Clock,
+) -> Callers:
+    """Return the handler of callers' requests."""
+    attempts = Attempts(connections, parts.dialect, clock)
+    own = OwnAnswers(parts.dialect, log, metrics, view, clock)
+    watch = StreamWatch(parts.engines)
+    return Callers(
+        view,
+        parts.dialect,
+        PlainCalls(view, attempts, own, clock),
+        Drafts(view, attempts, own, watch, log, clock),
+        own,
+        clock,
+    )
--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -7,10 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from nutmegspoke.edge.target_connections import (
-        AnswerEvent,
-        TargetConnection,
-    )
+    from nutmegspoke.edge.answer_reader import AnswerEvent
+    from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.engine_orders import EngineCalls
 
 # Events come some tens of milliseconds apart; a full chain takes up to the
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import collections
-import dataclasses
 import logging
 import socket
 from typing import TYPE_CHECKING, Any
 
-import httptools
+from nutmegspoke.edge.answer_reader import (
+    AnswerEvent,
+    AnswerLost,
+    AnswerPart,
+    AnswerReader,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,41 +31,6 @@
 # Idle time if the target tells none.
 _DEFAULT_KEPT_S = 2.0
 _MAX_IDLE_PER_TARGET = 16
-_INTERIM = range(100, 200)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerHead:
-    """Status and headers of an answer."""
-
-    status: int
-    headers: Headers
-    length: int | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerPart:
-    """Some bytes of an answer's body."""
-
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerEnd:
-    """The answer is complete."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerLost:
-    """No more comes of the answer.
-
-    :param reason: what went wrong.
-    """
-
-    reason: str
-
-
-AnswerEvent = AnswerHead | AnswerPart | AnswerEnd | AnswerLost
 
 
 class TargetConnection(asyncio.Protocol):
@@ -73,94 +42,42 @@
     def __init__(self, address: str) -> None:
         """Wait for the connection to stand."""
         self.address = address
-        self.is_fresh = True
-        self.is_usable = True
-        self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
+        self._transport: Any = None
+        self._reader = AnswerReader(self._took)
         self._events: collections.deque[AnswerEvent] = collections.deque()
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
-        self._expects = False
-        self._in_body = False
-        self._is_skipped = False
-        self._belongs: Callable[[Headers], bool] = _always
-        self._ends_with_connection = False
+        self._is_closed = False
 
     def connection_made(self, transport: Any) -> None:
         """Take the transport; the loop's own class shares no base class."""
         self._transport = transport
 
     def data_received(self, received: bytes) -> None:
-        """Parse what came; bytes that belong to no request end the use."""
-        if not self._expects:
+        """Read on; bytes that belong to no request end the use."""
+        if not self._reader.expects:
             self.close()
             return
-        try:
-            self._parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as bad:
-            if self._expects:
-                self._lost(f'answer not parsed: {bad}')
+        fault = self._reader.feed(received)
+        if fault:
+            self._reader.lose(fault)
             self.close()
 
     def eof_received(self) -> bool:
         """End an answer that has no length; any other is lost."""
-        ends_here = self._in_body and self._ends_with_connection
-        if ends_here and not _was_reset(self._transport):
-            self._complete()
-        elif self._expects:
-            self._lost('connection closed')
-        self.is_usable = False
+        if self._reader.ends_with_connection:
+            if not _was_reset(self._transport):
+                self._reader.complete()
+        self._reader.lose('connection closed')
+        self._is_closed = True
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell that nothing more comes."""
-        self.is_usable = False
-        if self._expects:
-            self._lost(f'connection lost: {error}')
+        self._reader.lose(f'connection lost: {error}')
+        self._is_closed = True
         self._transport = None
 
-    def on_message_begin(self) -> None:
-        """Begin an answer; one that nobody asked for ends the use."""
-        self._headers = []
-        self._is_skipped = not self._expects
-        if self._is_skipped:
-            self.is_usable = False
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Take a header."""
-        self._headers.append((name, text))
-
-    def on_headers_complete(self) -> None:
-        """Take a whole head; skip one that belongs to another request."""
-        if self._is_skipped or self._parser.get_status_code() in _INTERIM:
-            self._is_skipped = True
-            return
-        if not self._belongs(self._headers):
-            logger.info('targets: stray answer of %s skipped', self.address)
-            self._is_skipped = True
-            self.is_usable = False
-            return
-        length, is_chunked = _framing(self._headers)
-        self._ends_with_connection = length is None and not is_chunked
-        self._in_body = True
-        status = self._parser.get_status_code()
-        self._put(AnswerHead(status, self._headers, length))
-
-    def on_body(self, part: bytes) -> None:
-        """Take a part of a body."""
-        if self._is_skipped:
-            return
-        self._buffered += len(part)
-        self._put(AnswerPart(part))
-        if self._buffered > _READ_BUFFER_BYTES and self._transport:
-            self._transport.pause_reading()
-
-    def on_message_complete(self) -> None:
-        """End the answer; what follows belongs to no request."""
-        if not self._is_skipped:
-            self._complete()
-
     def send(
         self,
         request: bytes,
@@ -175,15 +92,13 @@
             raise ConnectionError('connection closed before the request')
         self._events.clear()
         self._buffered = 0
-        self._belongs = belongs
-        self._expects = True
-        self._in_body = False
+        self._reader.expect(belongs)
         self._transport.write(request)
 
     async def next_event(self) -> AnswerEvent:
         """Wait for the next event of the answer."""
         while not self._events:
-            if not self._expects:
+            if not self._reader.expects:
                 return AnswerLost('nothing expected')
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
@@ -200,36 +115,29 @@
 
     def close(self) -> None:
         """Close the connection; a request in work ends with it."""
-        self.is_usable = False
+        self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
 
     def is_open_answer(self) -> bool:
         """Tell whether more of an answer may come."""
-        return self._expects
+        return self._reader.expects
 
     def can_be_kept(self) -> bool:
         """Tell whether another request may follow."""
         transport = self._transport
-        if transport is None or transport.is_closing() or self._expects:
+        if transport is None or transport.is_closing() or self._is_closed:
             return False
-        return self.is_usable and transport.get_write_buffer_size() == 0
-
-    def _complete(self) -> None:
-        if self._expects:
-            self._expects = False
-            self._in_body = False
-            self._put(AnswerEnd())
-        if not self._parser.should_keep_alive():
-            self.is_usable = False
-
-    def _lost(self, reason: str) -> None:
-        self._expects = False
-        self.is_usable = False
-        self._put(AnswerLost(reason))
-
-    def _put(self, event: AnswerEvent) -> None:
+        if self._reader.expects or not self._reader.keeps_open:
+            return False
+        return transport.get_write_buffer_size() == 0
+
+    def _took(self, event: AnswerEvent) -> None:
         self._events.append(event)
+        if isinstance(event, AnswerPart):
+            self._buffered += len(event.body)
+            if self._buffered > _READ_BUFFER_BYTES and self._transport:
+                self._transport.pause_reading()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
@@ -249,22 +157,6 @@
     return error != 0
 
 
-def _always(headers: Headers) -> bool:
-    return True
-
-
-def _framing(headers: Headers) -> tuple[int | None, bool]:
-    length: int | None = None
-    is_chunked = False
-    for name, text in headers:
-        lowered = name.lower()
-        if lowered == b'content-length' and text.isdigit():
-            length = int(text)
-        elif lowered == b'transfer-encoding':
-            is_chunked = b'chunked' in text.lower()
-    return (None if is_chunked else length), is_chunked
-
-
 class TargetConnections:
     """Opens connections to targets and keeps idle ones for a while."""
 
@@ -290,7 +182,6 @@
         while idle and not fresh:
             connection, until_s = idle.pop()
             if now_s < until_s and connection.can_be_kept():
-                connection.is_fresh = False
                 return connection
             connection.close()
         return await self._open(address)
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -91,7 +91,8 @@
                 bounds.retry_slack,
                 bounds.retry_window_s,
             )
-            budget = self._budgets[pool] = WindowBudget(settings)
+            budget = WindowBudget(settings)
+            self._budgets[pool] = budget
         return budget
 
     def budget_daemons(self, now_s: float) -> int:
--- a/nutmegspoke/pipelines/event_stream.py
+++ b/nutmegspoke/pipelines/event_stream.py
@@ -31,7 +31,8 @@
 
     def feed(self, received: bytes) -> list[StreamEvent]:
         """Take bytes and return the events that they complete."""
-        *whole, self._held = (self._held + received).split(_BREAK)
+        *whole, rest = (self._held + received).split(_BREAK)
+        self._held = rest
         return [StreamEvent(_event_number(raw), raw + _BREAK) for raw in whole]
 
     @property
--- a/nutmegspoke/placement/layer_plan.py
+++ b/nutmegspoke/placement/layer_plan.py
@@ -88,7 +88,7 @@
 
     :param held: layers of each engine, with the tokens that fit there.
     """
-    steps = [0.0] * (layer_count + 1)
+    steps = [0.0 for _ in range(layer_count + 1)]
     for layers, tokens in held:
         steps[layers.start] += tokens
         steps[layers.stop] -= tokens
@@ -230,11 +230,14 @@
         min(limit, int(part)) for limit, part in zip(limits, exact, strict=True)
     ]
     while sum(counts) < layer_count:
-        open_places = [
-            place for place, limit in enumerate(limits) if counts[place] < limit
+        short = [
+            (part - count, place)
+            for place, (part, count) in enumerate(
+                zip(exact, counts, strict=True),
+            )
+            if count < limits[place]
         ]
-        place = max(open_places, key=lambda at: exact[at] - counts[at])
-        counts[place] += 1
+        counts[max(short)[1]] += 1
     return counts
 
 
--- a/nutmegspoke/platform/boot_settings.py
+++ b/nutmegspoke/platform/boot_settings.py
@@ -98,19 +98,20 @@
     root: dict[str, object] = {}
     for line in text.splitlines():
         name, found, text_value = line.partition('=')
-        if not found:
-            continue
-        *parents, last = name.strip().split('.')
-        table = root
-        for parent in parents:
-            child = table.setdefault(parent, {})
-            if not isinstance(child, dict):
-                raise ValueError(f'{name}: is both a value and a section')
-            table = child
-        table[last] = text_value.strip()
+        if found:
+            _put(root, name.strip().split('.'), text_value.strip())
     return root
 
 
+def _put(table: dict[str, object], names: list[str], text: str) -> None:
+    for name in names[:-1]:
+        child = table.setdefault(name, {})
+        if not isinstance(child, dict):
+            raise ValueError(f'{name}: is both a value and a section')
+        table = child
+    table[names[-1]] = text
+
+
 def _entry_host(decoded: _Settings) -> EntryHost:
     first_port, last_port = decoded.port_range.split(',')
     limits = decoded.limits
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -16,6 +16,10 @@
     Team,
 )
 
+# Where the operator writes the configuration.
+TABLE = 'op'
+ROW = 'config'
+
 _MS_PER_S = 1_000
 _BYTES_PER_MB = 1_000_000
 _BITS_PER_BYTE = 8
--- a/nutmegspoke/platform/discovery.py
+++ b/nutmegspoke/platform/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from types import MappingProxyType
 from typing import Annotated, Literal
 
 import msgspec
@@ -13,6 +14,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Where targets register themselves.
+TABLE = 'servers'
+
 
 class HeldLayers(msgspec.Struct, rename={'start': 'from', 'stop': 'to'}):
     """Layers that an engine holds; ``stop`` is the one after the last."""
@@ -41,7 +45,9 @@
 
 
 _decoder = msgspec.json.Decoder(_Server)
-_STATES = {'ready': TargetState.LIVE, 'draining': TargetState.LEAVING}
+_STATES = MappingProxyType(
+    {'ready': TargetState.LIVE, 'draining': TargetState.LEAVING},
+)
 
 
 def decode_target(name: str, body: bytes) -> TargetEntry | None:
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -22,17 +23,20 @@
 _REPORT_TIMEOUT_S = 0.5
 _ORDER_TIMEOUT_S = 1.0
 _ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+_REPORT_ERRORS = (*_ERRORS, msgspec.MsgspecError)
 
 
-_ANSWERS = {
-    202: OrderAnswer.BEGUN,
-    200: OrderAnswer.DONE,
-    409: OrderAnswer.UNFIT,
-    412: OrderAnswer.OLD_FENCING_NUMBER,
-    404: OrderAnswer.NOT_FOUND,
-    421: OrderAnswer.OTHER_TARGET,
-    503: OrderAnswer.UNREACHABLE,
-}
+_ANSWERS = MappingProxyType(
+    {
+        202: OrderAnswer.BEGUN,
+        200: OrderAnswer.DONE,
+        409: OrderAnswer.UNFIT,
+        412: OrderAnswer.OLD_FENCING_NUMBER,
+        404: OrderAnswer.NOT_FOUND,
+        421: OrderAnswer.OTHER_TARGET,
+        503: OrderAnswer.UNREACHABLE,
+    }
+)
 
 
 class _Stalled(msgspec.Struct):
@@ -73,7 +77,7 @@
                     f'http://{address}/v1/report',
                 ) as response:
                     found = _decoder.decode(await response.read())
-        except (*_ERRORS, msgspec.MsgspecError) as error:
+        except _REPORT_ERRORS as error:
             logger.info('engines: no report of %s: %r', address, error)
             return None
         return EngineReport(
--- a/nutmegspoke/retries/target_faults.py
+++ b/nutmegspoke/retries/target_faults.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from types import MappingProxyType
 
 
 class Fault(enum.StrEnum):
@@ -22,16 +23,18 @@
 # Seconds for which a target is left out at first. One that is gone for good
 # leaves the list after three missed heartbeats; a full one has room again
 # when an answer ends.
-_FIRST_S = {
-    Fault.UNREACHABLE: 1.0,
-    Fault.BROKE_OFF: 0.5,
-    Fault.NAMED_AT_FAULT: 1.5,
-    Fault.FULL: 0.15,
-    Fault.OTHER_TARGET: 3.0,
-    Fault.SILENT: 1.5,
-    Fault.SPOILT: 0.0,
-    Fault.ERROR: 0.0,
-}
+_FIRST_S = MappingProxyType(
+    {
+        Fault.UNREACHABLE: 1.0,
+        Fault.BROKE_OFF: 0.5,
+        Fault.NAMED_AT_FAULT: 1.5,
+        Fault.FULL: 0.15,
+        Fault.OTHER_TARGET: 3.0,
+        Fault.SILENT: 1.5,
+        Fault.SPOILT: 0.0,
+        Fault.ERROR: 0.0,
+    }
+)
 # Faults in a row that count: each doubles the time.
 _MAX_DOUBLINGS = 2
 # A target without a fault for so long starts anew.
