--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -68,8 +68,10 @@
         parts: PlatformParts,
         log: DecisionLog,
         clock: Clock,
+        metrics_port: int = METRICS_PORT,
     ) -> None:
         """Create the parts; the event loop must be running."""
+        self._metrics_port = metrics_port
         self._host = host
         self._parts = parts
         self._log = log
@@ -130,7 +132,7 @@
         pages = (
             (self._callers, host.callers_port),
             (self._ready, host.ready_port),
-            (self._metrics_pages, METRICS_PORT),
+            (self._metrics_pages, self._metrics_port),
         )
         for connections, port in pages:
             server = await listen(connections.connect, host.ip, port)
@@ -167,8 +169,19 @@
                 break
             await asyncio.sleep(0.05)
         self._log.decided('stopped', cut=self._callers.busy())
+        await self.close()
+
+    async def close(self) -> None:
+        """End all work at once."""
         self._callers.cut()
-        await self._ticker.stop()
+        self._announcing.cancel()
+        for part in (self._ticker, self._polls, self._keeper, self._news):
+            await part.stop()
+        for follower in self._followers:
+            await follower.stop()
+        for server in self._servers:
+            server.close()
+        self._connections.close_idle()
 
     def _new_followers(self) -> list[TableFollower]:
         parts = self._parts
--- /dev/null
+++ b/tests/edge/world.py
@@ -0,0 +1,216 @@
+"""A store, targets and a daemon in one process, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+import os
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from nutmegspoke.bench.ports import free_ports
+from nutmegspoke.border.clock import SystemClock
+from nutmegspoke.edge.daemon import EdgeDaemon
+from nutmegspoke.edge.decision_log import DecisionLog
+from nutmegspoke.edge.platform_parts import PlatformParts
+from nutmegspoke.platform import configuration, discovery, headers
+from nutmegspoke.platform.engine_calls import EngineClient
+from nutmegspoke.platform.store_client import StoreClient, new_session
+from nutmegspoke.standins.row_store import RowStore
+from nutmegspoke.standins.wire_target import WireTarget
+from tests import builders_edge as build
+
+HOST = 'drafts.example'
+_PORTS = 5
+# Long for a busy machine; the tests only wait for what must come.
+WAIT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """What a caller got.
+
+    :param is_whole: the answer came to its proper end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class World:
+    """All that a daemon needs, and callers."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.store = RowStore()
+        self.targets: dict[str, WireTarget] = {}
+        self.daemon: EdgeDaemon
+        self.log_lines: list[dict[str, Any]] = []
+        self._number = 0
+
+    async def start(self) -> None:
+        """Start the store and the daemon; targets are added later."""
+        ports = free_ports(_PORTS)
+        self._runner = web.AppRunner(
+            self.store.app(),
+            access_log=None,
+            shutdown_timeout=0.1,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, '127.0.0.1', ports[0]).start()
+        self._session = new_session()
+        host = build.host(
+            callers_port=ports[1],
+            ready_port=ports[2],
+            peer_ports=(ports[3], ports[3]),
+            store_address=f'127.0.0.1:{ports[0]}',
+        )
+        self.host = host
+        parts = PlatformParts(
+            store=StoreClient(host.store_address, self._session),
+            engines=EngineClient(self._session),
+            dialect=headers,
+            tables_table=configuration.TABLE,
+            tables_row=configuration.ROW,
+            decode_tables=configuration.decode_configuration,
+            targets_table=discovery.TABLE,
+            decode_target=discovery.decode_target,
+        )
+        clock = SystemClock()
+        self._null = os.open(os.devnull, os.O_WRONLY)
+        log = DecisionLog(host.name, clock, self._null)
+        log.setLevel(logging.CRITICAL)
+        log.write = self._keep_line
+        self.daemon = EdgeDaemon(host, parts, log, clock, ports[4])
+        self.metrics_port = ports[4]
+        await self.daemon.start()
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        await self.daemon.close()
+        for target in self.targets.values():
+            await target.stop()
+        await self._session.close()
+        await self._runner.cleanup()
+        os.close(self._null)
+
+    async def serve_tables(self, **changes: Any) -> None:
+        """Write a configuration and wait until it is in force."""
+        body = build.wire_configuration(**changes)
+        await self.store.put('op', 'config', body)
+        version = configuration.decode_configuration(body).version
+        await self.until(lambda: self.daemon.view.version == version)
+
+    async def add_engine(self, name: str, held: tuple[int, int]) -> WireTarget:
+        """Start an engine that holds layers, and list it."""
+        target = WireTarget(name, held)
+        address = await target.start()
+        self.targets[name] = target
+        layers = {'from': held[0], 'to': held[1], 'version': 1}
+        await self.list_target(name, address, layers=layers)
+        return target
+
+    async def add_service(self, name: str) -> WireTarget:
+        """Start a target of the plain service, and list it."""
+        target = WireTarget(name, None)
+        address = await target.start()
+        self.targets[name] = target
+        await self.list_target(
+            name,
+            address,
+            service='records',
+            layers=None,
+            slots=6,
+        )
+        return target
+
+    async def list_target(
+        self, name: str, address: str, **changes: Any
+    ) -> None:
+        """Write a target's row and wait until the daemon knows it."""
+        body = build.wire_server(address=address, zone='a', **changes)
+        await self.store.put('servers', name, body)
+        await self.until(
+            lambda: self.daemon.view.targets.find(name) is not None,
+        )
+
+    async def until(self, is_true: Any) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not is_true():
+                await asyncio.sleep(0.01)
+
+    async def call(
+        self,
+        path: str,
+        method: str = 'POST',
+        **changes: str,
+    ) -> Answered:
+        """Send a request as a caller does, on a connection of its own."""
+        self._number += 1
+        found = {
+            'Host': HOST,
+            'Attempt-Id': f'request-{self._number}',
+            'Key': 'k1',
+            'Deadline-Ms': '15000',
+            **changes,
+        }
+        if path.startswith('/drafts/'):
+            found.setdefault('Token-Counts', '700,300')
+        url = f'http://127.0.0.1:{self.host.callers_port}{path}'
+        async with (
+            aiohttp.ClientSession(auto_decompress=False) as session,
+            session.request(method, url, headers=found, data=b'') as response,
+        ):
+            body = b''
+            try:
+                async for part in response.content.iter_any():
+                    body += part
+            except aiohttp.ClientError:
+                return Answered(
+                    response.status,
+                    dict(response.headers),
+                    body,
+                    is_whole=False,
+                )
+            return Answered(
+                response.status,
+                dict(response.headers),
+                body,
+                is_whole=True,
+            )
+
+    async def ready_status(self) -> int:
+        """Ask as the balancer does."""
+        url = f'http://127.0.0.1:{self.host.ready_port}/v1/readyz'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            return response.status
+
+    async def metrics(self) -> str:
+        """Return the metrics page."""
+        url = f'http://127.0.0.1:{self.metrics_port}/metrics'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as response,
+        ):
+            return await response.text()
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of one kind."""
+        return [line for line in self.log_lines if line['event'] == name]
+
+    def _keep_line(
+        self,
+        event: str,
+        level: str,
+        fields: dict[str, Any],
+    ) -> None:
+        self.log_lines.append({'event': event, 'level': level, **fields})
