--- a/nutmegspoke/admission/draft_line.py
+++ b/nutmegspoke/admission/draft_line.py
@@ -91,17 +91,16 @@
         """Count a draft that has ended and left room."""
         self._ended_s.append(now_s)
 
+    def next_room_s(self, waiting: int, now_s: float) -> float:
+        """Return when room is expected behind so many drafts that wait."""
+        return (waiting + 1) / self._rate_per_s(now_s)
+
     def retry_after_s(self, earliest_s: float, now_s: float) -> float:
         """Return when a refused caller may come back.
 
         :param earliest_s: time in which there can't be room yet.
         """
-        while self._ended_s and self._ended_s[0] < now_s - _RATE_WINDOW_S:
-            self._ended_s.popleft()
-        rate_per_s = max(
-            _LEAST_RATE_PER_S,
-            len(self._ended_s) / _RATE_WINDOW_S,
-        )
+        rate_per_s = self._rate_per_s(now_s)
         earliest_s = max(earliest_s, _EARLIEST_RETURN_S)
         wait_s = self._book.promise(
             Ticket(request_id='', team='', deadline_s=now_s),
@@ -110,3 +109,9 @@
             now_s,
         )
         return min(wait_s, max(earliest_s, _LATEST_RETURN_S))
+
+    def _rate_per_s(self, now_s: float) -> float:
+        while self._ended_s and self._ended_s[0] < now_s - _RATE_WINDOW_S:
+            self._ended_s.popleft()
+        rate_per_s = len(self._ended_s) / _RATE_WINDOW_S
+        return max(_LEAST_RATE_PER_S, rate_per_s)
--- a/nutmegspoke/admission/draft_room.py
+++ b/nutmegspoke/admission/draft_room.py
@@ -28,16 +28,19 @@
 
     :param token_layers: tokens times layers.
     :param requests: number of requests.
+    :param firsts: those of them whose chain begins there.
     """
 
     token_layers: float
     requests: int
+    firsts: int = 0
 
     def plus(self, other: Promise) -> Promise:
         """Return the sum of two."""
         return Promise(
             self.token_layers + other.token_layers,
             self.requests + other.requests,
+            self.firsts + other.firsts,
         )
 
 
@@ -73,8 +76,12 @@
         return self._by_engine
 
     def _add(self, chain: Chain, room_tokens: float, requests: int) -> None:
-        for stage in chain:
-            change = Promise(room_tokens * len(stage.layers), requests)
+        for place, stage in enumerate(chain):
+            change = Promise(
+                room_tokens * len(stage.layers),
+                requests,
+                0 if place else requests,
+            )
             total = self._by_engine.get(stage.target, NO_PROMISE).plus(change)
             if total.requests > 0:
                 self._by_engine[stage.target] = total
--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -20,6 +20,8 @@
 # A draft waits for room at most for this part of its goal: its prompt takes
 # some of the rest.
 _WAIT_SHARE = 0.5
+# Expected wait above which a new draft is refused at once.
+_LONGEST_EXPECTED_S = 0.25
 # A stream that broke off waits longer: its caller keeps listening.
 _RESUME_WAIT_S = 0.8
 # News of other daemons' load come this often.
@@ -63,13 +65,24 @@
             chain = self._find(work, need)
             if chain is not None:
                 return chain
-        if not self._may_come(work, need) or not self._line.join(place):
+        if self._waits_in_vain(place) or not self._may_come(work, need):
+            return None
+        if not self._line.join(place):
             return None
         try:
             return await self._wait(work, need, place)
         finally:
             self._line.leave(place)
 
+    def _waits_in_vain(self, place: Place) -> bool:
+        """Tell whether room is expected too late for a new draft."""
+        if not place.is_new:
+            return False
+        expected_s = self.returns.next_room_s(
+            len(self._line), self._clock.now_s()
+        )
+        return expected_s > _LONGEST_EXPECTED_S
+
     def retry_after_s(self, work: Work, need: DraftNeed) -> float:
         """Return when a refused caller may come back."""
         earliest_s = 0.0 if self._may_come(work, need) else _LAYERS_RETURN_S
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.answer_reader import AnswerEnd, AnswerPart
@@ -123,9 +124,17 @@
             work.avoided,
             now_s,
         )
-        chain = self._view.finder(pool.name).find(engines, need)
+        crossings = self._view.crossings(pool.name, pool.profile)
+        daemons = self._view.board.daemons(now_s) + 1
+        chain = self._view.finder(pool.name).find(
+            engines,
+            need,
+            may_cross=crossings.may_cross(daemons, now_s),
+        )
         if chain is None:
             return None
+        crossed = self._crossed(chain)
+        crossings.crossed(crossed, now_s)
         self._view.ledger.promise(work.room_key, chain, need.room_tokens)
         self._log.decided(
             'chain_chosen',
@@ -133,11 +142,19 @@
             room_tokens=round(need.room_tokens),
             engines=len(engines),
             avoided=sorted(work.avoided),
-            daemons_heard=self._view.board.daemons(now_s),
+            daemons_heard=daemons - 1,
+            crossings=crossed,
             chain=[f'{stage.target}={stage.layers}' for stage in chain],
         )
         return chain
 
+    def _crossed(self, chain: Chain) -> int:
+        """Return how often a chain passes from zone to zone."""
+        zones = [self._view.zone_of(stage.target) for stage in chain]
+        return sum(
+            1 for here, there in itertools.pairwise(zones) if here != there
+        )
+
     async def _run(
         self,
         work: Work,
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -1,4 +1,4 @@
-"""Reads the reports of all engines while this daemon leads."""
+"""Reads the reports of all engines while this daemon leads, or nobody does."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.membership.engine_health import EngineState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +21,8 @@
 _INTERVAL_S = 1.0
 # Changes of pace that are worth a line of the log.
 _CHANGE_FACTOR = 1.5
+# Reports lag behind the promises; less than this is no unknown load.
+_LEAST_UNKNOWN_SHARE = 0.1
 
 
 class EnginePolls:
@@ -53,9 +56,9 @@
         await self._periodic.stop()
 
     async def _read_all(self) -> None:
-        if not self._leads():
-            return
         now_s = self._clock.now_s()
+        if not self._leads() and self._view.board.has_leader(now_s):
+            return
         engines = [
             entry
             for entry in self._view.targets.all()
@@ -65,20 +68,35 @@
         await asyncio.gather(*(self._read(entry) for entry in engines))
 
     async def _read(self, entry: TargetEntry) -> None:
+        promised = self._view.promised_on(entry.name, self._clock.now_s())
         report = await self._calls.report(entry.address)
         if report is None:
             return
         now_s = self._clock.now_s()
-        before = self._view.paces.of(entry.name, now_s)
-        self._view.paces.reported(entry.name, report.slowness, now_s)
-        factor = max(1.0, report.slowness) / before
-        if factor > _CHANGE_FACTOR or factor < 1 / _CHANGE_FACTOR:
+        unknown = report.used_token_layers - promised
+        least = _LEAST_UNKNOWN_SHARE * report.total_token_layers
+        state = EngineState(
+            slowness=report.slowness,
+            unknown_token_layers=unknown if unknown > least else 0.0,
+        )
+        before = self._view.reports.of(entry.name, now_s)
+        self._view.reports.reported(entry.name, state, now_s)
+        if _is_news(before, state):
             self._log.decided(
-                'engine_pace',
+                'engine_state',
                 target=entry.name,
                 slowness=report.slowness,
-                before=before,
+                unknown_token_layers=state.unknown_token_layers,
                 used_token_layers=report.used_token_layers,
-                promised_fill=round(self._view.fill_of(entry.name, now_s), 3),
+                promised_token_layers=promised,
                 total_token_layers=report.total_token_layers,
             )
+
+
+def _is_news(before: EngineState, state: EngineState) -> bool:
+    """Tell whether a state differs enough for a line of the log."""
+    factor = max(1.0, state.slowness) / before.slowness
+    if factor > _CHANGE_FACTOR or factor < 1 / _CHANGE_FACTOR:
+        return True
+    had_unknown = before.unknown_token_layers > 0
+    return had_unknown != (state.unknown_token_layers > 0)
--- a/nutmegspoke/edge/layer_keeper.py
+++ b/nutmegspoke/edge/layer_keeper.py
@@ -12,7 +12,7 @@
 from nutmegspoke.engine_orders import OrderAnswer
 from nutmegspoke.metadata_store import StoredRow, Unavailable
 from nutmegspoke.placement.layer_changes import next_change
-from nutmegspoke.placement.layer_plan import Holder, plan_layers
+from nutmegspoke.placement.layer_plan import Holder, by_zone, plan_zone
 from nutmegspoke.placement.lease import (
     CommitLease,
     LeaseKeeper,
@@ -29,12 +29,16 @@
     from nutmegspoke.entry_host import ModelProfile, TargetEntry
     from nutmegspoke.layers import LayerRange
     from nutmegspoke.metadata_store import TableService
+    from nutmegspoke.placement.layer_plan import LayerPlan
 
 _STEP_S = 0.25
 # Engines list themselves over the first seconds; the plan waits for the last.
 _LIST_CALM_S = 1.5
 # A lease must outlast some slow answers of the store, and pass on soon.
 _LEASE = LeaseSettings(duration_s=2.4, renew_after_s=0.8, order_timeout_s=1.0)
+# An engine that crashed starts again about when its entry is gone: filling it
+# anew is quicker than changing others, which give up what they hold.
+_MOVE_DELAY_S = 2.0
 # Time in which a lost order may still be carried out, or a load end.
 _ORDER_LIMIT_S = 12.0
 # Orders that load at the same time slow each other down beyond this number.
@@ -178,26 +182,40 @@
         if self._settled == tuple(holders):
             return
         if all(holder.layers is None for holder in holders):
-            plan = plan_layers(holders, profile)
-        else:
-            plan = self._changes(holders, profile)
-        if not plan:
-            if not self._ordered:
-                self._settled = tuple(holders)
+            for members in by_zone(holders):
+                await self._order_all(live, plan_zone(members, profile))
             return
-        await asyncio.gather(
-            *(self._order(live[name], layers) for name, layers in plan.items()),
+        may_move = now_s - self._targets.changed_s > _MOVE_DELAY_S
+        plan = self._changes(holders, profile, may_move=may_move)
+        if may_move and not plan and not self._ordered:
+            self._settled = tuple(holders)
+        await self._order_all(live, plan)
+
+    async def _order_all(
+        self,
+        live: dict[str, TargetEntry],
+        plan: LayerPlan,
+    ) -> None:
+        orders = (
+            self._order(live[name], layers) for name, layers in plan.items()
         )
+        await asyncio.gather(*orders)
 
     def _changes(
         self,
         holders: list[Holder],
         profile: ModelProfile,
+        *,
+        may_move: bool,
     ) -> dict[str, LayerRange]:
         plan: dict[str, LayerRange] = {}
         present = {holder.name: holder for holder in holders}
         while len(plan) + len(self._ordered) < _MAX_LOADS:
-            change = next_change(tuple(present.values()), profile)
+            change = next_change(
+                tuple(present.values()),
+                profile,
+                may_move=may_move,
+            )
             if change is None or change.target in plan:
                 break
             plan[change.target] = change.layers
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -114,7 +114,7 @@
         for fault in news.faults:
             self._view.faults.heard_of(fault.target, fault.left_s, now_s)
         self._feed_versions.heard(news.feeds)
-        self._view.paces.heard(news.slowness, now_s)
+        self._view.reports.heard(news.reports, now_s)
         if news.lease is not None:
             self._leader.heard_lease(*news.lease)
 
@@ -158,7 +158,11 @@
             number=self._number,
             tables_version=self._view.version,
             promises={
-                engine: (round(promise.token_layers), promise.requests)
+                engine: (
+                    round(promise.token_layers),
+                    promise.requests,
+                    promise.firsts,
+                )
                 for engine, promise in promises.items()
             },
             faults=tuple(
@@ -169,13 +173,15 @@
             ),
             leads=self._leader.leads(),
             lease=self._leader.lease(),
-            slowness=self._slowness(now_s),
+            reports=self._reports(now_s),
             feeds={feed.table: feed.newest_change or 0 for feed in self._feeds},
             is_stopping=self.is_stopping,
         )
 
-    def _slowness(self, now_s: float) -> dict[str, float]:
-        return self._view.paces.slow(now_s) if self._leader.leads() else {}
+    def _reports(self, now_s: float) -> dict[str, tuple[float, float]]:
+        if not self._leader.leads():
+            return {}
+        return self._view.reports.unusual(now_s)
 
     def _send(self, datagram: bytes) -> None:
         if self._transport is None:
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -11,11 +11,12 @@
     RoomLedger,
     sum_promises,
 )
-from nutmegspoke.membership.engine_health import EnginePaces
+from nutmegspoke.membership.engine_health import EngineReports
 from nutmegspoke.membership.load_news import LoadBoard
 from nutmegspoke.membership.target_entries import TargetEntries
 from nutmegspoke.retries.target_faults import TargetFaults
 from nutmegspoke.retries.window_budget import WindowBudget, WindowSettings
+from nutmegspoke.routing.crossing_budget import CrossingBudget
 from nutmegspoke.routing.entry_routes import RouteIndex
 from nutmegspoke.routing.room_chains import ChainFinder, EngineLoad
 
@@ -50,10 +51,11 @@
         self.faults = TargetFaults()
         self.ledger = RoomLedger()
         self.board = LoadBoard()
-        self.paces = EnginePaces()
+        self.reports = EngineReports()
         self._budgets: dict[str, WindowBudget] = {}
         self._lengths: dict[str, AnswerLengths] = {}
         self._finders: dict[str, ChainFinder] = {}
+        self._crossings: dict[str, CrossingBudget] = {}
 
     def take_tables(self, tables: EntryTables) -> bool:
         """Serve by these tables from now on; ``False`` if they are old."""
@@ -99,6 +101,14 @@
         """Return how many daemons share the budgets, silent ones included."""
         return 1 + max(_MIN_OTHERS, self.board.hosts_known(now_s))
 
+    def crossings(self, pool: str, profile: ModelProfile) -> CrossingBudget:
+        """Return the budget for chains of a pool that cross zones."""
+        budget = self._crossings.get(pool)
+        if budget is None:
+            budget = CrossingBudget(profile)
+            self._crossings[pool] = budget
+        return budget
+
     def lengths(self, pool: str, profile: ModelProfile) -> AnswerLengths:
         """Return what is known of the lengths of a pool's answers."""
         lengths = self._lengths.get(pool)
@@ -129,6 +139,7 @@
             if self.faults.is_left_out(entry.name, now_s):
                 continue
             promise = promised.get(entry.name, NO_PROMISE)
+            state = self.reports.of(entry.name, now_s)
             held = len(entry.layers)
             loads.append(
                 EngineLoad(
@@ -141,9 +152,12 @@
                         entry.kind,
                         held,
                     ),
-                    used_token_layers=promise.token_layers,
+                    used_token_layers=(
+                        promise.token_layers + state.unknown_token_layers
+                    ),
                     requests=promise.requests,
-                    slowness=self.paces.of(entry.name, now_s),
+                    firsts=promise.firsts,
+                    slowness=state.slowness,
                 ),
             )
         return loads
@@ -173,9 +187,20 @@
             return 0.0
         held = len(entry.layers)
         total = pool.profile.room_token_layers(entry.kind, held)
+        unknown = self.reports.of(target, now_s).unknown_token_layers
+        used = self.promised_on(target, now_s) + unknown
+        return used / max(1.0, total)
+
+    def promised_on(self, target: str, now_s: float) -> float:
+        """Return the memory that daemons have promised on an engine."""
         own = self.ledger.promised().get(target, NO_PROMISE)
         others = self.board.promised(now_s).get(target, NO_PROMISE)
-        return own.plus(others).token_layers / max(1.0, total)
+        return own.plus(others).token_layers
+
+    def zone_of(self, target: str) -> str:
+        """Return the availability zone of a target."""
+        entry = self.targets.find(target)
+        return '' if entry is None else entry.availability_zone
 
     def name_at(self, address: str) -> str | None:
         """Return the name of the target at an address."""
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -164,6 +164,7 @@
     :param read_tokens_per_s: rate at which prompts are read.
     :param read_per_pair_s: added reading time for a pair of tokens.
     :param tokens_per_event: tokens in one event of a stream.
+    :param first_slots: requests that an engine takes as the first of a chain.
     :param load_s: time to load all layers.
     :param usual_prompt_tokens: mean length of a prompt.
     :param usual_answer_tokens: mean length of an answer.
@@ -182,6 +183,7 @@
     read_tokens_per_s: float
     read_per_pair_s: float
     tokens_per_event: int
+    first_slots: int
     load_s: float
     usual_prompt_tokens: float
     usual_answer_tokens: float
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -51,12 +51,14 @@
     :param started_ms: start of the daemon; tells two of its lives apart.
     :param number: rises with each news.
     :param tables_version: version of the tables that it serves by.
-    :param promises: token layers and requests promised, by engine.
+    :param promises: token layers, requests and first requests promised, by
+        engine.
     :param faults: targets that it avoids.
     :param offences: requests that crash targets.
     :param leads: it holds the lease on placement.
     :param lease: version and body of the lease row, if it leads.
-    :param slowness: engines that are slow, as the leader reads it.
+    :param reports: slowness and unknown load of engines that report such, as
+        the leader reads it.
     :param feeds: versions of the store that its feeds have read, by table.
     :param is_stopping: it takes no more requests.
     """
@@ -65,12 +67,12 @@
     started_ms: int
     number: int
     tables_version: int
-    promises: dict[str, tuple[float, int]]
+    promises: dict[str, tuple[float, int, int]]
     faults: tuple[TargetFault, ...] = ()
     offences: tuple[Offence, ...] = ()
     leads: bool = False
     lease: tuple[int, bytes] | None = None
-    slowness: dict[str, float] = {}
+    reports: dict[str, tuple[float, float]] = {}
     feeds: dict[str, int] = {}
     is_stopping: bool = False
 
--- a/nutmegspoke/placement/chain_capacity.py
+++ b/nutmegspoke/placement/chain_capacity.py
@@ -21,6 +21,8 @@
 
 # Chains tried at most: later ones are slow and short of room.
 _MAX_CHAINS = 24
+# Drafts put on a chain before the next is looked for.
+_AT_ONCE = 24
 
 
 def usual_need(profile: ModelProfile) -> DraftNeed:
@@ -50,12 +52,13 @@
         chain = finder.find(tuple(loads.values()), need)
         if chain is None:
             break
-        count = _fitting(chain, loads, need)
-        for stage in chain:
+        count = _fitting(chain, loads, need, profile)
+        for place, stage in enumerate(chain):
             loads[stage.target] = _filled(
                 loads[stage.target],
                 count,
                 need.room_tokens * len(stage.layers),
+                is_first=place == 0,
             )
         carried += count / _run_s(chain, loads, need, profile)
     return carried
@@ -83,23 +86,30 @@
     chain: Chain,
     loads: Mapping[str, EngineLoad],
     need: DraftNeed,
+    profile: ModelProfile,
 ) -> int:
     """Return how many drafts fit on a chain; at least the one found."""
-    return max(
-        1,
-        min(
-            int(loads[stage.target].free_token_layers)
-            // int(need.room_tokens * len(stage.layers))
-            for stage in chain
-        ),
+    fitting = min(
+        int(loads[stage.target].free_token_layers)
+        // int(need.room_tokens * len(stage.layers))
+        for stage in chain
     )
+    places = profile.first_slots - loads[chain[0].target].firsts
+    return max(1, min(fitting, places, _AT_ONCE))
 
 
-def _filled(load: EngineLoad, count: int, token_layers: float) -> EngineLoad:
+def _filled(
+    load: EngineLoad,
+    count: int,
+    token_layers: float,
+    *,
+    is_first: bool,
+) -> EngineLoad:
     return dataclasses.replace(
         load,
         used_token_layers=load.used_token_layers + count * token_layers,
         requests=load.requests + count,
+        firsts=load.firsts + (count if is_first else 0),
     )
 
 
--- a/nutmegspoke/placement/layer_changes.py
+++ b/nutmegspoke/placement/layer_changes.py
@@ -23,8 +23,11 @@
 
 # Parts of an engine's memory that may be filled with layers.
 _FILL_SHARES = (0.5, 0.7, 0.9)
-# An engine in work is changed only if its zone then carries so much more.
-_MOVE_GAIN = 1.25
+# An engine in work is changed only if its zone then carries so many times
+# more.
+_GAP_GAIN = 1.1
+# Engines beside those next to a gap for which changes are tried.
+_MAX_MOVABLE = 6
 # Drafts a second that a layer without holder is taken to cost, so that of two
 # gaps one can be closed first.
 _GAP_COST = 0.5
@@ -41,20 +44,23 @@
 def next_change(
     holders: Sequence[Holder],
     profile: ModelProfile,
+    *,
+    may_move: bool = True,
 ) -> LayerChange | None:
     """Return the change that helps most; ``None`` if none is worth it.
 
     Empty engines are filled first. An engine in work is changed only if its
-    zone then carries clearly more.
+    zone has a layer that nobody holds, and then carries clearly more.
 
     :param holders: live engines, with the layers held or ordered.
+    :param may_move: whether engines in work may be changed.
     """
     zones = by_zone(holders)
     for members in zones:
         change = _fill(members, profile)
         if change is not None:
             return change
-    for members in zones:
+    for members in zones if may_move else ():
         change = _move(members, profile)
         if change is not None:
             return change
@@ -86,21 +92,71 @@
     members: list[Holder],
     profile: ModelProfile,
 ) -> LayerChange | None:
-    """Move an engine of a zone with a gap, if that is worth it."""
-    if min(held_room(members, profile), default=1.0) > 0:
-        return None
+    """Change an engine in work, if its zone carries clearly more.
+
+    What the zone carries while the layers load counts as much as what it
+    carries afterwards: an engine keeps only what it holds before and after.
+    """
+    room = held_room(members, profile)
     present = _value(members, profile)
+    if _first_gap(room) is None:
+        return None
     best: LayerChange | None = None
-    best_value = present * _MOVE_GAIN if present > 0 else present + _GAP_COST
-    for holder in members:
+    best_value = max(present, present * _GAP_GAIN)
+    for holder in _movable(members, room):
         others = [one for one in members if one is not holder]
-        for layers in _windows(holder, others, profile):
-            value = _value([*others, _holding(holder, layers)], profile)
+        for layers in set(_windows(holder, others, profile)):
+            value = _move_value(holder, others, layers, profile)
             if value > best_value:
                 best, best_value = LayerChange(holder.name, layers), value
     return best
 
 
+def _move_value(
+    holder: Holder,
+    others: list[Holder],
+    layers: LayerRange,
+    profile: ModelProfile,
+) -> float:
+    kept = _common(holder.layers, layers)
+    during = others if kept is None else [*others, _holding(holder, kept)]
+    after = [*others, _holding(holder, layers)]
+    return (_value(during, profile) + _value(after, profile)) / 2
+
+
+def _movable(members: list[Holder], room: Sequence[float]) -> list[Holder]:
+    """Return the engines next to a gap, and those that are missed least."""
+    gap = _first_gap(room)
+    near: list[Holder] = []
+    if gap is not None:
+        near = [
+            holder
+            for holder in members
+            if holder.layers is not None
+            and (
+                holder.layers.stop == gap.start
+                or holder.layers.start == gap.stop
+            )
+        ]
+    held = [one for one in members if one.layers is not None]
+    by_need = sorted(
+        held,
+        key=lambda one: need_of(room, one.layers) / len(one.layers),
+    )
+    return near + [one for one in by_need[:_MAX_MOVABLE] if one not in near]
+
+
+def _common(
+    before: LayerRange | None,
+    after: LayerRange,
+) -> LayerRange | None:
+    if before is None:
+        return None
+    start = max(before.start, after.start)
+    stop = min(before.stop, after.stop)
+    return LayerRange(start, stop) if start < stop else None
+
+
 def _windows(
     holder: Holder,
     others: list[Holder],
@@ -111,8 +167,17 @@
     for share in _FILL_SHARES:
         yield neediest(room, copy_layers(holder.kind, profile, share))
     gap = _first_gap(room)
-    if gap is not None and len(gap) <= profile.max_layers(holder.kind):
-        yield gap
+    if gap is None:
+        return
+    spanned = gap
+    if holder.layers is not None:
+        spanned = LayerRange(
+            min(gap.start, holder.layers.start),
+            max(gap.stop, holder.layers.stop),
+        )
+    for layers in (gap, spanned):
+        if len(layers) <= profile.max_layers(holder.kind):
+            yield layers
 
 
 def _first_gap(room: Sequence[float]) -> LayerRange | None:
--- a/nutmegspoke/placement/layer_plan.py
+++ b/nutmegspoke/placement/layer_plan.py
@@ -27,7 +27,13 @@
 # in some seconds, and comes several times in a minute of trouble.
 _LOSS_WEIGHT = 0.33
 # Losses tried for each plan, spread over the zone's engines.
-_MAX_LOSSES = 6
+_MAX_LOSSES = 5
+# Plans that carry most while whole, which are then tried with losses.
+_FINALISTS = 8
+# Rows that a zone may have beside its copies.
+MAX_ROWS = 4
+# Numbers of engines in rows that are tried, besides whole kinds.
+_MAX_LENGTHS = 8
 # Parts of an engine's memory that second copies may fill.
 _COPY_SHARES = (0.6, 0.85)
 # A layer that nobody holds counts like one with room for so many tokens.
@@ -57,7 +63,7 @@
     """Return a plan for engines that hold nothing yet."""
     plan: LayerPlan = {}
     for members in by_zone(holders):
-        plan.update(_best_of_zone(members, profile))
+        plan.update(plan_zone(members, profile))
     return plan
 
 
@@ -83,22 +89,25 @@
 def zone_room(
     held: Iterable[tuple[LayerRange, float]],
     layer_count: int,
-) -> list[float]:
+) -> list[int]:
     """Return the tokens that fit in each layer.
 
+    Whole tokens are counted: rests of fractions would hide a layer that
+    nobody holds.
+
     :param held: layers of each engine, with the tokens that fit there.
     """
-    steps = [0.0 for _ in range(layer_count + 1)]
+    steps = [0 for _ in range(layer_count + 1)]
     for layers, tokens in held:
-        steps[layers.start] += tokens
-        steps[layers.stop] -= tokens
+        steps[layers.start] += int(tokens)
+        steps[layers.stop] -= int(tokens)
     return list(itertools.accumulate(steps[:layer_count]))
 
 
 def held_room(
     holders: Iterable[Holder],
     profile: ModelProfile,
-) -> list[float]:
+) -> list[int]:
     """Return the tokens that fit in each layer with the engines given."""
     held = [
         (
@@ -138,37 +147,71 @@
     return max(1, int(profile.max_layers(kind) * share))
 
 
-def _best_of_zone(
-    members: list[Holder],
+def plan_zone(
+    members: Sequence[Holder],
     profile: ModelProfile,
 ) -> LayerPlan:
-    options = list(_zone_options(members, profile))
+    """Return a plan for the engines of one availability zone."""
+    options = sorted(
+        _zone_options(members, profile),
+        key=lambda plan: drafts_per_s(members, plan, profile),
+    )
     if not options:
         return _copies(members, {}, profile, max(_COPY_SHARES))
     return max(
-        options,
+        options[-_FINALISTS:],
         key=lambda plan: plan_value(members, plan, profile),
     )
 
 
 def _zone_options(
-    members: list[Holder],
+    members: Sequence[Holder],
     profile: ModelProfile,
 ) -> Iterator[LayerPlan]:
     by_pace = sorted(
         members,
         key=lambda one: (profile.kinds[one.kind].step_factor, one.name),
     )
+    for length in _row_lengths(by_pace):
+        for row_count in range(1, MAX_ROWS + 1):
+            rows = _rows(by_pace[:length], row_count, profile)
+            if rows is None:
+                break
+            for share in _COPY_SHARES:
+                yield _copies(by_pace[length:], rows, profile, share, members)
+
+
+def _row_lengths(by_pace: Sequence[Holder]) -> Iterator[int]:
+    """Return how many engines may go into rows, the quickest first."""
+    step = max(1, len(by_pace) // _MAX_LENGTHS)
     for length in range(1, len(by_pace) + 1):
-        kinds_end = (
-            length < len(by_pace)
-            and by_pace[length - 1].kind == by_pace[length].kind
+        is_last_of_kind = (
+            length == len(by_pace)
+            or by_pace[length - 1].kind != by_pace[length].kind
         )
-        row = _row_plan(by_pace[:length], profile)
-        if row is None or (kinds_end and length % 2):
-            continue
-        for share in _COPY_SHARES:
-            yield _copies(by_pace[length:], row, profile, share, members)
+        if is_last_of_kind or not length % step:
+            yield length
+
+
+def _rows(
+    engines: Sequence[Holder],
+    row_count: int,
+    profile: ModelProfile,
+) -> LayerPlan | None:
+    """Return so many rows of like memory; ``None`` if they don't fit."""
+    rows: list[list[Holder]] = [[] for _ in range(row_count)]
+    weights = [0.0 for _ in rows]
+    for holder in sorted(engines, key=lambda one: -_memory(one, profile)):
+        lightest = weights.index(min(weights))
+        rows[lightest].append(holder)
+        weights[lightest] += _memory(holder, profile)
+    plan: LayerPlan = {}
+    for row in rows:
+        part = _row_plan(row, profile)
+        if part is None:
+            return None
+        plan.update(part)
+    return plan
 
 
 def _copies(
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -77,6 +77,8 @@
     # For a million pairs of a token and an earlier one.
     pairs_per_m: float
     kv_bytes: float
+    # Bounds only what an engine receives as the first of a chain.
+    slots: int = 96
     stride: int = 1
     layers: int = 1
     layer_mb: float = 0
@@ -197,6 +199,7 @@
         read_tokens_per_s=engine.read_per_s,
         read_per_pair_s=engine.pairs_per_m / _MS_PER_S / _PER_MILLION,
         tokens_per_event=max(1, engine.stride),
+        first_slots=max(1, engine.slots),
         load_s=model.load_s,
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -1,7 +1,7 @@
 """Puts chains of engines together by the room they have and by their pace.
 
 An engine may run any part of the layers it holds: a chain enters it at any of
-these and stays to the last.
+these, and stays to the last unless the engine fills up.
 """
 
 from __future__ import annotations
@@ -25,8 +25,14 @@
 _REMOTE_START_S = 0.05
 # Part of a pass that a request waits for on a busy engine.
 _PASS_WAIT = 0.5
+# Added time for an engine that has no place left for first requests.
+_SLOT_WEIGHT_S = 1.0
 # Added time for a full engine, as a share of its own time: spreads load.
 _FILL_WEIGHT = 1.0
+# Fill from which on a chain may leave an engine before its last layer.
+_EARLY_FILL = 0.5
+# Time that each stage adds to a draft: a delay for each of its tokens.
+_HOP_S = 0.05
 # Share of an engine's room that may be promised to requests.
 FILL_LIMIT = 0.97
 
@@ -60,6 +66,7 @@
     :param total_token_layers: memory for requests.
     :param used_token_layers: memory promised to requests.
     :param requests: requests that pass through it.
+    :param firsts: those of them whose chain begins here.
     :param slowness: 1 is the usual pace, more is slower.
     """
 
@@ -71,6 +78,7 @@
     total_token_layers: float
     used_token_layers: float = 0.0
     requests: int = 0
+    firsts: int = 0
     slowness: float = 1.0
 
     @property
@@ -105,15 +113,13 @@
             + profile.step_per_context_token_s * context_tokens
         )
         wait = 1 + _PASS_WAIT * min(1.0, writers)
+        step_s *= self.accelerator.step_factor
         prompt = need.prompt_tokens
         read_s = (
             prompt / profile.read_tokens_per_s
             + profile.read_per_pair_s * prompt * prompt / 2
-        )
-        run_s = (
-            need.answer_tokens * step_s * self.accelerator.step_factor * wait
-            + read_s * self.accelerator.read_factor
-        )
+        ) * self.accelerator.read_factor
+        run_s = need.answer_tokens * step_s * wait + read_s
         return share * run_s * self.slowness
 
     def cost_s(
@@ -154,16 +160,23 @@
         """Use a profile."""
         self._profile = profile
         self._home_zone = home_zone
+        self._may_cross = True
+        self._starts: list[int] = []
 
     def find(
         self,
         engines: Sequence[EngineLoad],
         need: DraftNeed,
+        *,
+        may_cross: bool = True,
     ) -> Chain | None:
         """Return the cheapest chain with room; ``None`` without one.
 
         :param engines: engines that may be used.
+        :param may_cross: whether the chain may pass from zone to zone.
         """
+        self._may_cross = may_cross
+        self._starts = sorted({engine.layers.start for engine in engines})
         layer_count = self._profile.layer_count
         borders = _borders(engines, layer_count)
         paths: dict[int, dict[str, _Path]] = {}
@@ -190,15 +203,35 @@
         if origin is None:
             return
         cost_s, stages = origin
-        stop = min(engine.layers.stop, self._profile.layer_count)
-        if not engine.fits(need, stop - border):
-            return
         zone = engine.availability_zone
-        total_s = cost_s + engine.cost_s(need, stop - border, self._profile)
-        reached = paths.setdefault(stop, {})
-        if zone not in reached or total_s < reached[zone].cost_s:
-            stage = (engine, border, stop)
-            reached[zone] = _Path(total_s, (*stages, stage))
+        for stop in self._stops(border, engine):
+            if not engine.fits(need, stop - border):
+                continue
+            total_s = (
+                cost_s
+                + _HOP_S
+                + engine.cost_s(
+                    need,
+                    stop - border,
+                    self._profile,
+                )
+            )
+            reached = paths.setdefault(stop, {})
+            if zone not in reached or total_s < reached[zone].cost_s:
+                stage = (engine, border, stop)
+                reached[zone] = _Path(total_s, (*stages, stage))
+
+    def _stops(self, border: int, engine: EngineLoad) -> list[int]:
+        """Return where a chain may leave an engine.
+
+        An engine with room runs all layers that it holds from the border on;
+        one that fills up is left wherever another one can take over.
+        """
+        end = min(engine.layers.stop, self._profile.layer_count)
+        if engine.used_token_layers < _EARLY_FILL * engine.total_token_layers:
+            return [end]
+        inner = [stop for stop in self._starts if border < stop < end]
+        return [*inner, end]
 
     def _origin(
         self,
@@ -210,18 +243,28 @@
         """Return the cheapest way to the engine's first layer."""
         zone = engine.availability_zone
         if border == 0:
-            return (0.0 if zone == self._home_zone else _REMOTE_START_S), ()
+            if engine.firsts >= self._profile.first_slots:
+                return None
+            return self._start_s(engine), ()
         crossing_s = self._crossing_s(need)
         costs = [
             (path.cost_s + (0.0 if path.zone == zone else crossing_s), path)
             for path in known
             if not path.visits(engine)
+            and (self._may_cross or path.zone == zone)
         ]
         if not costs:
             return None
         cost_s, path = min(costs, key=lambda pair: pair[0])
         return cost_s, path.stages
 
+    def _start_s(self, engine: EngineLoad) -> float:
+        """Return what it costs to begin a chain at an engine."""
+        is_home = engine.availability_zone == self._home_zone
+        taken = engine.firsts / self._profile.first_slots
+        slot_s = _SLOT_WEIGHT_S * taken**2
+        return slot_s + (0.0 if is_home else _REMOTE_START_S)
+
     def _crossing_s(self, need: DraftNeed) -> float:
         rate = self._profile.zone_link_bytes_per_s
         if rate <= 0:
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -51,6 +51,7 @@
         read_tokens_per_s=100_000.0,
         read_per_pair_s=3e-10,
         tokens_per_event=3,
+        first_slots=96,
         load_s=14.0,
         usual_prompt_tokens=770.0,
         usual_answer_tokens=200.0,
--- a/tests/placement/test_layer_plan.py
+++ b/tests/placement/test_layer_plan.py
@@ -115,6 +115,17 @@
         self.assertEqual(share_layers([2.0, 1.0], [3, 9], 8), [3, 5])
         self.assertIsNone(share_layers([1.0], [7], 8))
 
+    def test_a_gap_is_exactly_empty(self) -> None:
+        """Seen on the bench: fractions of tokens hid a lost range."""
+        held = [
+            build.holder(f'h{start}', held=(start, start + 11))
+            for start in (0, 19, 30, 41)
+        ]
+        held.append(build.holder('s', build.SLOW, held=(50, 57)))
+        room = held_room(held, build.profile())
+        self.assertEqual(set(room[11:19]), {0})
+        self.assertEqual(set(room[57:]), {0})
+
     def test_neediest_window(self) -> None:
         """The window lies where room is shortest."""
         room = [100.0] * 10 + [0.0] * 4 + [100.0] * 6
--- /dev/null
+++ b/tests/routing/test_crossing_budget.py
@@ -0,0 +1,47 @@
+"""Tests of the bound on prompts that cross zones."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.routing.crossing_budget import CrossingBudget
+from nutmegspoke.routing.room_chains import ChainFinder
+from tests import builders_edge as build
+
+
+class CrossingBudgetTest(unittest.TestCase):
+    """Pattern: a zone lacks layers, and all its drafts would cross."""
+
+    def test_all_daemons_stay_below_the_link(self) -> None:
+        """Nine daemons that cross whenever they may fill under half of it."""
+        profile = build.profile()
+        budgets = [CrossingBudget(profile) for _ in range(9)]
+        crossed = 0
+        for step in range(2_000):
+            now_s = step / 100
+            for budget in budgets:
+                if budget.may_cross(len(budgets), now_s):
+                    budget.crossed(1, now_s)
+                    crossed += 1
+        moved = crossed * profile.usual_prompt_tokens * 90_000.0
+        self.assertLess(moved, 0.5 * 20 * profile.zone_link_bytes_per_s)
+        self.assertGreater(crossed, 100)
+
+    def test_a_chain_with_two_crossings_counts_twice(self) -> None:
+        """What is spent beyond the budget is paid back first."""
+        budget = CrossingBudget(build.profile())
+        self.assertTrue(budget.may_cross(100, 0.0))
+        budget.crossed(40, 0.0)
+        self.assertFalse(budget.may_cross(100, 1.0))
+
+    def test_no_chain_instead_of_a_crossing(self) -> None:
+        """Without budget only chains within a zone are found."""
+        finder = ChainFinder(build.profile(), 'a')
+        engines = [
+            build.load('x', (0, 40)),
+            build.load('f', (40, 80), zone='b'),
+        ]
+        self.assertIsNone(
+            finder.find(engines, build.need(), may_cross=False),
+        )
+        self.assertIsNotNone(finder.find(engines, build.need()))
