--- a/nutmegspoke/placement/layer_plan.py
+++ b/nutmegspoke/placement/layer_plan.py
@@ -199,14 +199,8 @@
     profile: ModelProfile,
 ) -> LayerPlan | None:
     """Return so many rows of like memory; ``None`` if they don't fit."""
-    rows: list[list[Holder]] = [[] for _ in range(row_count)]
-    weights = [0.0 for _ in rows]
-    for holder in sorted(engines, key=lambda one: -_memory(one, profile)):
-        lightest = weights.index(min(weights))
-        rows[lightest].append(holder)
-        weights[lightest] += _memory(holder, profile)
     plan: LayerPlan = {}
-    for row in rows:
+    for row in _split_evenly(engines, row_count, profile):
         part = _row_plan(row, profile)
         if part is None:
             return None
@@ -214,6 +208,25 @@
     return plan
 
 
+def _split_evenly(
+    engines: Sequence[Holder],
+    row_count: int,
+    profile: ModelProfile,
+) -> list[list[Holder]]:
+    rows: list[list[Holder]] = [[] for _ in range(row_count)]
+    weights = [0.0 for _ in rows]
+    by_memory = sorted(
+        engines,
+        key=lambda one: _memory(one, profile),
+        reverse=True,
+    )
+    for holder in by_memory:
+        lightest = weights.index(min(weights))
+        rows[lightest].append(holder)
+        weights[lightest] += _memory(holder, profile)
+    return rows
+
+
 def _copies(
     spare: Sequence[Holder],
     row: LayerPlan,
--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -113,19 +113,19 @@
         call = await request.json()
         wanted = call['precondition']
         for row in wanted:
-            found = self._rows.get((row['table'], row['key']), (0, ''))
+            found = self._rows.get(_place(row), (0, ''))
             if found[0] != row['ver']:
                 rows = [
-                    self._row(one['table'], one['key'])
+                    self._row(*_place(one))
                     for one in wanted
-                    if (one['table'], one['key']) in self._rows
+                    if _place(one) in self._rows
                 ]
                 return self._answer(rows, status=_CONFLICT)
         self._version += 1
         for row in call['writes']:
-            self._apply(row['table'], row['key'], row['value'])
+            self._apply(*_place(row), row['value'])
         for row in call['remove']:
-            self._apply(row['table'], row['key'], None)
+            self._apply(*_place(row), None)
         await self._tell()
         return web.json_response({'ver': self._version, 'now_ms': 0})
 
@@ -181,3 +181,8 @@
             },
             status=status,
         )
+
+
+def _place(row: dict[str, Any]) -> tuple[str, str]:
+    """Return where a row of a call lies: its table and key."""
+    return row['table'], row['key']
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -138,13 +138,13 @@
         own: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> bool:
-        body = b'record of ' + self.name.encode()
+        body = b'record of %s' % self.name.encode()
         if not self.faults.without_length:
             return await _write(writer, 200, own, body)
         head = ''.join(f'{name}: {text}\r\n' for name, text in own.items())
         if self.faults.resets:
             body = body[:4]
-        writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode() + body)
+        writer.write(b'HTTP/1.1 200 OK\r\n%s\r\n%s' % (head.encode(), body))
         await writer.drain()
         if self.faults.resets:
             reset = struct.pack('ii', 1, 0)
@@ -226,25 +226,26 @@
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     first, *lines = head.strip().split('\r\n')
     method, path, _ = first.split(' ')
-    headers = {}
-    for line in lines:
-        name, _, text = line.partition(':')
-        headers[name.strip().lower()] = text.strip()
+    headers = dict(_header(line) for line in lines)
     body = await reader.readexactly(int(headers.get('content-length', '0')))
     return SeenRequest(method, path, headers, body)
 
 
+def _header(line: str) -> tuple[str, str]:
+    name, _, text = line.partition(':')
+    return name.strip().lower(), text.strip()
+
+
 async def _write(
     writer: asyncio.StreamWriter,
     status: int,
     headers: dict[str, str],
     body: bytes,
 ) -> bool:
-    head = ''.join(f'{name}: {text}\r\n' for name, text in headers.items())
+    framed = {**headers, 'Content-Length': str(len(body))}
+    head = ''.join(f'{name}: {text}\r\n' for name, text in framed.items())
     writer.write(
-        f'HTTP/1.1 {status} X\r\n{head}'
-        f'Content-Length: {len(body)}\r\n\r\n'.encode()
-        + body,
+        b'HTTP/1.1 %d X\r\n%s\r\n%s' % (status, head.encode(), body),
     )
     await writer.drain()
     return True
--- /dev/null
+++ b/tests/edge/test_http_server.py
@@ -0,0 +1,129 @@
+"""Tests of callers' connections: limits, order and cuts."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.http_server import ConnectionSet, listen
+from nutmegspoke.entry_host import CallerLimits
+
+if TYPE_CHECKING:
+    from nutmegspoke.edge.http_server import Answer
+    from nutmegspoke.forwarded import CallerRequest
+
+_LIMITS = CallerLimits(
+    max_header_bytes=200,
+    max_body_bytes=50,
+    header_timeout_s=0.1,
+    idle_timeout_s=0.2,
+)
+
+
+class _Echo:
+    def __init__(self) -> None:
+        self.seen: list[CallerRequest] = []
+        self.cancelled = 0
+
+    async def handle(self, request: CallerRequest, answer: Answer) -> None:
+        self.seen.append(request)
+        if request.url == b'/wait':
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        if request.url == b'/cut':
+            await answer.begin(200, [], None)
+            await answer.send(b'half')
+            answer.cut()
+            return
+        await answer.whole(200, [], request.body or request.url)
+
+
+class HttpServerTest(unittest.IsolatedAsyncioTestCase):
+    """Speaks HTTP with a caller byte by byte."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen with narrow limits."""
+        self.echo = _Echo()
+        self.connections = ConnectionSet(self.echo)
+        self.connections.limits = _LIMITS
+        server = await listen(self.connections.connect, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _send(self, sent: bytes) -> bytes:
+        """Send bytes and read until the connection ends."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(sent)
+        try:
+            return await asyncio.wait_for(reader.read(), 10.0)
+        finally:
+            writer.close()
+
+    async def test_requests_ahead_are_answered_in_order(self) -> None:
+        """A caller may send the next before the answer."""
+        sent = b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n'
+        got = await self._send(sent)
+        self.assertLess(got.index(b'/a'), got.index(b'/b'))
+
+    async def test_chunked_bodies(self) -> None:
+        """A body in chunks arrives whole."""
+        got = await self._send(
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n',
+        )
+        self.assertTrue(got.endswith(b'abcde'), got)
+
+    async def test_limits(self) -> None:
+        """Too much of a head or body is refused, as is what is no HTTP."""
+        cases = (
+            (b'GET / HTTP/1.1\r\nA: %s\r\n\r\n' % (b'x' * 300), b'431'),
+            (
+                b'POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n' + b'x' * 60,
+                b'413',
+            ),
+            (b'\x00\x01\x02\r\n\r\n', b'400'),
+            (
+                b'POST / HTTP/1.1\r\nContent-Length: 1\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+                b'400',
+            ),
+        )
+        for sent, status in cases:
+            with self.subTest(status):
+                got = await self._send(sent)
+                self.assertIn(b'HTTP/1.1 ' + status, got)
+        self.assertEqual(self.echo.seen, [])
+
+    async def test_slow_and_idle_callers_are_closed(self) -> None:
+        """A head that does not come, and a connection not used."""
+        self.assertEqual(await self._send(b'GET / HT'), b'')
+        self.assertEqual(await self._send(b''), b'')
+
+    async def test_a_cut_answer_has_no_end(self) -> None:
+        """The caller can tell that the answer is not whole."""
+        with self.assertRaises(ConnectionError):
+            got = await self._send(b'GET /cut HTTP/1.1\r\n\r\n')
+            self.assertNotIn(b'0\r\n\r\n', got)
+            raise ConnectionError
+
+    async def test_a_caller_that_leaves_cancels(self) -> None:
+        """The handler learns of it at once."""
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(b'GET /wait HTTP/1.1\r\n\r\n')
+        async with asyncio.timeout(10.0):
+            while not self.echo.seen:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while not self.echo.cancelled:
+                await asyncio.sleep(0.01)
+
+    async def test_stopping_closes_after_the_answer(self) -> None:
+        """Seen on the bench: a kept connection took requests to the end."""
+        self.connections.is_stopping = True
+        got = await self._send(b'GET /a HTTP/1.1\r\n\r\n')
+        self.assertIn(b'Connection: close', got)
+        self.assertEqual(self.connections.busy(), 0)
--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,123 @@
+"""The store's client before a stand-in that speaks the published protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+
+from nutmegspoke.bench.ports import free_ports
+from nutmegspoke.metadata_store import (
+    Committed,
+    Condition,
+    Conflict,
+    HistoryLost,
+    InDoubt,
+    StoredRow,
+    TableChanges,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from nutmegspoke.platform.store_client import StoreClient, new_session
+from nutmegspoke.standins.row_store import RowStore
+
+_KEY = 'lease/layers'
+
+
+def _write(body: bytes, version: int | None = None) -> Transaction:
+    conditions = () if version is None else (Condition(_KEY, version),)
+    return Transaction(conditions, (Write(_KEY, body),))
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    """Reads, transactions and feeds, with their failures."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve an empty store."""
+        self.store = RowStore()
+        (port,) = free_ports(1)
+        runner = web.AppRunner(
+            self.store.app(),
+            access_log=None,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        session = new_session()
+        self.addAsyncCleanup(session.close)
+        self.client = StoreClient(f'127.0.0.1:{port}', session)
+
+    async def test_reads_what_was_written(self) -> None:
+        """An absent row has version 0, and its neighbour is not it."""
+        await self.store.put('lease', 'layerss', b'other')
+        self.assertEqual(await self.client.read(_KEY), StoredRow(_KEY, 0))
+        done = await self.client.commit(_write(b'\x00\xff', 0))
+        assert isinstance(done, Committed)
+        self.assertEqual(await self.client.read(_KEY), done.rows[0])
+        self.assertEqual(done.rows[0].body, b'\x00\xff')
+
+    async def test_a_conflict_tells_the_rows(self) -> None:
+        """Both a present and an absent row are told as they are."""
+        await self.store.put('lease', 'layers', b'a')
+        result = await self.client.commit(_write(b'b', 0))
+        assert isinstance(result, Conflict)
+        self.assertEqual(result.rows, (StoredRow(_KEY, 1, b'a'),))
+        missing = Transaction(
+            (Condition('lease/none', 7),),
+            (Write(_KEY, b'b'),),
+        )
+        result = await self.client.commit(missing)
+        assert isinstance(result, Conflict)
+        self.assertEqual(result.rows, (StoredRow('lease/none', 0),))
+
+    async def test_a_lost_answer_leaves_a_doubt(self) -> None:
+        """The write may have been done, and here it was."""
+        self.store.faults.loses_answers = True
+        result = await self.client.commit(_write(b'a', 0))
+        self.assertIsInstance(result, InDoubt)
+        self.assertEqual(self.store.body('lease', 'layers'), b'a')
+
+    async def test_a_refusal_leaves_none(self) -> None:
+        """503 says that nothing was done."""
+        self.store.faults.refuses = True
+        result = await self.client.commit(_write(b'a', 0))
+        self.assertIsInstance(result, Unavailable)
+        self.assertIsInstance(await self.client.read(_KEY), Unavailable)
+
+    async def test_a_drop_is_a_write_without_body(self) -> None:
+        """The row is gone, and its feed tells."""
+        await self.store.put('lease', 'layers', b'a')
+        drop = Transaction((Condition(_KEY, 1),), (Write(_KEY, None),))
+        self.assertIsInstance(await self.client.commit(drop), Committed)
+        told = await self.client.changes('lease', 1, 1.0)
+        self.assertEqual(told, TableChanges(2, (), ('layers',), 2))
+
+    async def test_a_feed_waits_for_a_change(self) -> None:
+        """Changes of other tables don't end the wait."""
+        waiting = asyncio.create_task(self.client.changes('lease', 0, 10.0))
+        await asyncio.sleep(0)
+        await self.store.put('other', 'x', b'')
+        await self.store.put('lease', 'layers', b'a')
+        told = await waiting
+        assert isinstance(told, TableChanges)
+        self.assertEqual(told.rows, (StoredRow(_KEY, 2, b'a'),))
+        self.assertEqual(told.newest_change, 2)
+
+    async def test_lost_history(self) -> None:
+        """A feed that asks for forgotten changes must list anew."""
+        await self.store.put('lease', 'layers', b'a')
+        self.store.forget_history()
+        told = await self.client.changes('lease', 0, 1.0)
+        self.assertIsInstance(told, HistoryLost)
+
+    async def test_a_long_table_comes_in_pages(self) -> None:
+        """Each row comes once, with the version of the first page."""
+        for number in range(620):
+            await self.store.put('servers', f'{number:04}', b'x')
+        listed = await self.client.snapshot('servers')
+        assert isinstance(listed, TableChanges)
+        self.assertEqual(len({row.key for row in listed.rows}), 620)
+        self.assertEqual(listed.version, 620)
