Weigh changes of layers over the time that they take; widen bottlenecks

An engine that is given other layers lists none until they are loaded, eight seconds for a quick one; one that keeps its layers and adds some serves on. Changes now count the drafts of the next ten seconds, loading included, and a zone without a gap may be changed too if it then carries half as much more.

Feeds gather longer where daemons are many.

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -198,7 +198,14 @@
             (DAEMONS_TABLE, self._daemons),
         )
         return [
-            TableFollower(name, parts.store, listener, self._log, self._clock)
+            TableFollower(
+                name,
+                parts.store,
+                listener,
+                lambda: len(self._daemons.addresses),
+                self._log,
+                self._clock,
+            )
             for name, listener in listeners
         ]
 
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -10,6 +10,8 @@
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.metadata_store import ChangeFeed
@@ -19,10 +21,19 @@
 # Longest wait for a change. A feed that goes silent is noticed sooner, by the
 # news of daemons whose feed has not.
 FEED_WAIT_S = 10.0
-# Pause after changes, so that several that come together cost one call.
-_GATHER_S = 0.2
+# Pause after changes, so that several that come together cost one call: more
+# with more daemons, whose calls add up, and short against the time to drain.
+_GATHER_PER_DAEMON_S = 0.02
+_LEAST_GATHER_S = 0.2
+_MOST_GATHER_S = 1.0
 # Pauses after a failed call: the first short, as a call may fail by chance.
-_PAUSES_S = (0.05, 0.2, 0.5)
+_PAUSES_S = (0.05, 0.2, 0.5, 1.0)
+
+
+def gather_s(daemons: int) -> float:
+    """Return the pause between two calls that bring changes."""
+    wanted_s = _GATHER_PER_DAEMON_S * daemons
+    return min(_MOST_GATHER_S, max(_LEAST_GATHER_S, wanted_s))
 
 
 class TableListener(Protocol):
@@ -45,6 +56,7 @@
     """Keeps a listener up to date with one table.
 
     :param table: name of the table.
+    :param daemons: tells how many daemons follow tables.
     """
 
     def __init__(
@@ -52,10 +64,12 @@
         table: str,
         feed: ChangeFeed,
         listener: TableListener,
+        daemons: Callable[[], int],
         log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Prepare to follow."""
+        self._daemons = daemons
         self.table = table
         self._feed = feed
         self._listener = listener
@@ -100,7 +114,7 @@
                     FEED_WAIT_S,
                 )
             if self._take(read):
-                await asyncio.sleep(_GATHER_S)
+                await asyncio.sleep(gather_s(self._daemons()))
             else:
                 last = len(_PAUSES_S)
                 await asyncio.sleep(_PAUSES_S[min(self._failures, last) - 1])
--- a/nutmegspoke/edge/layer_keeper.py
+++ b/nutmegspoke/edge/layer_keeper.py
@@ -11,7 +11,7 @@
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.engine_orders import OrderAnswer
 from nutmegspoke.metadata_store import StoredRow, Unavailable
-from nutmegspoke.placement.layer_changes import next_change
+from nutmegspoke.placement.layer_changes import next_change, zones_with_gaps
 from nutmegspoke.placement.layer_plan import Holder, by_zone, plan_zone
 from nutmegspoke.placement.lease import (
     CommitLease,
@@ -21,6 +21,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.listeners import TargetsListener
@@ -82,6 +84,7 @@
         self._held = False
         self._ordered: dict[str, _Ordered] = {}
         self._settled: tuple[Holder, ...] = ()
+        self._gap_since_s: dict[str, float] = {}
         self._periodic = Periodic('layers', _STEP_S, self._step)
 
     async def start(self) -> None:
@@ -185,9 +188,10 @@
             for members in by_zone(holders):
                 await self._order_all(live, plan_zone(members, profile))
             return
-        may_move = now_s - self._targets.changed_s > _MOVE_DELAY_S
-        plan = self._changes(holders, profile, may_move=may_move)
-        if may_move and not plan and not self._ordered:
+        movable_zones = self._movable_zones(holders, profile, now_s)
+        plan = self._changes(holders, profile, movable_zones)
+        is_calm = now_s - self._targets.changed_s > _MOVE_DELAY_S
+        if is_calm and not plan and not self._ordered:
             self._settled = tuple(holders)
         await self._order_all(live, plan)
 
@@ -205,8 +209,7 @@
         self,
         holders: list[Holder],
         profile: ModelProfile,
-        *,
-        may_move: bool,
+        movable_zones: Container[str],
     ) -> dict[str, LayerRange]:
         plan: dict[str, LayerRange] = {}
         present = {holder.name: holder for holder in holders}
@@ -214,7 +217,7 @@
             change = next_change(
                 tuple(present.values()),
                 profile,
-                may_move=may_move,
+                movable_zones=movable_zones,
             )
             if change is None or change.target in plan:
                 break
@@ -225,6 +228,25 @@
             )
         return plan
 
+    def _movable_zones(
+        self,
+        holders: list[Holder],
+        profile: ModelProfile,
+        now_s: float,
+    ) -> set[str]:
+        """Return the zones with an old gap; all if nothing has changed."""
+        gaps = zones_with_gaps(holders, profile)
+        self._gap_since_s = {
+            zone: self._gap_since_s.get(zone, now_s) for zone in gaps
+        }
+        if now_s - self._targets.changed_s > _MOVE_DELAY_S:
+            return {holder.availability_zone for holder in holders}
+        return {
+            zone
+            for zone, since_s in self._gap_since_s.items()
+            if now_s - since_s > _MOVE_DELAY_S
+        }
+
     def _holder(self, entry: TargetEntry) -> Holder:
         ordered = self._ordered.get(entry.name)
         layers = entry.layers if ordered is None else ordered.layers
--- a/nutmegspoke/placement/layer_changes.py
+++ b/nutmegspoke/placement/layer_changes.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Container, Iterator, Sequence
 
     from nutmegspoke.entry_host import ModelProfile
     from nutmegspoke.placement.layer_plan import Holder
@@ -24,8 +24,13 @@
 # Parts of an engine's memory that may be filled with layers.
 _FILL_SHARES = (0.5, 0.7, 0.9)
 # An engine in work is changed only if its zone then carries so many times
-# more.
+# more: with a layer that nobody holds, and with some that few hold.
 _GAP_GAIN = 1.1
+_BALANCE_GAIN = 1.5
+# Drafts that pass through layers given up are waited for.
+_DRAIN_S = 2.0
+# Time over which a change must pay: engines come and go every few seconds.
+_HORIZON_S = 10.0
 # Engines beside those next to a gap for which changes are tried.
 _MAX_MOVABLE = 6
 # Drafts a second that a layer without holder is taken to cost, so that of two
@@ -45,28 +50,44 @@
     holders: Sequence[Holder],
     profile: ModelProfile,
     *,
-    may_move: bool = True,
+    movable_zones: Container[str] | None = None,
 ) -> LayerChange | None:
     """Return the change that helps most; ``None`` if none is worth it.
 
     Empty engines are filled first. An engine in work is changed only if its
-    zone has a layer that nobody holds, and then carries clearly more.
+    zone then carries clearly more.
 
     :param holders: live engines, with the layers held or ordered.
-    :param may_move: whether engines in work may be changed.
+    :param movable_zones: zones whose engines in work may be changed; ``None``
+        for all.
     """
     zones = by_zone(holders)
     for members in zones:
         change = _fill(members, profile)
         if change is not None:
             return change
-    for members in zones if may_move else ():
+    for members in zones:
+        zone = members[0].availability_zone
+        if movable_zones is not None and zone not in movable_zones:
+            continue
         change = _move(members, profile)
         if change is not None:
             return change
     return None
 
 
+def zones_with_gaps(
+    holders: Sequence[Holder],
+    profile: ModelProfile,
+) -> set[str]:
+    """Return the availability zones in which nobody holds some layer."""
+    return {
+        members[0].availability_zone
+        for members in by_zone(holders)
+        if _first_gap(held_room(members, profile)) is not None
+    }
+
+
 def _fill(
     members: list[Holder],
     profile: ModelProfile,
@@ -81,7 +102,7 @@
     best = max(
         _windows(holder, others, profile),
         key=lambda layers: (
-            _value([*others, _holding(holder, layers)], profile),
+            _change_value(holder, others, layers, profile),
             need_of(room, layers),
         ),
     )
@@ -94,34 +115,42 @@
 ) -> LayerChange | None:
     """Change an engine in work, if its zone carries clearly more.
 
-    What the zone carries while the layers load counts as much as what it
-    carries afterwards: an engine keeps only what it holds before and after.
+    An engine that gives layers up is out of work for seconds.
     """
     room = held_room(members, profile)
     present = _value(members, profile)
-    if _first_gap(room) is None:
-        return None
+    gain = _BALANCE_GAIN if _first_gap(room) is None else _GAP_GAIN
     best: LayerChange | None = None
-    best_value = max(present, present * _GAP_GAIN)
+    best_value = max(present, present * gain)
     for holder in _movable(members, room):
         others = [one for one in members if one is not holder]
         for layers in set(_windows(holder, others, profile)):
-            value = _move_value(holder, others, layers, profile)
+            value = _change_value(holder, others, layers, profile)
             if value > best_value:
                 best, best_value = LayerChange(holder.name, layers), value
     return best
 
 
-def _move_value(
+def _change_value(
     holder: Holder,
     others: list[Holder],
     layers: LayerRange,
     profile: ModelProfile,
 ) -> float:
+    """Return what a zone carries over the next seconds after a change.
+
+    While layers load, an engine runs only what it holds before and after.
+    """
     kept = _common(holder.layers, layers)
     during = others if kept is None else [*others, _holding(holder, kept)]
     after = [*others, _holding(holder, layers)]
-    return (_value(during, profile) + _value(after, profile)) / 2
+    kept_count = 0 if kept is None else len(kept)
+    load_s = profile.load_s * (len(layers) - kept_count) / profile.layer_count
+    if holder.layers is not None and kept != holder.layers:
+        load_s += _DRAIN_S
+    part = min(1.0, load_s / _HORIZON_S)
+    lost = part * _value(during, profile)
+    return lost + (1 - part) * _value(after, profile)
 
 
 def _movable(members: list[Holder], room: Sequence[float]) -> list[Holder]:
--- a/tests/placement/test_layer_changes.py
+++ b/tests/placement/test_layer_changes.py
@@ -83,6 +83,30 @@
         self.assertEqual(change.layers.start, 0)
         self.assertGreaterEqual(change.layers.stop, gap_stop)
 
+    def test_a_bottleneck_is_widened(self) -> None:
+        """Pattern: engines are replaced one by one, the new ones first.
+
+        Seen on the bench: the new engine took copies where room was shortest,
+        then the old one left, and a slow copy with room for 19 drafts stayed
+        the only holder of a range.
+        """
+        holders = [
+            build.holder('q1', build.QUICK, held=(0, 17)),
+            build.holder('m1', held=(17, 27)),
+            build.holder('m2', held=(27, 37)),
+            build.holder('m3', held=(37, 47)),
+            build.holder('m4', held=(47, 58)),
+            build.holder('new', held=(10, 31)),
+            build.holder('m6', held=(69, 80)),
+            build.holder('s1', build.SLOW, held=(57, 67)),
+            build.holder('s2', build.SLOW, held=(67, 77)),
+        ]
+        settled, moves = _settle(holders)
+        before = min(held_room(holders, build.profile()))
+        after = min(held_room(settled, build.profile()))
+        self.assertGreater(after, 2 * before)
+        self.assertLessEqual(moves, 3)
+
     def test_no_engine_beyond_its_memory(self) -> None:
         """A gap larger than an engine is closed by two."""
         holders = [
