--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -202,7 +202,7 @@
                 name,
                 parts.store,
                 listener,
-                lambda: len(self._daemons.addresses),
+                self._daemons.count,
                 self._log,
                 self._clock,
             )
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -174,6 +174,10 @@
         self._own_host = own_host
         self.addresses: dict[str, tuple[str, int]] = {}
 
+    def count(self) -> int:
+        """Return the number of other daemons that have written a row."""
+        return len(self.addresses)
+
     def listed(self, table: TableChanges, now_s: float) -> None:
         """Take all rows."""
         self.addresses.clear()
