Let silence alone end no stream

Cause, found by reading: a stream without an event for 1.5 s was ended even if no engine was known to be lost, and one that may not run again was ended as soon as another engine was. The caller may still be waiting, and the engine ends such a stream itself. The relay of events is now a module of its own.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -50,10 +50,12 @@
     """No usable answer came; the target may have run the request.
 
     :param is_silent: the target neither answered nor closed in time.
+    :param lost_address: engine that the answer waited for; empty if none.
     """
 
     reason: str
     is_silent: bool = False
+    lost_address: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -15,7 +15,12 @@
     from nutmegspoke.edge.own_answers import OwnAnswers
     from nutmegspoke.edge.plain_calls import PlainCalls
     from nutmegspoke.edge.view import View
-    from nutmegspoke.entry_host import EntryRoute, EntryTables, Team
+    from nutmegspoke.entry_host import (
+        EntryPool,
+        EntryRoute,
+        EntryTables,
+        Team,
+    )
     from nutmegspoke.forwarded import CallerRequest, Dialect, RequestFacts
 
 # A daemon reads the tables within its first second.
@@ -127,7 +132,7 @@
             raise
 
 
-def _pool(tables: EntryTables | None, name: str | None):
+def _pool(tables: EntryTables | None, name: str | None) -> EntryPool | None:
     if tables is None or name is None:
         return None
     return tables.pools.get(name)
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -4,17 +4,15 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.answer_reader import AnswerEnd, AnswerPart
 from nutmegspoke.edge.attempts import Broken, NotSent, Opened, Refused, Sending
 from nutmegspoke.edge.draft_admission import DraftAdmission
-from nutmegspoke.edge.stream_watch import ASK_FIRST_S, ASK_GAP_S, Stalled
+from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
+from nutmegspoke.edge.stream_watch import ASK_FIRST_S, Stalled
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
-from nutmegspoke.pipelines.event_stream import EventSplitter
 from nutmegspoke.retries.target_faults import Fault
 from nutmegspoke.routing.room_chains import DraftNeed
 
@@ -24,8 +22,6 @@
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import OwnAnswers
     from nutmegspoke.edge.stream_watch import StreamWatch
-    from nutmegspoke.edge.answer_reader import AnswerEvent
-    from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import Work
     from nutmegspoke.entry_host import ModelProfile
@@ -37,20 +33,6 @@
 _FULL_SHARE = 0.6
 
 
-@dataclasses.dataclass(slots=True)
-class _Stream:
-    """What the caller has of an answer.
-
-    :param last_number: id of the last event passed on; -1 for none.
-    :param events: number of events passed on.
-    :param has_head: whether status and headers were passed on.
-    """
-
-    last_number: int = -1
-    events: int = 0
-    has_head: bool = False
-
-
 class Drafts:
     """Runs drafts over chains of engines."""
 
@@ -64,7 +46,7 @@
         clock: Clock,
     ) -> None:
         """Use the view and the connections."""
-        self._watch = watch
+        self._relay = StreamRelay(attempts.dialect, watch, clock)
         self._admission = DraftAdmission(view, self._find, clock)
         self._view = view
         self._attempts = attempts
@@ -74,7 +56,7 @@
 
     async def serve(self, work: Work, profile: ModelProfile) -> None:
         """Answer a draft."""
-        stream = _Stream()
+        stream = DraftStream()
         if work.facts.resume_after.isdigit():
             stream.last_number = int(work.facts.resume_after)
         reason = 'no chain'
@@ -101,7 +83,7 @@
         self,
         work: Work,
         profile: ModelProfile,
-        stream: _Stream,
+        stream: DraftStream,
     ) -> DraftNeed:
         facts = work.facts
         answer_tokens = self._view.lengths(work.pool.name, profile).expect(
@@ -159,7 +141,7 @@
         self,
         work: Work,
         chain: Chain,
-        stream: _Stream,
+        stream: DraftStream,
         profile: ModelProfile,
     ) -> str | None:
         """Run a draft over a chain.
@@ -172,13 +154,19 @@
             return _reason(result)
         if result.facts.kind == AnswerKind.FAILURE:
             return await self._failure(work, stream, result)
-        return await self._relay(work, stream, result, profile)
+        end = await self._relay.run(work, stream, result)
+        if isinstance(end, RelayEnd):
+            if end.lost_address:
+                self._stalled(work, end.lost_address, self._clock.now_s())
+            return end.reason
+        await self._complete(work, stream, result, profile)
+        return None
 
     async def _open(
         self,
         work: Work,
         chain: Chain,
-        stream: _Stream,
+        stream: DraftStream,
     ) -> OpenResult:
         left_s = work.left_s(self._clock.now_s())
         resume_after = work.facts.resume_after
@@ -207,28 +195,19 @@
         if isinstance(sent, NotSent):
             return sent
         try:
-            event = await self._next_event(work, sent, ASK_FIRST_S)
+            event = await self._relay.next_event(work, sent, ASK_FIRST_S)
         except BaseException:
             sent.close()
             raise
         if isinstance(event, Stalled):
             sent.close()
-            return Broken(event.address, is_silent=True)
+            return Broken(
+                'no first event',
+                is_silent=True,
+                lost_address=event.address,
+            )
         return self._attempts.opened(sent, event)
 
-    async def _next_event(
-        self,
-        work: Work,
-        connection: TargetConnection,
-        ask_after_s: float,
-    ) -> AnswerEvent | Stalled:
-        return await self._watch.next_event(
-            connection,
-            work.facts.request_id,
-            ask_after_s,
-            max(0.0, work.left_s(self._clock.now_s())),
-        )
-
     def _learn(self, work: Work, chain: Chain, result: OpenResult) -> None:
         now_s = self._clock.now_s()
         first = chain[0].target
@@ -248,7 +227,7 @@
         work.may_have_run = True
         if isinstance(result, Broken):
             if result.is_silent:
-                self._stalled(work, result.reason, now_s)
+                self._stalled(work, result.lost_address, now_s)
             else:
                 self._fault(work, first, Fault.BROKE_OFF, now_s)
         else:
@@ -280,98 +259,27 @@
     async def _failure(
         self,
         work: Work,
-        stream: _Stream,
+        stream: DraftStream,
         opened: Opened,
     ) -> str | None:
-        """Pass an engine's own failure on, unless another run may follow."""
+        """Pass an engine's own failure on, if nothing else was passed on."""
         if stream.has_head:
             opened.connection.close()
             return f'engine answered {opened.head.status}'
-        whole = await self._attempts.rest(
-            opened,
-            work.left_s(
-                self._clock.now_s(),
-            ),
-        )
+        left_s = work.left_s(self._clock.now_s())
+        whole = await self._attempts.rest(opened, left_s)
         if isinstance(whole, Broken):
             return whole.reason
         await self._own.pass_on(work, whole)
         return None
 
-    async def _relay(
-        self,
-        work: Work,
-        stream: _Stream,
-        opened: Opened,
-        profile: ModelProfile,
-    ) -> str | None:
-        """Pass events on as they come.
-
-        :returns: ``None`` if the stream is complete, else why it is not.
-        """
-        splitter = EventSplitter()
-        try:
-            while True:
-                event = await self._next_event(
-                    work,
-                    opened.connection,
-                    ASK_GAP_S,
-                )
-                if isinstance(event, Stalled):
-                    self._stalled(work, event.address, self._clock.now_s())
-                    return f'stream stalled at {event.address}'
-                if isinstance(event, AnswerPart):
-                    await self._pass_on(work, stream, opened, splitter, event)
-                elif isinstance(event, AnswerEnd) and not splitter.has_rest:
-                    await self._complete(work, stream, opened, profile)
-                    return None
-                else:
-                    return 'stream broke off'
-        finally:
-            if opened.connection.is_open_answer():
-                opened.connection.close()
-
-    async def _pass_on(
-        self,
-        work: Work,
-        stream: _Stream,
-        opened: Opened,
-        splitter: EventSplitter,
-        part: AnswerPart,
-    ) -> None:
-        events = [
-            event
-            for event in splitter.feed(part.body)
-            if event.number is None or event.number > stream.last_number
-        ]
-        if not events:
-            return
-        await self._begin(work, stream, opened)
-        await work.answer.send(b''.join(event.raw for event in events))
-        stream.events += len(events)
-        if events[-1].number is not None:
-            stream.last_number = events[-1].number
-
-    async def _begin(
-        self,
-        work: Work,
-        stream: _Stream,
-        opened: Opened,
-    ) -> None:
-        if stream.has_head:
-            return
-        stream.has_head = True
-        headers = self._attempts.dialect.returned_headers(opened.head.headers)
-        await work.answer.begin(opened.head.status, headers, None)
-
     async def _complete(
         self,
         work: Work,
-        stream: _Stream,
+        stream: DraftStream,
         opened: Opened,
         profile: ModelProfile,
     ) -> None:
-        await self._begin(work, stream, opened)
         self._attempts.ended(opened)
         tokens = stream.events * profile.tokens_per_event
         lengths = self._view.lengths(work.pool.name, profile)
@@ -394,7 +302,7 @@
     async def _give_up(
         self,
         work: Work,
-        stream: _Stream,
+        stream: DraftStream,
         profile: ModelProfile,
         reason: str,
     ) -> None:
--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -16,15 +16,15 @@
 ASK_GAP_S = 0.35
 # A first event takes the reading of the prompt besides.
 ASK_FIRST_S = 0.55
-# Callers give a stream up after two seconds without an event.
-PATIENCE_S = 1.5
+# Pause between later questions, in multiples of the one before.
+_ASK_BACKOFF = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stalled:
     """No event comes.
 
-    :param address: the engine that is lost; empty if none is known to be.
+    :param address: the engine that is lost; empty if the time is over.
     """
 
     address: str
@@ -49,19 +49,23 @@
     ) -> AnswerEvent | Stalled:
         """Wait for an event.
 
+        An engine's silence alone ends nothing: the wait goes on until an
+        engine is known to be lost, or the time is over.
+
         :param ask_after_s: time without an event after which the first
             engine is asked.
         :param limit_s: time left for the request.
         """
         waited_s = 0.0
-        limit_s = min(limit_s, PATIENCE_S)
+        pause_s = ask_after_s
         while waited_s < limit_s:
-            pause_s = min(ask_after_s, limit_s - waited_s)
+            pause_s = min(pause_s, limit_s - waited_s)
             try:
                 async with asyncio.timeout(pause_s):
                     return await connection.next_event()
             except TimeoutError:
                 waited_s += pause_s
+                pause_s *= _ASK_BACKOFF
             lost = await self._lost(connection, request_id)
             if lost and connection.peek() is None:
                 return Stalled(lost)
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -34,7 +34,7 @@
     :param request: as the caller sent it.
     :param facts: what its headers say.
     :param route: its route.
-    :param pool: the pool that was picked for it.
+    :param pool: the pool that was picked for it; ``None`` without one.
     :param team: name of the caller's team; empty without one.
     :param priority: rank among requests; lowest first.
     :param answer: where its answer goes.
@@ -49,7 +49,7 @@
     request: CallerRequest
     facts: RequestFacts
     route: EntryRoute
-    pool: EntryPool
+    pool: EntryPool | None
     team: str
     priority: tuple[int, int]
     answer: Answer
