--- a/nutmegspoke/admission/draft_line.py
+++ b/nutmegspoke/admission/draft_line.py
@@ -71,10 +71,6 @@
         """Tell whether nobody in line goes before a draft."""
         return not self._places or place <= self._places[0]
 
-    def in_order(self) -> tuple[Place, ...]:
-        """Return all places, the first one first."""
-        return tuple(self._places)
-
 
 class ReturnTimes:
     """Spreads the returns of refused callers over the time that work takes.
--- a/nutmegspoke/cmd/entry.py
+++ b/nutmegspoke/cmd/entry.py
@@ -33,11 +33,13 @@
     :param path: settings file of the platform.
     :returns: exit code.
     """
-    host = boot_settings.read_settings(path)
+    settings = boot_settings.SettingsFile(path)
+    host = settings.read()
     clock = SystemClock()
     log = decision_log.configure(host.name, clock, logging.INFO)
     async with new_session() as session:
         parts = PlatformParts(
+            read_host=settings.read,
             store=StoreClient(host.store_address, session),
             engines=EngineClient(session),
             dialect=headers,
@@ -48,27 +50,26 @@
             decode_target=discovery.decode_target,
         )
         daemon = EdgeDaemon(host, parts, log, clock)
-        stopping = _catch_signals(log)
+        stopping = _catch_signals(daemon)
         await daemon.start()
         await stopping.wait()
         await daemon.stop()
     return 0
 
 
-def _catch_signals(log: decision_log.DecisionLog) -> asyncio.Event:
+def _catch_signals(daemon: EdgeDaemon) -> asyncio.Event:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(
-        signal.SIGHUP,
-        lambda: log.decided('reload', outcome='settings need no restart'),
-    )
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     return stopping
 
 
 def main() -> None:
     """Run the daemon."""
+    # Settings that change before the daemon listens for signals are read later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         with new_runner() as runner:
             code = runner.run(run(boot_settings.settings_path()))
--- a/nutmegspoke/edge/answer_reader.py
+++ b/nutmegspoke/edge/answer_reader.py
@@ -69,6 +69,7 @@
         self._headers: Headers = []
         self._in_body = False
         self._is_skipped = False
+        self._keeps_open = True
         self._ends_with_connection = False
         self._belongs: Callable[[Headers], bool] | None = None
 
@@ -80,7 +81,7 @@
     @property
     def keeps_open(self) -> bool:
         """Tell whether the target reads another request."""
-        return self.is_clean and self._parser.should_keep_alive()
+        return self.is_clean and self._keeps_open
 
     def expect(self, belongs: Callable[[Headers], bool]) -> None:
         """Wait for an answer.
@@ -150,6 +151,8 @@
 
     def on_message_complete(self) -> None:
         """End the answer; what follows belongs to no request."""
+        # The parser forgets it as soon as the message is over.
+        self._keeps_open = self._parser.should_keep_alive()
         if not self._is_skipped:
             self.complete()
 
--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -12,6 +12,7 @@
     AnswerLost,
     AnswerPart,
 )
+from nutmegspoke.edge.target_connections import ConnectionLimitError
 from nutmegspoke.forwarded import AnswerKind
 
 if TYPE_CHECKING:
@@ -32,9 +33,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
-    """The target was not reached; nothing left this host."""
+    """The target was not reached; nothing left this host.
+
+    :param is_full: this daemon has as many connections open as it may.
+    """
 
     reason: str
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +100,7 @@
     :param request: bytes of the request.
     :param fresh: wants a connection that no other request has used.
     :param limit_s: longest wait for the head of the answer.
+    :param max_connections: connections to the target that may be open.
     """
 
     address: str
@@ -102,6 +108,7 @@
     request: bytes
     fresh: bool
     limit_s: float
+    max_connections: int
 
 
 class Attempts:
@@ -130,11 +137,14 @@
                 sending.address,
                 self._clock.now_s(),
                 fresh=sending.fresh,
+                max_connections=sending.max_connections,
             )
             connection.send(
                 sending.request,
                 self._belongs(sending.request_id),
             )
+        except ConnectionLimitError as error:
+            return NotSent(str(error), is_full=True)
         except OSError as error:
             return NotSent(repr(error))
         return connection
@@ -245,5 +255,16 @@
         return Refused(event.status, facts)
 
 
+def failure_reason(result: OpenResult | WholeResult) -> str:
+    """Return why an attempt gave no answer; empty if it gave one."""
+    match result:
+        case NotSent(reason=reason) | Broken(reason=reason):
+            return reason
+        case Refused(status=status):
+            return f'refused with {status}'
+        case _:
+            return ''
+
+
 def _lost_reason(event: AnswerEvent) -> str:
     return event.reason if isinstance(event, AnswerLost) else 'too long'
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -6,31 +6,29 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from nutmegspoke.admission.socket_shares import (
+    caller_sockets,
+    target_sockets,
+)
 from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.edge.announcing import DAEMONS_TABLE, announce
 from nutmegspoke.edge.edge_metrics import EdgeMetrics
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.followers import TableFollower
 from nutmegspoke.edge.http_server import ConnectionSet, listen
 from nutmegspoke.edge.layer_keeper import LayerKeeper
 from nutmegspoke.edge.listeners import (
-    DaemonRow,
     DaemonsListener,
     TablesListener,
     TargetsListener,
 )
 from nutmegspoke.edge.news_exchange import NewsExchange
 from nutmegspoke.edge.serving import new_callers
+from nutmegspoke.edge.settings_watch import SettingsWatch
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
 from nutmegspoke.edge.target_connections import TargetConnections
 from nutmegspoke.edge.view import View
-from nutmegspoke.metadata_store import (
-    Committed,
-    Conflict,
-    Transaction,
-    Write,
-)
+from nutmegspoke.membership.common_work import reads_store
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -40,7 +38,6 @@
 
 logger = logging.getLogger(__name__)
 
-DAEMONS_TABLE = 'daemons'
 METRICS_PORT = 9_100
 _TICK_S = 0.25
 # A tick that comes so much late shows that the host was suspended.
@@ -50,7 +47,6 @@
 # Part of the grace period in which requests may end by themselves; the rest
 # is for closing connections before the process is killed.
 _FINISH_SHARE = 0.93
-_ANNOUNCE_PAUSE_S = 0.5
 
 
 class EdgeDaemon:
@@ -72,13 +68,15 @@
     ) -> None:
         """Create the parts; the event loop must be running."""
         self._metrics_port = metrics_port
-        self._host = host
         self._parts = parts
         self._log = log
         self._clock = clock
         self.view = View(host)
         self.metrics = EdgeMetrics()
-        self._connections = TargetConnections()
+        log.counted = self.metrics.event
+        self._connections = TargetConnections(
+            target_sockets(host.limits),
+        )
         self._ready = ConnectionSet(ReadyPage(self.is_ready))
         self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
         self._callers = ConnectionSet(
@@ -91,6 +89,7 @@
                 clock,
             ),
         )
+        self._share_sockets(host)
         self._daemons = DaemonsListener(host.name)
         self._targets = TargetsListener(parts.decode_target, self.view, log)
         self._keeper = LayerKeeper(
@@ -113,12 +112,20 @@
             self.view,
             self._daemons,
             self._keeper,
+            self._polls,
             self._followers,
             clock,
         )
         self._servers: list[asyncio.Server] = []
+        self._settings = SettingsWatch(
+            parts.read_host,
+            self.view,
+            self._take_host,
+            log,
+        )
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._ticked_s = clock.now_s()
+        self._turned_away = 0
 
     def is_ready(self) -> bool:
         """Tell whether the daemon can serve."""
@@ -128,7 +135,7 @@
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
-        host = self._host
+        host = self.view.host
         pages = (
             (self._callers, host.callers_port),
             (self._ready, host.ready_port),
@@ -142,8 +149,11 @@
         await self._news.start()
         await self._keeper.start()
         await self._polls.start()
-        self._announcing = asyncio.create_task(self._announce())
+        self._announcing = asyncio.create_task(
+            announce(host, self._parts.store, self._daemons),
+        )
         self._ticker.start()
+        self._settings.start()
         self._log.decided(
             'started',
             zone=host.availability_zone,
@@ -157,10 +167,9 @@
         started_s = self._clock.now_s()
         self._log.decided('stopping', busy=self._callers.busy())
         self._callers.is_stopping = True
-        self._news.is_stopping = True
         await self._polls.stop()
         await self._keeper.stop()
-        limit_s = self._host.bounds.stop_grace_s * _FINISH_SHARE
+        limit_s = self.view.host.bounds.stop_grace_s * _FINISH_SHARE
         await asyncio.sleep(min(_OUT_OF_ROTATION_S, limit_s))
         self._servers[0].close()
         self._callers.close_idle()
@@ -175,7 +184,14 @@
         """End all work at once."""
         self._callers.cut()
         self._announcing.cancel()
-        for part in (self._ticker, self._polls, self._keeper, self._news):
+        parts = (
+            self._ticker,
+            self._settings,
+            self._polls,
+            self._keeper,
+            self._news,
+        )
+        for part in parts:
             await part.stop()
         for follower in self._followers:
             await follower.stop()
@@ -183,6 +199,23 @@
             server.close()
         self._connections.close_idle()
 
+    def reload(self) -> None:
+        """Read the settings again."""
+        self._settings.reload()
+
+    async def restart_feeds(self) -> None:
+        """Read all tables of the store anew."""
+        for follower in self._followers:
+            await follower.restart()
+
+    def _take_host(self, host: EntryHost) -> None:
+        self._parts.store.use_address(host.store_address)
+        self._share_sockets(host)
+
+    def _share_sockets(self, host: EntryHost) -> None:
+        self._connections.max_open = target_sockets(host.limits)
+        self._callers.max_open = caller_sockets(host.limits)
+
     def _new_followers(self) -> list[TableFollower]:
         parts = self._parts
         tables = TablesListener(
@@ -193,9 +226,9 @@
             self._tables_changed,
         )
         listeners = (
-            (parts.tables_table, tables),
-            (parts.targets_table, self._targets),
-            (DAEMONS_TABLE, self._daemons),
+            (parts.tables_table, tables, None),
+            (parts.targets_table, self._targets, self._reads_targets),
+            (DAEMONS_TABLE, self._daemons, None),
         )
         return [
             TableFollower(
@@ -205,24 +238,22 @@
                 self._daemons.count,
                 self._log,
                 self._clock,
+                reads,
             )
-            for name, listener in listeners
+            for name, listener, reads in listeners
         ]
 
+    def _reads_targets(self) -> bool:
+        """Tell whether this daemon reads the targets for others."""
+        if self._keeper.leads():
+            return True
+        heard = self.view.board.heard(self._clock.now_s())
+        known_count = self._daemons.count()
+        return reads_store(self.view.host.name, heard, known_count)
+
     def _tables_changed(self, tables: EntryTables) -> None:
         self._callers.limits = tables.limits
 
-    async def _announce(self) -> None:
-        """Write where this daemon hears news."""
-        key = f'{DAEMONS_TABLE}/{self._host.name}'
-        row = DaemonRow(self._host.ip, self._host.peer_ports[0])
-        write = Write(key, msgspec.json.encode(row))
-        while True:
-            answer = await self._parts.store.commit(Transaction((), (write,)))
-            if isinstance(answer, Committed | Conflict):
-                return
-            await asyncio.sleep(_ANNOUNCE_PAUSE_S)
-
     async def _tick(self) -> None:
         now_s = self._clock.now_s()
         late_s = now_s - self._ticked_s - _TICK_S
@@ -230,6 +261,7 @@
         if late_s > _FREEZE_S:
             await self._woke(late_s)
         self._connections.close_idle(now_s)
+        self._note_turned_away()
         for feed in self._news.silent_feeds(now_s):
             self._log.decided(
                 'feed_silent',
@@ -240,9 +272,19 @@
         for name in self.view.targets.drop_lapsed(now_s):
             self._log.decided('target_gone', target=name, may_have_lapsed=False)
 
+    def _note_turned_away(self) -> None:
+        count = self._callers.turned_away
+        if count != self._turned_away:
+            self._turned_away = count
+            self._log.decided(
+                'callers_turned_away',
+                count=count,
+                open=len(self._callers.open),
+                limit=self._callers.max_open,
+            )
+
     async def _woke(self, late_s: float) -> None:
         """Read everything anew: what was believed is as old as the sleep."""
         self._log.decided('woke', late_s=round(late_s, 2))
         self._connections.close_idle()
-        for follower in self._followers:
-            await follower.restart()
+        await self.restart_feeds()
--- a/nutmegspoke/edge/decision_log.py
+++ b/nutmegspoke/edge/decision_log.py
@@ -16,6 +16,8 @@
 from nutmegspoke.retries.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from nutmegspoke.border.clock import Clock
 
 # Ten times the lines of a usual second; a line costs some 30 us.
@@ -30,6 +32,9 @@
     :param host: name of the host, on each line.
     :param clock: clock of the process.
     :param descriptor: open file that does not block.
+
+    ``counted`` is called with the name of each decision, also of those whose
+    lines are dropped.
     """
 
     def __init__(self, host: str, clock: Clock, descriptor: int) -> None:
@@ -40,6 +45,7 @@
         self._descriptor = descriptor
         self._bucket = TokenBucket(LINES_PER_S, BURST_LINES)
         self._encoder = msgspec.json.Encoder()
+        self.counted: Callable[[str], None] = _count_nothing
         self.dropped = 0
         self._dropped_told = 0
 
@@ -57,6 +63,7 @@
         :param event: name of the decision.
         :param fields: request id, inputs with their age or version, outcome.
         """
+        self.counted(event)
         self.write(event, 'info', fields)
 
     def write(
@@ -92,6 +99,10 @@
             self.dropped += 1
 
 
+def _count_nothing(event: str) -> None:
+    """Stand in until the log has counters."""
+
+
 def configure(host: str, clock: Clock, level: int) -> DecisionLog:
     """Send all log records to standard output.
 
--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -88,6 +88,29 @@
         earliest_s = 0.0 if self._may_come(work, need) else _LAYERS_RETURN_S
         return self.returns.retry_after_s(earliest_s, self._clock.now_s())
 
+    def inputs(self, work: Work, need: DraftNeed) -> dict[str, object]:
+        """Return what a refusal rests on, for the log."""
+        now_s = self._clock.now_s()
+        pool = work.pool
+        engines = self._view.engine_loads(
+            pool.name, pool.profile, work.avoided, now_s
+        )
+        used = sum(engine.used_token_layers for engine in engines)
+        total = sum(engine.total_token_layers for engine in engines)
+        return {
+            'room_tokens': round(need.room_tokens),
+            'engines_live': len(self._view.targets.live(pool.name)),
+            'engines_usable': len(engines),
+            'room_used': round(used / max(1.0, total), 3),
+            'layers_held': self._may_come(work, need),
+            'line': len(self._line),
+            'expected_s': round(
+                self.returns.next_room_s(len(self._line), now_s), 2
+            ),
+            'daemons_heard': self._view.board.daemons(now_s),
+            'targets_version': self._view.targets_version,
+        }
+
     async def _wait(
         self,
         work: Work,
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -7,8 +7,16 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.attempts import Broken, NotSent, Opened, Refused, Sending
+from nutmegspoke.edge.attempts import (
+    Broken,
+    NotSent,
+    Opened,
+    Refused,
+    Sending,
+    failure_reason,
+)
 from nutmegspoke.edge.draft_admission import DraftAdmission
+from nutmegspoke.edge.repeats import Repeats
 from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
 from nutmegspoke.edge.stream_watch import ASK_FIRST_S, Stalled
 from nutmegspoke.edge.work import OwnAnswer
@@ -27,8 +35,6 @@
     from nutmegspoke.entry_host import ModelProfile
     from nutmegspoke.layers import Chain
 
-# Sends of one request, refused and unreached ones included.
-_MAX_SENDS = 4
 # An engine that refuses while it is so full is short of room, not lost.
 _FULL_SHARE = 0.6
 
@@ -47,21 +53,27 @@
     ) -> None:
         """Use the view and the connections."""
         self._relay = StreamRelay(attempts.dialect, watch, clock)
+        self._watch = watch
         self._admission = DraftAdmission(view, self._find, clock)
+        self._repeats = Repeats(view, log, clock)
         self._view = view
         self._attempts = attempts
         self._own = own
         self._log = log
         self._clock = clock
 
-    async def serve(self, work: Work, profile: ModelProfile) -> None:
+    async def serve(
+        self,
+        work: Work,
+        profile: ModelProfile,
+    ) -> None:
         """Answer a draft."""
         stream = DraftStream()
         if work.facts.resume_after.isdigit():
             stream.last_number = int(work.facts.resume_after)
         reason = 'no chain'
         try:
-            while work.sends < _MAX_SENDS:
+            while True:
                 chain = await self._admission.admit(
                     work,
                     self._need(work, profile, stream),
@@ -73,7 +85,8 @@
                 if ended is None:
                     return
                 reason = ended
-                if not self._may_go_on(work):
+                await self._check_targets(work)
+                if not self._repeats.allows(work, reason):
                     break
         finally:
             self._view.ledger.release(work.room_key)
@@ -112,6 +125,7 @@
             engines,
             need,
             may_cross=crossings.may_cross(daemons, now_s),
+            firsts=work.may_begin_at(),
         )
         if chain is None:
             return None
@@ -151,7 +165,7 @@
         result = await self._open(work, chain, stream)
         self._learn(work, chain, result)
         if not isinstance(result, Opened):
-            return _reason(result)
+            return failure_reason(result)
         if result.facts.kind == AnswerKind.FAILURE:
             return await self._failure(work, stream, result)
         end = await self._relay.run(work, stream, result)
@@ -168,7 +182,8 @@
         chain: Chain,
         stream: DraftStream,
     ) -> OpenResult:
-        left_s = work.left_s(self._clock.now_s())
+        now_s = self._clock.now_s()
+        left_s = work.left_s(now_s)
         resume_after = work.facts.resume_after
         if stream.last_number >= 0:
             resume_after = str(stream.last_number)
@@ -190,6 +205,7 @@
                 request=request,
                 fresh=not work.route.repeat_rule.may_repeat,
                 limit_s=left_s,
+                max_connections=self._view.connection_share(work.pool, now_s),
             ),
         )
         if isinstance(sent, NotSent):
@@ -212,7 +228,10 @@
         now_s = self._clock.now_s()
         first = chain[0].target
         if isinstance(result, NotSent):
-            self._fault(work, first, Fault.UNREACHABLE, now_s)
+            kind = Fault.FULL if result.is_full else Fault.UNREACHABLE
+            if not result.is_full:
+                work.lost.add(first)
+            self._fault(work, first, kind, now_s)
             return
         work.sends += 1
         if first not in work.targets:
@@ -226,13 +245,31 @@
             return
         work.may_have_run = True
         if isinstance(result, Broken):
-            if result.is_silent:
-                self._stalled(work, result.lost_address, now_s)
-            else:
-                self._fault(work, first, Fault.BROKE_OFF, now_s)
+            self._broke(work, chain, result, now_s)
         else:
             self._view.faults.worked(first, now_s)
 
+    def _broke(
+        self,
+        work: Work,
+        chain: Chain,
+        result: Broken,
+        now_s: float,
+    ) -> None:
+        if result.is_silent:
+            self._stalled(work, result.lost_address, now_s)
+        else:
+            self._fault(work, chain[0].target, Fault.BROKE_OFF, now_s)
+
+    async def _check_targets(self, work: Work) -> None:
+        """Find out which targets are gone, once no others may be tried."""
+        for name in (work.may_begin_at() or frozenset()) & work.avoided:
+            entry = self._view.targets.find(name)
+            if entry is None or await self._watch.is_gone(entry.address):
+                work.lost.add(name)
+            else:
+                work.avoided.discard(name)
+
     def _stalled(self, work: Work, address: str, now_s: float) -> None:
         """Leave out the engine that a stream waits for, if it is known."""
         target = self._view.name_at(address)
@@ -288,17 +325,6 @@
         self._own.record(work, 'answered', opened.head.status, '')
         await work.answer.end()
 
-    def _may_go_on(self, work: Work) -> bool:
-        now_s = self._clock.now_s()
-        if not work.may_be_sent or work.left_s(now_s) <= 0:
-            return False
-        if len(work.targets) > work.route.max_targets:
-            return False
-        if not work.sends:
-            return True
-        daemons = self._view.budget_daemons(now_s)
-        return self._view.budget(work.pool.name).take(daemons, now_s)
-
     async def _give_up(
         self,
         work: Work,
@@ -315,22 +341,11 @@
             status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
             await self._own.send(work, status, reason=reason)
             return
+        need = self._need(work, profile, stream)
         await self._own.send(
             work,
             OwnAnswer.NOT_RUN,
             reason=reason,
-            retry_after_s=self._admission.retry_after_s(
-                work,
-                self._need(work, profile, stream),
-            ),
+            retry_after_s=self._admission.retry_after_s(work, need),
+            inputs=self._admission.inputs(work, need),
         )
-
-
-def _reason(result: OpenResult) -> str:
-    match result:
-        case NotSent(reason=reason) | Broken(reason=reason):
-            return reason
-        case Refused(status=status):
-            return f'refused with {status}'
-        case _:
-            return ''
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.border.periodic import Periodic
+from nutmegspoke.membership.common_work import rank
 from nutmegspoke.membership.engine_health import EngineState
 
 if TYPE_CHECKING:
@@ -17,6 +18,8 @@
     from nutmegspoke.engine_orders import EngineCalls
     from nutmegspoke.entry_host import TargetEntry
 
+# Time in which a daemon that starts hears the others.
+_LISTEN_S = 1.5
 # An engine turns slow for seconds; a report costs as much as a health check.
 _INTERVAL_S = 1.0
 # Changes of pace that are worth a line of the log.
@@ -45,6 +48,7 @@
         self._leads = leads
         self._log = log
         self._clock = clock
+        self._started_s = clock.now_s()
         self._periodic = Periodic('reports', _INTERVAL_S, self._read_all)
 
     async def start(self) -> None:
@@ -55,9 +59,21 @@
         """Read no more."""
         await self._periodic.stop()
 
+    def reads_for_all(self, now_s: float) -> bool:
+        """Tell whether this daemon reads the reports that the others use.
+
+        The leader does; while nobody leads, the first of those that are heard.
+        """
+        if self._leads():
+            return True
+        board = self._view.board
+        if board.has_leader(now_s) or now_s - self._started_s < _LISTEN_S:
+            return False
+        return rank(self._view.host.name, board.heard(now_s)) == 0
+
     async def _read_all(self) -> None:
         now_s = self._clock.now_s()
-        if not self._leads() and self._view.board.has_leader(now_s):
+        if not self.reads_for_all(now_s):
             return
         engines = [
             entry
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -7,6 +7,7 @@
 import logging
 from typing import TYPE_CHECKING, Protocol
 
+from nutmegspoke.membership.table_news import RecentChanges, new_changes
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
 
 if TYPE_CHECKING:
@@ -14,6 +15,7 @@
 
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.membership.table_news import TableNews
     from nutmegspoke.metadata_store import ChangeFeed
 
 logger = logging.getLogger(__name__)
@@ -21,6 +23,15 @@
 # Longest wait for a change. A feed that goes silent is noticed sooner, by the
 # news of daemons whose feed has not.
 FEED_WAIT_S = 10.0
+# A daemon that is told changes looks at the store itself after so long without
+# news: readers tell some times a second, and a target that leaves must be out
+# of use two seconds later.
+_NEWS_SILENCE_S = 1.2
+_LOOK_S = 0.1
+# Pause of a reader between two calls: it tells many others.
+_READER_GATHER_S = 0.4
+# A failure of the store is told to others for so long.
+_TROUBLE_TOLD_S = 5.0
 # Pause after changes, so that several that come together cost one call: more
 # with more daemons, whose calls add up, and short against the time to drain.
 _GATHER_PER_DAEMON_S = 0.02
@@ -42,8 +53,14 @@
     def listed(self, table: TableChanges, now_s: float) -> None:
         """Take the whole table."""
 
-    def changed(self, changes: TableChanges, now_s: float) -> None:
-        """Take changes since the last call."""
+    def changed(self, changes: TableChanges, now_s: float) -> frozenset[str]:
+        """Take changes since the last call.
+
+        :returns: names of the rows whose changes mean something.
+        """
+
+    def heard_of_trouble(self, trouble_s: float) -> None:
+        """Take that the store failed another daemon at that time."""
 
     def failed(self, reason: str, now_s: float) -> None:
         """Take that the store did not answer as it should."""
@@ -55,8 +72,13 @@
 class TableFollower:
     """Keeps a listener up to date with one table.
 
+    A daemon that does not read the table for others is told its changes by
+    those that do, and looks itself when it hears none.
+
     :param table: name of the table.
     :param daemons: tells how many daemons follow tables.
+    :param reads: tells whether this daemon reads the table; ``None`` if all
+        daemons do.
     """
 
     def __init__(
@@ -67,9 +89,14 @@
         daemons: Callable[[], int],
         log: DecisionLog,
         clock: Clock,
+        reads: Callable[[], bool] | None = None,
     ) -> None:
         """Prepare to follow."""
         self._daemons = daemons
+        self._reads = reads
+        self._recent = RecentChanges()
+        self._heard_s = float('-inf')
+        self._trouble_s = float('-inf')
         self.table = table
         self._feed = feed
         self._listener = listener
@@ -97,6 +124,40 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
+    def is_reader(self) -> bool:
+        """Tell whether this daemon reads the table from the store."""
+        return self._reads is None or self._reads()
+
+    @property
+    def is_passed_on(self) -> bool:
+        """Tell whether few daemons read the table for all."""
+        return self._reads is not None
+
+    def news(self, host: str) -> TableNews | None:
+        """Return what to tell the daemons that don't read the table.
+
+        :returns: ``None`` while the store does not answer here.
+        """
+        if self._version is None or self._failures:
+            return None
+        now_s = self._clock.now_s()
+        age_s = now_s - self._trouble_s
+        if age_s > _TROUBLE_TOLD_S:
+            age_s = -1.0
+        return self._recent.news(host, self.table, age_s, now_s)
+
+    def heard(self, news: TableNews) -> None:
+        """Take what a reader tells."""
+        now_s = self._clock.now_s()
+        if self._version is None or news.since > self._version:
+            return
+        self._heard_s = now_s
+        if news.trouble_age_s >= 0:
+            self._listener.heard_of_trouble(now_s - news.trouble_age_s)
+        changes = new_changes(news, self._version)
+        if changes is not None:
+            self._apply(self._version, changes, now_s)
+
     async def restart(self) -> None:
         """Drop the call under way and read the whole table again."""
         await self.stop()
@@ -105,19 +166,34 @@
 
     async def _run(self) -> None:
         while True:
-            if self._version is None:
-                read = await self._feed.snapshot(self.table)
-            else:
-                read = await self._feed.changes(
-                    self.table,
-                    self._version,
-                    FEED_WAIT_S,
-                )
-            if self._take(read):
-                await asyncio.sleep(gather_s(self._daemons()))
-            else:
-                last = len(_PAUSES_S)
-                await asyncio.sleep(_PAUSES_S[min(self._failures, last) - 1])
+            if self._is_told():
+                await asyncio.sleep(_LOOK_S)
+                continue
+            is_read = self._take(await self._read())
+            await asyncio.sleep(self._pause_s(is_read=is_read))
+
+    async def _read(self) -> TableChanges | HistoryLost | Unavailable:
+        if self._version is None:
+            return await self._feed.snapshot(self.table)
+        wait_s = FEED_WAIT_S if self.is_reader() else 0.0
+        return await self._feed.changes(self.table, self._version, wait_s)
+
+    def _is_told(self) -> bool:
+        """Tell whether others keep this daemon up to date."""
+        if self._version is None or self.is_reader():
+            return False
+        return self._clock.now_s() - self._heard_s < _NEWS_SILENCE_S
+
+    def _pause_s(self, *, is_read: bool) -> float:
+        if not is_read:
+            place = min(self._failures, len(_PAUSES_S)) - 1
+            pause_s = _PAUSES_S[place]
+            return (
+                pause_s if self.is_reader() else max(pause_s, _NEWS_SILENCE_S)
+            )
+        if self._reads is None or not self.is_reader():
+            return gather_s(self._daemons())
+        return min(_READER_GATHER_S, gather_s(self._daemons()))
 
     def _take(self, read: TableChanges | HistoryLost | Unavailable) -> bool:
         now_s = self._clock.now_s()
@@ -132,20 +208,30 @@
             self._version = None
         elif self._version is None:
             self._version = read.version
+            self._recent.listed(read)
             self._listener.listed(read, now_s)
         else:
-            self._version = max(self._version, read.version)
-            self._listener.changed(read, now_s)
+            self._apply(self._version, read, now_s)
+        self._heard_s = now_s
         return True
 
+    def _apply(self, since: int, read: TableChanges, now_s: float) -> None:
+        self._version = max(since, read.version)
+        self._newest_change = max(self._newest_change, read.newest_change)
+        told = self._listener.changed(read, now_s)
+        if self.is_passed_on:
+            self._recent.read(since, read, told, now_s)
+
     def _failed(self, reason: str, now_s: float) -> None:
         self._failures += 1
+        self._trouble_s = now_s
         if self._failures == 1:
             self._log.decided('store_lost', table=self.table, reason=reason)
         self._listener.failed(reason, now_s)
 
     def _answered(self, now_s: float) -> None:
         if self._failures:
+            self._trouble_s = now_s
             self._log.decided(
                 'store_regained',
                 table=self.table,
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -30,6 +30,10 @@
 _WRITE_TIMEOUT_S = 15.0
 
 
+# Connections of a server that is given no other limit.
+_MAX_OPEN = 1_024
+
+
 class CallerGoneError(ConnectionError):
     """The caller has closed its connection."""
 
@@ -52,12 +56,28 @@
         self.handler = handler
         self.limits = CallerLimits()
         self.is_stopping = False
+        self.max_open = _MAX_OPEN
+        self.turned_away = 0
         self.open: set[HttpConnection] = set()
 
     def connect(self) -> HttpConnection:
         """Return the protocol of a new connection."""
         return HttpConnection(self)
 
+    def has_place(self) -> bool:
+        """Make place for a connection; ``False`` if all others are in use.
+
+        An idle connection is closed for it: its caller opens a new one.
+        """
+        if len(self.open) < self.max_open:
+            return True
+        for connection in self.open:
+            if not connection.is_busy:
+                connection.close_if_idle()
+                return True
+        self.turned_away += 1
+        return False
+
     def close_idle(self) -> None:
         """Close the connections on which no request is in work."""
         for connection in tuple(self.open):
@@ -160,6 +180,9 @@
     def connection_made(self, transport: Any) -> None:
         """Take the transport; the loop's own class shares no base class."""
         self._transport = transport
+        if not self._owner.has_place():
+            transport.abort()
+            return
         transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         self._owner.open.add(self)
         self._arm(self._owner.limits.idle_timeout_s)
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +14,7 @@
     from nutmegspoke.edge.view import View
     from nutmegspoke.entry_host import EntryTables, TargetEntry
     from nutmegspoke.metadata_store import StoredRow, TableChanges
+logger = logging.getLogger(__name__)
 
 
 class TablesListener:
@@ -42,11 +44,15 @@
         """Take the whole table."""
         self.changed(table, now_s)
 
-    def changed(self, changes: TableChanges, now_s: float) -> None:
+    def changed(self, changes: TableChanges, now_s: float) -> frozenset[str]:
         """Take the newest version, if there is one."""
         for row in changes.rows:
             if row.key.endswith(f'/{self._row_name}'):
                 self._take(row)
+        return frozenset()
+
+    def heard_of_trouble(self, trouble_s: float) -> None:
+        """Do nothing: every daemon reads this table itself."""
 
     def failed(self, reason: str, now_s: float) -> None:
         """Serve on by the tables known."""
@@ -103,19 +109,22 @@
         self._view.targets.keep_only(names, now_s)
         self.changed(table, now_s)
 
-    def changed(self, changes: TableChanges, now_s: float) -> None:
-        """Take changed rows."""
-        for row in changes.rows:
-            self._put(row, now_s)
+    def changed(self, changes: TableChanges, now_s: float) -> frozenset[str]:
+        """Take changed rows; heartbeats mean nothing."""
+        self._view.targets_version = changes.version
+        told = {
+            row.key.partition('/')[2]
+            for row in changes.rows
+            if self._put(row, now_s)
+        }
         for name in changes.removed:
-            is_dropped = self._view.targets.remove(name, now_s)
-            self.changed_s = now_s
-            self._log.decided(
-                'target_gone',
-                target=name,
-                may_have_lapsed=not is_dropped,
-                version=changes.version,
-            )
+            if self._remove(name, now_s):
+                told.add(name)
+        return frozenset(told)
+
+    def heard_of_trouble(self, trouble_s: float) -> None:
+        """Take that entries may have lapsed then."""
+        self._view.targets.heard_of_trouble(trouble_s)
 
     def failed(self, reason: str, now_s: float) -> None:
         """Remember that entries may lapse now."""
@@ -127,29 +136,45 @@
         self._is_lost = False
         self._view.targets.store_answered(now_s)
 
-    def _put(self, row: StoredRow, now_s: float) -> None:
+    def _remove(self, name: str, now_s: float) -> bool:
+        """Take that a row is gone; tell whether it was known."""
+        if self._view.targets.find(name) is None:
+            return False
+        is_dropped = self._view.targets.remove(name, now_s)
+        self.changed_s = now_s
+        self._log.decided(
+            'target_gone',
+            target=name,
+            may_have_lapsed=not is_dropped,
+            version=self._view.targets_version,
+        )
+        return True
+
+    def _put(self, row: StoredRow, now_s: float) -> bool:
+        """Take a row; tell whether it says anything new."""
         name = row.key.partition('/')[2]
         entry = self._decode(name, row.body)
         if entry is None:
-            self._view.targets.remove(name, now_s)
-            return
+            return self._remove(name, now_s)
         known = self._view.targets.find(name)
         if known is not None and entry.started_ms < known.started_ms:
-            return
+            return False
         self._view.targets.put(entry)
-        if known is None or known != entry:
-            self.changed_s = now_s if known is None else self.changed_s
-            self._log.decided(
-                'target_listed',
-                target=name,
-                address=entry.address,
-                pool=entry.pool,
-                zone=entry.availability_zone,
-                state=entry.state.value,
-                layers=str(entry.layers),
-                kind=entry.kind,
-                row_version=row.version,
-            )
+        if known == entry:
+            return False
+        self.changed_s = now_s if known is None else self.changed_s
+        self._log.decided(
+            'target_listed',
+            target=name,
+            address=entry.address,
+            pool=entry.pool,
+            zone=entry.availability_zone,
+            state=entry.state.value,
+            layers=str(entry.layers),
+            kind=entry.kind,
+            row_version=row.version,
+        )
+        return True
 
 
 class DaemonRow(msgspec.Struct, frozen=True):
@@ -173,6 +198,8 @@
         """Know no other daemon."""
         self._own_host = own_host
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.is_listed = False
+        self.own_row = b''
 
     def count(self) -> int:
         """Return the number of other daemons that have written a row."""
@@ -180,23 +207,33 @@
 
     def listed(self, table: TableChanges, now_s: float) -> None:
         """Take all rows."""
+        self.is_listed = True
+        self.own_row = b''
         self.addresses.clear()
         self.changed(table, now_s)
 
-    def changed(self, changes: TableChanges, now_s: float) -> None:
+    def changed(self, changes: TableChanges, now_s: float) -> frozenset[str]:
         """Take changed rows."""
         for row in changes.rows:
-            name = row.key.partition('/')[2]
-            if name == self._own_host:
-                continue
-            try:
-                daemon = msgspec.json.decode(row.body, type=DaemonRow)
-            except msgspec.MsgspecError:
-                self.addresses.pop(name, None)
-                continue
-            self.addresses[name] = (daemon.ip, daemon.port)
+            self._put(row.key.partition('/')[2], row.body)
         for name in changes.removed:
             self.addresses.pop(name, None)
+        return frozenset()
+
+    def heard_of_trouble(self, trouble_s: float) -> None:
+        """Do nothing: every daemon reads this table itself."""
+
+    def _put(self, name: str, body: bytes) -> None:
+        if name == self._own_host:
+            self.own_row = body
+            return
+        try:
+            daemon = msgspec.json.decode(body, type=DaemonRow)
+        except msgspec.MsgspecError as error:
+            logger.info('daemons: row of %s not read: %s', name, error)
+            self.addresses.pop(name, None)
+            return
+        self.addresses[name] = (daemon.ip, daemon.port)
 
     def failed(self, reason: str, now_s: float) -> None:
         """Keep the addresses known."""
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -8,8 +8,10 @@
 
 import msgspec
 
+from nutmegspoke.edge.followers import gather_s
 from nutmegspoke.membership.feed_versions import FeedVersions
 from nutmegspoke.membership.load_news import LoadNews, TargetFault
+from nutmegspoke.membership.table_news import TableNews
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,6 +27,8 @@
 NEWS_INTERVAL_S = 0.1
 # Pause for each daemon told, which bounds the datagrams of all daemons.
 _INTERVAL_PER_DAEMON_S = 0.01
+# Pause between news of tables: a reader reads them as often.
+_TABLES_S = 0.4
 # Unchanged news are sent this often, as a sign of life.
 _SIGN_OF_LIFE_S = 0.5
 
@@ -42,11 +46,19 @@
         """Take the lease row as another daemon tells it."""
 
 
+class ReportReader(Protocol):
+    """Tells who reads the engines' reports."""
+
+    def reads_for_all(self, now_s: float) -> bool:
+        """Tell whether this daemon reads the reports that the others use."""
+
+
 class NewsExchange(asyncio.DatagramProtocol):
     """Tells the other daemons the load and the faults that this one sees.
 
     :param daemons: addresses of the others.
     :param leader: tells whether this daemon leads.
+    :param polls: tells whether this daemon reads the engines' reports.
     :param feeds: feeds of the store that this daemon follows.
     """
 
@@ -55,6 +67,7 @@
         view: View,
         daemons: DaemonsListener,
         leader: Leader,
+        polls: ReportReader,
         feeds: Sequence[TableFollower],
         clock: Clock,
     ) -> None:
@@ -62,6 +75,7 @@
         self._view = view
         self._daemons = daemons
         self._leader = leader
+        self._polls = polls
         self._feeds = feeds
         self._feed_versions = FeedVersions()
         self._clock = clock
@@ -71,14 +85,9 @@
         self._sent_s = float('-inf')
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._table_timer: asyncio.TimerHandle | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(LoadNews)
-        self.is_stopping = False
-
-    @property
-    def started_ms(self) -> int:
-        """Return the start of this daemon, as its news tell."""
-        return self._started_ms
+        self._decoder = msgspec.msgpack.Decoder(LoadNews | TableNews)
 
     async def start(self) -> None:
         """Listen and begin to send."""
@@ -89,11 +98,13 @@
             local_addr=(host.ip, host.peer_ports[0]),
         )
         self._tick()
+        self._tell_tables()
 
     async def stop(self) -> None:
         """Send and listen no more."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._table_timer):
+            if timer is not None:
+                timer.cancel()
         if self._transport is not None:
             self._transport.close()
 
@@ -108,12 +119,22 @@
         except msgspec.MsgspecError as error:
             logger.info('news: not read from %s: %s', sender, error)
             return
-        now_s = self._clock.now_s()
+        if isinstance(news, TableNews):
+            self._heard_table(news)
+        else:
+            self._heard_load(news, self._clock.now_s())
+
+    def _heard_table(self, news: TableNews) -> None:
+        for feed in self._feeds:
+            if feed.table == news.table and not feed.is_reader():
+                feed.heard(news)
+
+    def _heard_load(self, news: LoadNews, now_s: float) -> None:
         if not self._view.board.take(news, now_s):
             return
         for fault in news.faults:
             self._view.faults.heard_of(fault.target, fault.left_s, now_s)
-        self._feed_versions.heard(news.feeds)
+        self._feed_versions.heard(news.feeds, now_s)
         self._view.reports.heard(news.reports, now_s)
         if news.lease is not None:
             self._leader.heard_lease(*news.lease)
@@ -130,10 +151,16 @@
             if self._feed_versions.must_restart(
                 feed.table,
                 feed.newest_change,
+                self._lag_s(feed),
                 now_s,
             )
         ]
 
+    def _lag_s(self, feed: TableFollower) -> float:
+        """Return how old what a feed has read may be."""
+        lag_s = gather_s(self._daemons.count())
+        return lag_s if feed.is_reader() else lag_s + 2 * _TABLES_S
+
     def _tick(self) -> None:
         others = len(self._daemons.addresses)
         pause_s = max(NEWS_INTERVAL_S, others * _INTERVAL_PER_DAEMON_S)
@@ -156,7 +183,6 @@
             host=self._view.host.name,
             started_ms=self._started_ms,
             number=self._number,
-            tables_version=self._view.version,
             promises={
                 engine: (
                     round(promise.token_layers),
@@ -175,14 +201,24 @@
             lease=self._leader.lease(),
             reports=self._reports(now_s),
             feeds={feed.table: feed.newest_change or 0 for feed in self._feeds},
-            is_stopping=self.is_stopping,
         )
 
     def _reports(self, now_s: float) -> dict[str, tuple[float, float]]:
-        if not self._leader.leads():
+        if not self._polls.reads_for_all(now_s):
             return {}
         return self._view.reports.unusual(now_s)
 
+    def _tell_tables(self) -> None:
+        """Tell the changes of the tables that this daemon reads for all."""
+        loop = asyncio.get_running_loop()
+        self._table_timer = loop.call_later(_TABLES_S, self._tell_tables)
+        for feed in self._feeds:
+            if not feed.is_passed_on or not feed.is_reader():
+                continue
+            news = feed.news(self._view.host.name)
+            if news is not None:
+                self._send(self._encoder.encode(news))
+
     def _send(self, datagram: bytes) -> None:
         if self._transport is None:
             return
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import WholeAnswer
     from nutmegspoke.edge.decision_log import DecisionLog
@@ -60,9 +62,16 @@
         *,
         reason: str,
         retry_after_s: float | None = None,
+        inputs: Mapping[str, object] | None = None,
     ) -> None:
-        """End a request with an answer of the router's own."""
-        self.record(work, status.name.lower(), status.value, reason)
+        """End a request with an answer of the router's own.
+
+        :param inputs: what else decided it, for the log.
+        """
+        seen = dict(inputs or {})
+        if retry_after_s is not None:
+            seen['retry_after_s'] = round(retry_after_s, 3)
+        self.record(work, status.name.lower(), status.value, reason, seen)
         request_id = work.facts.request_id
         await self._write(work.answer, request_id, status, retry_after_s)
 
@@ -78,6 +87,7 @@
         outcome: str,
         status: int,
         reason: str,
+        inputs: Mapping[str, object] | None = None,
     ) -> None:
         """Log and count the end of a request."""
         now_s = self._clock.now_s()
@@ -96,6 +106,7 @@
             took_s=round(took_s, 4),
             left_s=round(work.left_s(now_s), 3),
             tables_version=self._view.version,
+            **(inputs or {}),
         )
         self._metrics.request_ended(work.route.name, outcome, took_s)
 
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -10,7 +10,9 @@
     Refused,
     Sending,
     WholeAnswer,
+    failure_reason,
 )
+from nutmegspoke.edge.repeats import Repeats
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
 from nutmegspoke.retries.target_faults import Fault
@@ -19,6 +21,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, WholeResult
+    from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import OwnAnswers
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import Work
@@ -26,8 +29,6 @@
 
 # Part of the time left that a first attempt gets if a second may follow.
 _FIRST_ATTEMPT_SHARE = 0.45
-# Sends of one request, refused and unreached ones included.
-_MAX_SENDS = 4
 # Time in which a target that refused has room again: a few calls' work.
 _FULL_RETRY_AFTER_S = 0.2
 # Time in which new targets are listed if none is left.
@@ -42,9 +43,12 @@
         view: View,
         attempts: Attempts,
         own: OwnAnswers,
+        log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Use the view and the connections."""
+        self._repeats = Repeats(view, log, clock)
+        self._log = log
         self._view = view
         self._attempts = attempts
         self._own = own
@@ -54,21 +58,21 @@
     async def serve(self, work: Work) -> None:
         """Answer a request."""
         last: WholeResult = NotSent('no target')
-        while self._may_send(work):
+        is_allowed = work.left_s(self._clock.now_s()) > 0
+        while is_allowed:
             target = self._choose(work, self._clock.now_s())
             if target is None:
                 break
             last = await self._send(work, target)
-            if self._is_final(work, last):
+            if _is_answered(last):
                 break
+            is_allowed = self._repeats.allows(
+                work,
+                _cause(last),
+                max_targets=work.route.max_targets,
+            )
         await self._answer(work, last)
 
-    def _may_send(self, work: Work) -> bool:
-        now_s = self._clock.now_s()
-        if work.sends >= _MAX_SENDS or work.left_s(now_s) <= 0:
-            return False
-        return not work.sends or self._may_repeat(work, now_s)
-
     def _choose(self, work: Work, now_s: float) -> TargetEntry | None:
         live = self._view.targets.live(work.pool.name)
         usable = [
@@ -78,12 +82,6 @@
         ]
         return self._loads.choose(usable or live, work.avoided, now_s)
 
-    def _may_repeat(self, work: Work, now_s: float) -> bool:
-        if not work.may_be_sent or len(work.targets) >= work.route.max_targets:
-            return False
-        daemons = self._view.budget_daemons(now_s)
-        return self._view.budget(work.pool.name).take(daemons, now_s)
-
     async def _send(self, work: Work, target: TargetEntry) -> WholeResult:
         now_s = self._clock.now_s()
         left_s = work.left_s(now_s)
@@ -102,6 +100,9 @@
                     ),
                     fresh=not may_repeat,
                     limit_s=left_s * (_FIRST_ATTEMPT_SHARE if has_next else 1),
+                    max_connections=self._view.connection_share(
+                        work.pool, now_s
+                    ),
                 ),
             )
         finally:
@@ -119,7 +120,8 @@
         name = target.name
         work.avoided.add(name)
         if isinstance(result, NotSent):
-            self._view.faults.failed(name, Fault.UNREACHABLE, now_s)
+            fault = Fault.FULL if result.is_full else Fault.UNREACHABLE
+            self._view.faults.failed(name, fault, now_s)
             return
         work.sends += 1
         work.targets.append(name)
@@ -145,19 +147,13 @@
             running, waiting, _ = load
             self._loads.told(target.name, running + waiting, now_s)
 
-    def _is_final(self, work: Work, result: WholeResult) -> bool:
-        is_whole = isinstance(result, WholeAnswer)
-        if is_whole and not _is_error(result):
-            return True
-        return not work.may_be_sent
-
     async def _answer(self, work: Work, last: WholeResult) -> None:
         if isinstance(last, WholeAnswer):
             await self._own.pass_on(work, last)
         elif work.may_have_run:
             is_late = work.is_out_of_time(self._clock.now_s())
             status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
-            await self._own.send(work, status, reason=_reason(last))
+            await self._own.send(work, status, reason=failure_reason(last))
         else:
             retry_after_s = _NONE_RETRY_AFTER_S
             if isinstance(last, Refused):
@@ -165,23 +161,38 @@
             await self._own.send(
                 work,
                 OwnAnswer.NOT_RUN,
-                reason=_reason(last),
+                reason=failure_reason(last),
                 retry_after_s=retry_after_s,
+                inputs=self._inputs(work),
             )
 
+    def _inputs(self, work: Work) -> dict[str, object]:
+        """Return what made a refusal, for the log."""
+        now_s = self._clock.now_s()
+        live = self._view.targets.live(work.pool.name)
+        return {
+            'targets_live': len(live),
+            'targets_left_out': sum(
+                self._view.faults.is_left_out(entry.name, now_s)
+                for entry in live
+            ),
+            'targets_failed': sorted(work.avoided),
+            'targets_version': self._view.targets_version,
+        }
+
+
+def _is_answered(result: WholeResult) -> bool:
+    return isinstance(result, WholeAnswer) and not _is_error(result)
+
+
+def _cause(result: WholeResult) -> str:
+    if isinstance(result, WholeAnswer):
+        return f'answered {result.status}'
+    return failure_reason(result)
+
 
 def _is_error(result: WholeResult) -> bool:
     """Tell whether a target answered with an error of its own, or not."""
     if isinstance(result, WholeAnswer):
         return result.facts.kind == AnswerKind.FAILURE
     return isinstance(result, Broken)
-
-
-def _reason(result: WholeResult) -> str:
-    match result:
-        case NotSent(reason=reason) | Broken(reason=reason):
-            return reason
-        case Refused(status=status):
-            return f'refused with {status}'
-        case _:
-            return ''
--- a/nutmegspoke/edge/platform_parts.py
+++ b/nutmegspoke/edge/platform_parts.py
@@ -11,18 +11,22 @@
     from collections.abc import Callable
 
     from nutmegspoke.engine_orders import EngineCalls
-    from nutmegspoke.entry_host import EntryTables, TargetEntry
+    from nutmegspoke.entry_host import EntryHost, EntryTables, TargetEntry
     from nutmegspoke.forwarded import Dialect
 
 
 class Store(TableService, ChangeFeed, Protocol):
     """The platform's metadata store."""
 
+    def use_address(self, address: str) -> None:
+        """Make the next calls to this ``IP:PORT``."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformParts:
     """The platform, as the daemon sees it.
 
+    :param read_host: reads the host's description; raises ``SettingsError``.
     :param store: the metadata store.
     :param engines: calls to engines beside requests.
     :param dialect: headers of requests and answers.
@@ -33,6 +37,7 @@
     :param decode_target: reads one of its rows.
     """
 
+    read_host: Callable[[], EntryHost]
     store: Store
     engines: EngineCalls
     dialect: Dialect
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -35,7 +35,7 @@
     return Callers(
         view,
         parts.dialect,
-        PlainCalls(view, attempts, own, clock),
+        PlainCalls(view, attempts, own, log, clock),
         Drafts(view, attempts, own, watch, log, clock),
         own,
         clock,
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -75,17 +75,28 @@
                     opened.connection,
                     ASK_GAP_S,
                 )
-                if isinstance(event, AnswerPart):
-                    await self._pass_on(work, stream, opened, splitter, event)
-                    continue
-                end = _end(event, splitter)
-                if end is None:
-                    await self._begin(work, stream, opened)
-                return end
+                if not isinstance(event, AnswerPart):
+                    end = _end(event, splitter)
+                    return await self._ended(work, stream, opened, end)
+                await self._pass_on(work, stream, opened, splitter, event)
+                if splitter.is_too_long:
+                    return RelayEnd('event without end')
         finally:
             if opened.connection.is_open_answer():
                 opened.connection.close()
 
+    async def _ended(
+        self,
+        work: Work,
+        stream: DraftStream,
+        opened: Opened,
+        end: RelayEnd | None,
+    ) -> RelayEnd | None:
+        """Pass on the head of a whole answer without events."""
+        if end is None:
+            await self._begin(work, stream, opened)
+        return end
+
     async def next_event(
         self,
         work: Work,
--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -71,6 +71,10 @@
                 return Stalled(lost)
         return Stalled('')
 
+    async def is_gone(self, address: str) -> bool:
+        """Tell whether an engine does not even report."""
+        return await self._calls.report(address) is None
+
     async def _lost(
         self,
         connection: TargetConnection,
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -14,6 +14,7 @@
     AnswerPart,
     AnswerReader,
 )
+from nutmegspoke.probed_sockets import probe
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,15 +34,46 @@
 _MAX_IDLE_PER_TARGET = 16
 
 
+class ConnectionLimitError(ConnectionError):
+    """As many connections are open as may be."""
+
+
+class OpenCounts:
+    """Counts the open connections to each target."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._counts: collections.Counter[str] = collections.Counter()
+        self.total = 0
+
+    def of(self, address: str) -> int:
+        """Return how many connections to a target are open."""
+        return self._counts[address]
+
+    def opened(self, address: str) -> None:
+        """Count a connection."""
+        self._counts[address] += 1
+        self.total += 1
+
+    def ended(self, address: str) -> None:
+        """Count one less."""
+        self.total -= 1
+        self._counts[address] -= 1
+        if not self._counts[address]:
+            self._counts.pop(address)
+
+
 class TargetConnection(asyncio.Protocol):
     """A connection to a target.
 
     :param address: ``IP:PORT``.
+    :param counts: counts the connection while it is open.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, counts: OpenCounts) -> None:
         """Wait for the connection to stand."""
         self.address = address
+        self._counts = counts
         self._transport: Any = None
         self._reader = AnswerReader(self._took)
         self._events: collections.deque[AnswerEvent] = collections.deque()
@@ -52,6 +84,8 @@
     def connection_made(self, transport: Any) -> None:
         """Take the transport; the loop's own class shares no base class."""
         self._transport = transport
+        probe(transport.get_extra_info('socket'))
+        self._counts.opened(self.address)
 
     def data_received(self, received: bytes) -> None:
         """Read on; bytes that belong to no request end the use."""
@@ -77,6 +111,7 @@
         self._reader.lose(f'connection lost: {error}')
         self._is_closed = True
         self._transport = None
+        self._counts.ended(self.address)
 
     def send(
         self,
@@ -158,11 +193,16 @@
 
 
 class TargetConnections:
-    """Opens connections to targets and keeps idle ones for a while."""
+    """Opens connections to targets and keeps idle ones for a while.
 
-    def __init__(self) -> None:
+    :param max_open: connections that may be open, to all targets together.
+    """
+
+    def __init__(self, max_open: int) -> None:
         """Start without connections."""
         self._idle: dict[str, list[tuple[TargetConnection, float]]] = {}
+        self._counts = OpenCounts()
+        self.max_open = max_open
         self.opened = 0
 
     async def take(
@@ -171,11 +211,14 @@
         now_s: float,
         *,
         fresh: bool,
+        max_connections: int,
     ) -> TargetConnection:
         """Return a connection to a target.
 
         :param now_s: present time of the clock that :meth:`keep` is given.
         :param fresh: wants a new connection.
+        :param max_connections: connections to this target that may be open.
+        :raises ConnectionLimitError: if too many are open.
         :raises OSError: if the target is not reached in time.
         """
         idle = self._idle.get(address, [])
@@ -184,6 +227,7 @@
             if now_s < until_s and connection.can_be_kept():
                 return connection
             connection.close()
+        self._make_place(address, max_connections)
         return await self._open(address)
 
     def keep(
@@ -219,13 +263,40 @@
             if not kept:
                 self._idle.pop(address)
 
+    def _make_place(self, address: str, max_connections: int) -> None:
+        """Close an idle connection if that makes place for a new one.
+
+        :raises ConnectionLimitError: if no idle one does.
+        """
+        if self._counts.of(address) >= max_connections:
+            if not self._close_oldest(address):
+                raise ConnectionLimitError(
+                    f'{address}: {max_connections} connections are open',
+                )
+        if self._counts.total >= self.max_open:
+            if not any(
+                self._close_oldest(other) for other in tuple(self._idle)
+            ):
+                raise ConnectionLimitError(
+                    f'{self.max_open} connections to targets are open',
+                )
+
+    def _close_oldest(self, address: str) -> bool:
+        """Close the connection to a target that is idle for longest."""
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        connection, _ = idle.pop(0)
+        connection.close()
+        return True
+
     async def _open(self, address: str) -> TargetConnection:
         ip, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(address),
+                    lambda: TargetConnection(address, self._counts),
                     ip,
                     int(port),
                 )
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -11,6 +11,7 @@
     RoomLedger,
     sum_promises,
 )
+from nutmegspoke.admission.socket_shares import target_share
 from nutmegspoke.membership.engine_health import EngineReports
 from nutmegspoke.membership.load_news import LoadBoard
 from nutmegspoke.membership.target_entries import TargetEntries
@@ -28,6 +29,7 @@
         EntryPool,
         EntryTables,
         ModelProfile,
+        RecoveryBounds,
     )
     from nutmegspoke.routing.room_chains import DraftNeed
 
@@ -48,6 +50,7 @@
         self.tables: EntryTables | None = None
         self.routes = RouteIndex(())
         self.targets = TargetEntries(host.bounds.drain_s)
+        self.targets_version = 0
         self.faults = TargetFaults()
         self.ledger = RoomLedger()
         self.board = LoadBoard()
@@ -70,6 +73,13 @@
         }
         return True
 
+    def take_host(self, host: EntryHost) -> None:
+        """See the host as its settings describe it now."""
+        self.host = host
+        self.targets.use_drain(host.bounds.drain_s)
+        for budget in self._budgets.values():
+            budget.use(_window_settings(host.bounds))
+
     @property
     def version(self) -> int:
         """Return the version of the tables; 0 without tables."""
@@ -87,13 +97,7 @@
         """Return the budget for repeats to a pool."""
         budget = self._budgets.get(pool)
         if budget is None:
-            bounds = self.host.bounds
-            settings = WindowSettings(
-                bounds.retry_share,
-                bounds.retry_slack,
-                bounds.retry_window_s,
-            )
-            budget = WindowBudget(settings)
+            budget = WindowBudget(_window_settings(self.host.bounds))
             self._budgets[pool] = budget
         return budget
 
@@ -101,6 +105,10 @@
         """Return how many daemons share the budgets, silent ones included."""
         return 1 + max(_MIN_OTHERS, self.board.hosts_known(now_s))
 
+    def connection_share(self, pool: EntryPool, now_s: float) -> int:
+        """Return how many connections to a target this daemon may open."""
+        return target_share(pool.max_connections, self.budget_daemons(now_s))
+
     def crossings(self, pool: str, profile: ModelProfile) -> CrossingBudget:
         """Return the budget for chains of a pool that cross zones."""
         budget = self._crossings.get(pool)
@@ -208,3 +216,11 @@
             if entry.address == address:
                 return entry.name
         return None
+
+
+def _window_settings(bounds: RecoveryBounds) -> WindowSettings:
+    return WindowSettings(
+        bounds.retry_share,
+        bounds.retry_slack,
+        bounds.retry_window_s,
+    )
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -43,6 +43,7 @@
     :param may_have_run: a target may have run it.
     :param sends: times that it was sent to a target.
     :param targets: names of the targets that it was sent to.
+    :param lost: names of those of them that were found to be gone.
     :param avoided: names of the targets that it failed on, reached or not.
     """
 
@@ -58,6 +59,7 @@
     may_have_run: bool = False
     sends: int = 0
     targets: list[str] = dataclasses.field(default_factory=list)
+    lost: set[str] = dataclasses.field(default_factory=set)
     avoided: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -65,6 +67,15 @@
         """Return the key of the memory that is promised to it."""
         return self.facts.request_id
 
+    def may_begin_at(self) -> frozenset[str] | None:
+        """Return the targets at which it may be tried again.
+
+        :returns: ``None`` for any; once it was sent to as many targets as its
+            route allows, only to those of them that are not lost.
+        """
+        counted = frozenset(self.targets) - self.lost
+        return counted if len(counted) >= self.route.max_targets else None
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the answer must be there."""
         return self.deadline_s - now_s
--- a/nutmegspoke/engine_orders.py
+++ b/nutmegspoke/engine_orders.py
@@ -30,7 +30,6 @@
     total_token_layers: float
     slowness: float
     stalled: tuple[tuple[str, str], ...] = ()
-    started_ms: int = 0
 
 
 class OrderAnswer(enum.StrEnum):
@@ -61,12 +60,3 @@
         order_number: int,
     ) -> OrderAnswer:
         """Order an engine to hold these layers and no others."""
-
-    async def reroute(
-        self,
-        address: str,
-        target: str,
-        request_id: str,
-        chain: tuple[tuple[str, int, int], ...],
-    ) -> OrderAnswer:
-        """Order a request's first engine to go on over another chain."""
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -27,11 +27,6 @@
         """Tell whether a request that may have run can be sent again."""
         return self in {RepeatRule.IDEMPOTENT, RepeatRule.RESUMABLE_STREAM}
 
-    @property
-    def is_stream(self) -> bool:
-        """Tell whether the answer is a series of events."""
-        return self in {RepeatRule.STREAM, RepeatRule.RESUMABLE_STREAM}
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostLimits:
@@ -39,34 +34,30 @@
 
     :param cpu_cores: processor share in cores of usual speed.
     :param memory_bytes: memory above which the process is killed.
-    :param max_connections: sockets that may be open.
+    :param max_sockets: sockets that may be open.
     """
 
     cpu_cores: float
     memory_bytes: int
-    max_connections: int
+    max_sockets: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecoveryBounds:
     """Times and shares that the deployment promises its users.
 
-    :param apply_config_s: time for new tables to be in force.
     :param drain_s: time after which a leaving target gets no more requests.
     :param stop_grace_s: time between SIGTERM and SIGKILL.
     :param retry_share: retries as a share of a pool's requests, all daemons.
     :param retry_slack: retries allowed beyond that share in one window.
     :param retry_window_s: length of the window in which retries are counted.
-    :param stall_s: time in which engines hold work that waits for a lost one.
     """
 
-    apply_config_s: float = 2.0
     drain_s: float = 2.0
     stop_grace_s: float = 8.0
     retry_share: float = 0.2
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
-    stall_s: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +105,6 @@
     :param pools: pools with their weights.
     :param timeout_s: longest time that a caller is kept waiting.
     :param goal_s: time to the first byte for full value.
-    :param gap_goal_s: longest pause within a stream for full value.
     :param priority: rank; 0 is the highest.
     :param max_targets: targets that one request may be sent to.
     :param is_public: whether requests need no team key.
@@ -127,7 +117,6 @@
     pools: tuple[PoolShare, ...]
     timeout_s: float
     goal_s: float
-    gap_goal_s: float
     priority: int
     max_targets: int
     is_public: bool
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -33,48 +33,31 @@
     left_s: float
 
 
-class Offence(msgspec.Struct, frozen=True, array_like=True):
-    """A request that has crashed targets.
-
-    :param digest: stands for path, caller and body.
-    :param crashes: targets that it has crashed, as far as known.
-    """
-
-    digest: str
-    crashes: int
-
-
-class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+class LoadNews(msgspec.Struct, frozen=True, array_like=True, tag='load'):
     """News of one daemon.
 
     :param host: name of its host.
     :param started_ms: start of the daemon; tells two of its lives apart.
     :param number: rises with each news.
-    :param tables_version: version of the tables that it serves by.
     :param promises: token layers, requests and first requests promised, by
         engine.
     :param faults: targets that it avoids.
-    :param offences: requests that crash targets.
     :param leads: it holds the lease on placement.
     :param lease: version and body of the lease row, if it leads.
-    :param reports: slowness and unknown load of engines that report such, as
-        the leader reads it.
+    :param reports: slowness and unknown load of engines that report such, if
+        this daemon reads the reports for all.
     :param feeds: versions of the store that its feeds have read, by table.
-    :param is_stopping: it takes no more requests.
     """
 
     host: str
     started_ms: int
     number: int
-    tables_version: int
     promises: dict[str, tuple[float, int, int]]
     faults: tuple[TargetFault, ...] = ()
-    offences: tuple[Offence, ...] = ()
     leads: bool = False
     lease: tuple[int, bytes] | None = None
     reports: dict[str, tuple[float, float]] = {}
     feeds: dict[str, int] = {}
-    is_stopping: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,9 +75,13 @@
         self._heard: dict[str, _Heard] = {}
 
     def take(self, news: LoadNews, now_s: float) -> bool:
-        """Take news; ``False`` if they are older than those known."""
+        """Take news; ``False`` if they are older than those known.
+
+        After a silence any news are taken: the time of day, which tells two
+        lives of a daemon apart, may have been set back between them.
+        """
         known = self._heard.get(news.host)
-        if known is not None:
+        if known is not None and now_s - known.heard_s < SILENCE_LIMIT_S:
             known_order = (known.news.started_ms, known.news.number)
             if (news.started_ms, news.number) <= known_order:
                 return False
@@ -108,17 +95,14 @@
         """Return what the other daemons have promised on each engine."""
         return sum_promises(heard.promises for heard in self._recent(now_s))
 
-    def newest_tables(self, now_s: float) -> int:
-        """Return the newest version of the tables that others serve by."""
-        return max(
-            (heard.news.tables_version for heard in self._recent(now_s)),
-            default=0,
-        )
-
     def has_leader(self, now_s: float) -> bool:
         """Tell whether another daemon says that it holds the lease."""
         return any(heard.news.leads for heard in self._recent(now_s))
 
+    def heard(self, now_s: float) -> list[str]:
+        """Return the hosts of the other daemons that are heard."""
+        return [heard.news.host for heard in self._recent(now_s)]
+
     def daemons(self, now_s: float) -> int:
         """Return how many other daemons are heard."""
         return sum(1 for _ in self._recent(now_s))
--- a/nutmegspoke/membership/target_entries.py
+++ b/nutmegspoke/membership/target_entries.py
@@ -32,13 +32,17 @@
 
         :param drain_s: time in which a target that leaves is out of use.
         """
-        self._grace_s = min(_RETURN_S, drain_s - _DRAIN_MARGIN_S)
+        self.use_drain(drain_s)
         self._entries: dict[str, TargetEntry] = {}
         self._lapsed: dict[str, float] = {}
         self._trouble_s = float('-inf')
         self._back_s = float('-inf')
         self._is_in_trouble = False
 
+    def use_drain(self, drain_s: float) -> None:
+        """Take another time in which a target that leaves is out of use."""
+        self._grace_s = min(_RETURN_S, drain_s - _DRAIN_MARGIN_S)
+
     def store_failed(self, now_s: float) -> None:
         """Take that the store does not answer as it should."""
         self._is_in_trouble = True
@@ -51,6 +55,11 @@
             self._back_s = now_s
             self._trouble_s = now_s
 
+    def heard_of_trouble(self, trouble_s: float) -> None:
+        """Take that the store failed another daemon at that time."""
+        self._trouble_s = max(self._trouble_s, trouble_s)
+        self._back_s = max(self._back_s, trouble_s)
+
     def put(self, entry: TargetEntry) -> None:
         """Take an entry as it is now; older starts at its address end."""
         self._lapsed.pop(entry.name, None)
--- a/nutmegspoke/platform/boot_settings.py
+++ b/nutmegspoke/platform/boot_settings.py
@@ -34,14 +34,12 @@
 
 
 class _Bounds(msgspec.Struct):
-    config_apply_ms: _Positive = 2_000
     drain_ms: _Positive = 2_000
     # Seconds, unlike its neighbours.
     grace_s: _Positive = 8
     retry_ratio: float = 0.2
     retry_slack: float = 100
     retry_window_s: _Positive = 10
-    stall_ms: _Positive = 2_000
 
 
 class _Store(msgspec.Struct):
@@ -70,16 +68,40 @@
     return pathlib.Path(name)
 
 
-def read_settings(path: pathlib.Path) -> EntryHost:
-    """Read and check the settings file.
+class SettingsFile:
+    """The settings file; it is decoded again only when its text changes.
 
-    :raises SettingsError: if it can't be read or a value is wrong.
+    :param path: where the platform puts it.
+    """
+
+    def __init__(self, path: pathlib.Path) -> None:
+        """Read nothing yet."""
+        self._path = path
+        self._text = ''
+        self._host: EntryHost | None = None
+
+    def read(self) -> EntryHost:
+        """Return the host as the file describes it now.
+
+        :raises SettingsError: if it can't be read or a value is wrong.
+        """
+        text = _read_text(self._path)
+        if self._host is None or text != self._text:
+            self._host = parse_settings(text)
+            self._text = text
+        return self._host
+
+
+def _read_text(path: pathlib.Path) -> str:
+    """Read the file.
+
+
+    :raises SettingsError: if it can't be read.
     """
     try:
-        text = path.read_text(encoding='utf-8')
+        return path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError((f'{path}: {error}',)) from error
-    return parse_settings(text)
 
 
 def parse_settings(text: str) -> EntryHost:
@@ -126,7 +148,7 @@
         limits=HostLimits(
             cpu_cores=limits.cpu_share * limits.cores,
             memory_bytes=int(limits.memory_mb * _BYTES_PER_MB),
-            max_connections=limits.max_fds - _RESERVED_DESCRIPTORS,
+            max_sockets=limits.max_fds - _RESERVED_DESCRIPTORS,
         ),
         bounds=_recovery_bounds(decoded.bounds),
     )
@@ -134,13 +156,11 @@
 
 def _recovery_bounds(bounds: _Bounds) -> RecoveryBounds:
     return RecoveryBounds(
-        apply_config_s=bounds.config_apply_ms / _MS_PER_S,
         drain_s=bounds.drain_ms / _MS_PER_S,
         stop_grace_s=bounds.grace_s,
         retry_share=bounds.retry_ratio,
         retry_slack=bounds.retry_slack,
         retry_window_s=bounds.retry_window_s,
-        stall_s=bounds.stall_ms / _MS_PER_S,
     )
 
 
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -46,7 +46,6 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    gap_goal_ms: float = 0
 
 
 class _Kind(msgspec.Struct):
@@ -155,7 +154,6 @@
         pools=pools,
         timeout_s=route.timeout_ms / _MS_PER_S,
         goal_s=route.goal_ms / _MS_PER_S,
-        gap_goal_s=route.gap_goal_ms / _MS_PER_S,
         priority=route.priority,
         max_targets=max(1, route.max_attempts),
         is_public=route.public,
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -12,7 +12,6 @@
 
 from nutmegspoke.engine_orders import EngineReport, OrderAnswer
 from nutmegspoke.platform.discovery import HeldLayers
-from nutmegspoke.platform.headers import chain_text
 
 if TYPE_CHECKING:
     from nutmegspoke.layers import LayerRange
@@ -53,7 +52,6 @@
     kv_total: float = 0
     pace: float = 1
     stalled: list[_Stalled] = msgspec.field(default_factory=list)
-    born: int = 0
 
 
 _decoder = msgspec.json.Decoder(_Report)
@@ -88,7 +86,6 @@
             total_token_layers=found.kv_total,
             slowness=found.pace,
             stalled=tuple((row.id, row.address) for row in found.stalled),
-            started_ms=found.born,
         )
 
     async def hold(
@@ -115,21 +112,6 @@
         }
         return await self._order(address, target, order)
 
-    async def reroute(
-        self,
-        address: str,
-        target: str,
-        request_id: str,
-        chain: tuple[tuple[str, int, int], ...],
-    ) -> OrderAnswer:
-        """Order a request's first engine to go on over another chain.
-
-        :param request_id: id of the request.
-        :param chain: addresses and layers, with the same first entry.
-        """
-        order = {'op': 'repath', 'id': request_id, 'path': chain_text(chain)}
-        return await self._order(address, target, order)
-
     async def _order(
         self,
         address: str,
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -6,7 +6,6 @@
 import base64
 import binascii
 import logging
-import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -23,6 +22,8 @@
     Unavailable,
 )
 
+from nutmegspoke.probed_sockets import probed_socket
+
 if TYPE_CHECKING:
     from nutmegspoke.metadata_store import (
         CommitResult,
@@ -33,9 +34,6 @@
 
 # An answer takes a few milliseconds; a slow store some tens of times that.
 CALL_TIMEOUT_S = 1.5
-# Idle connections are probed each second and given up after two lost probes.
-_PROBE_INTERVAL_S = 1
-_LOST_PROBES = 2
 _IDLE_LIMIT_S = 20.0
 _PAGE_ROWS = 500
 
@@ -69,22 +67,6 @@
 _rows_decoder = msgspec.json.Decoder(_WireRows)
 
 
-def probed_socket(address_info: Any) -> socket.socket:
-    """Return a socket whose connection notices a silent peer by itself."""
-    family, kind, protocol, _, _ = address_info
-    opened = socket.socket(family, kind, protocol)
-    opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, setting in (
-        (socket.TCP_NODELAY, 1),
-        (socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S),
-        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, _LOST_PROBES),
-    ):
-        opened.setsockopt(socket.IPPROTO_TCP, option, setting)
-    return opened
-
-
 def new_session() -> aiohttp.ClientSession:
     """Return a session of probed connections; the loop must be running."""
     connector = aiohttp.TCPConnector(
@@ -108,9 +90,13 @@
 
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
         """Use a session."""
-        self._url = f'http://{address}'
+        self.use_address(address)
         self._session = session
 
+    def use_address(self, address: str) -> None:
+        """Make the next calls to this ``IP:PORT``."""
+        self._url = f'http://{address}'
+
     async def read(self, key: str) -> StoredRow | Unavailable:
         """Return a row; version 0 if it is absent.
 
--- /dev/null
+++ b/nutmegspoke/retries/repeat_verdict.py
@@ -0,0 +1,67 @@
+"""Whether a request that failed at one target may go to another."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from nutmegspoke.retries.window_budget import WindowBudget
+
+
+class RepeatVerdict(enum.StrEnum):
+    """Why a request is sent again, or not."""
+
+    ALLOWED = 'allowed'
+    MAY_HAVE_RUN = 'may_have_run'
+    OUT_OF_TIME = 'out_of_time'
+    ENOUGH_TARGETS = 'enough_targets'
+    ENOUGH_SENDS = 'enough_sends'
+    BUDGET_SPENT = 'budget_spent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatCase:
+    """A request that was not answered by the targets it was sent to.
+
+    :param may_be_sent: its route's rule allows one more run.
+    :param left_s: time until its answer must be there.
+    :param sends: times that it was sent, refused and unreached ones included.
+    :param max_sends: bound on these.
+    :param targets: targets that it was sent to.
+    :param max_targets: bound on these; ``None`` for none.
+    """
+
+    may_be_sent: bool
+    left_s: float
+    sends: int
+    max_sends: int
+    targets: int
+    max_targets: int | None
+
+
+def judge_repeat(
+    case: RepeatCase,
+    budget: WindowBudget,
+    daemon_count: int,
+    now_s: float,
+) -> RepeatVerdict:
+    """Return whether to send once more; an allowed repeat is paid for.
+
+    A request that reached no target yet is no repeat and costs nothing.
+
+    :param budget: repeats of this daemon to the request's pool.
+    :param daemon_count: daemons that share the budget.
+    """
+    if not case.may_be_sent:
+        return RepeatVerdict.MAY_HAVE_RUN
+    if case.left_s <= 0:
+        return RepeatVerdict.OUT_OF_TIME
+    if case.sends >= case.max_sends:
+        return RepeatVerdict.ENOUGH_SENDS
+    if case.max_targets is not None and case.targets >= case.max_targets:
+        return RepeatVerdict.ENOUGH_TARGETS
+    if case.sends and not budget.take(daemon_count, now_s):
+        return RepeatVerdict.BUDGET_SPENT
+    return RepeatVerdict.ALLOWED
--- a/nutmegspoke/retries/window_budget.py
+++ b/nutmegspoke/retries/window_budget.py
@@ -36,6 +36,10 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def use(self, settings: WindowSettings) -> None:
+        """Bound repeats by other settings from now on."""
+        self._settings = settings
+
     def request_came(self, now_s: float) -> None:
         """Count a request of a caller."""
         self._forget(now_s)
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -12,7 +12,7 @@
 from nutmegspoke.layers import LayerRange, Stage
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Collection, Iterable, Sequence
 
     from nutmegspoke.entry_host import AcceleratorKind, ModelProfile
     from nutmegspoke.layers import Chain
@@ -161,6 +161,7 @@
         self._profile = profile
         self._home_zone = home_zone
         self._may_cross = True
+        self._firsts: Collection[str] | None = None
         self._starts: list[int] = []
 
     def find(
@@ -169,13 +170,17 @@
         need: DraftNeed,
         *,
         may_cross: bool = True,
+        firsts: Collection[str] | None = None,
     ) -> Chain | None:
         """Return the cheapest chain with room; ``None`` without one.
 
         :param engines: engines that may be used.
         :param may_cross: whether the chain may pass from zone to zone.
+        :param firsts: names of the engines at which it may begin; ``None``
+            for any.
         """
         self._may_cross = may_cross
+        self._firsts = firsts
         self._starts = sorted({engine.layers.start for engine in engines})
         layer_count = self._profile.layer_count
         borders = _borders(engines, layer_count)
@@ -243,7 +248,7 @@
         """Return the cheapest way to the engine's first layer."""
         zone = engine.availability_zone
         if border == 0:
-            if engine.firsts >= self._profile.first_slots:
+            if not self._may_begin(engine):
                 return None
             return self._start_s(engine), ()
         crossing_s = self._crossing_s(need)
@@ -258,6 +263,12 @@
         cost_s, path = min(costs, key=lambda pair: pair[0])
         return cost_s, path.stages
 
+    def _may_begin(self, engine: EngineLoad) -> bool:
+        """Tell whether a chain may begin at an engine."""
+        if self._firsts is not None and engine.name not in self._firsts:
+            return False
+        return engine.firsts < self._profile.first_slots
+
     def _start_s(self, engine: EngineLoad) -> float:
         """Return what it costs to begin a chain at an engine."""
         is_home = engine.availability_zone == self._home_zone
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -24,6 +24,7 @@
     :param at_fault: address that these answers name.
     :param break_after: events after which a stream is cut; ``None`` for never.
     :param breaks: streams that are cut so.
+    :param dies: the target ends as it cuts a stream.
     :param stalls_at: address of the lost engine that streams wait for.
     :param without_length: answers end with their connection.
     :param resets: such answers are reset before they are whole.
@@ -36,6 +37,7 @@
     at_fault: str = ''
     break_after: int | None = None
     breaks: int = 0
+    dies: bool = False
     stalls_at: str = ''
     without_length: bool = False
     resets: bool = False
@@ -172,6 +174,8 @@
                 self.faults.breaks -= 1
                 writer.write(b'40\r\nid: 99\ndata: ha')
                 await writer.drain()
+                if self.faults.dies:
+                    await self.stop()
                 return False
             event = f'id: {number}\ndata: {self.name}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
--- a/tests/admission/test_draft_line.py
+++ b/tests/admission/test_draft_line.py
@@ -37,13 +37,14 @@
         ]
         for place in places:
             self.assertTrue(line.join(place))
-        keys = [place.key for place in line.in_order()]
+        keys = []
+        while places:
+            (first,) = [place for place in places if line.may_go(place)]
+            keys.append(first.key)
+            line.leave(first)
+            places.remove(first)
         self.assertEqual(keys, ['broken', 'team', 'early', 'late'])
-        self.assertTrue(line.may_go(places[3]))
-        self.assertFalse(line.may_go(places[1]))
-        line.leave(places[3])
-        line.leave(places[2])
-        self.assertTrue(line.may_go(places[1]))
+        self.assertEqual(len(line), 0)
 
     def test_newcomers_don_t_overtake(self) -> None:
         """A small draft does not slip past a large one that waits."""
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -117,7 +117,6 @@
         pools=(PoolShare('records', 1.0),),
         timeout_s=2.0,
         goal_s=0.3,
-        gap_goal_s=0.0,
         priority=1,
         max_targets=2,
         is_public=False,
@@ -134,7 +133,6 @@
         pools=(PoolShare('engines', 1.0),),
         timeout_s=20.0,
         goal_s=0.5,
-        gap_goal_s=0.2,
     )
     calls = route(
         'calls',
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -109,6 +109,39 @@
             (run,) = self.world.targets['x2'].runs()
             self.assertEqual(run.headers['last-event-id'], '5')
 
+    async def test_a_stream_begins_at_no_more_targets_than_allowed(
+        self,
+    ) -> None:
+        """Pattern: one loss after another. The route allows two targets.
+
+        Seen on a grown site: a draft that broke off twice began at a third
+        engine while the first two were alive.
+        """
+        await self._row()
+        await self._copies()
+        await self.world.add_engine('x3', (0, 40))
+        for name in ('x1', 'x2', 'x3'):
+            self.world.targets[name].faults.break_after = 3
+            self.world.targets[name].faults.breaks = 1
+        answer = await self.world.call('/drafts/1')
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(_numbers(answer.body), list(range(1, _EVENTS + 1)))
+        self.assertEqual(len(self._running('x1', 'x2', 'x3')), 2)
+
+    async def test_a_lost_target_does_not_count(self) -> None:
+        """Pattern: engines crash one after the other."""
+        await self._row()
+        await self._copies()
+        await self.world.add_engine('x3', (0, 40))
+        for name in ('x1', 'x2', 'x3'):
+            target = self.world.targets[name]
+            target.faults.break_after = 3
+            target.faults.breaks = 1
+            target.faults.dies = True
+        answer = await self.world.call('/drafts/1')
+        self.assertFalse(answer.is_whole)
+        self.assertEqual(len(self._running('x1', 'x2', 'x3')), 3)
+
     async def test_a_stalled_stream_goes_on_elsewhere(self) -> None:
         """The first engine's report names the engine that is lost."""
         await self._row()
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -54,6 +54,33 @@
         self.addCleanup(server.close)
         self.port = server.sockets[0].getsockname()[1]
 
+    async def test_an_idle_connection_makes_place(self) -> None:
+        """Pattern: more callers than sockets. Those that wait give way."""
+        self.connections.max_open = 1
+        idle, idle_writer = await asyncio.open_connection(
+            '127.0.0.1', self.port
+        )
+        idle_writer.write(b'GET /a HTTP/1.1\r\n\r\n')
+        await idle.readuntil(b'/a')
+        answer = await self._send(
+            b'GET /b HTTP/1.1\r\nConnection: close\r\n\r\n',
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+        self.assertEqual(await idle.read(), b'')
+        self.assertEqual(self.connections.turned_away, 0)
+
+    async def test_one_too_many_is_turned_away(self) -> None:
+        """A connection is dropped unread if all others are in use."""
+        self.connections.max_open = 1
+        _, busy_writer = await asyncio.open_connection('127.0.0.1', self.port)
+        busy_writer.write(b'GET /wait HTTP/1.1\r\n\r\n')
+        while not self.echo.seen:
+            await asyncio.sleep(0.01)
+        reader, _ = await asyncio.open_connection('127.0.0.1', self.port)
+        self.assertEqual(await reader.read(), b'')
+        self.assertEqual(self.connections.turned_away, 1)
+        self.assertEqual(len(self.echo.seen), 1)
+
     async def _send(self, sent: bytes) -> bytes:
         """Send bytes and read until the connection ends."""
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
--- /dev/null
+++ b/tests/edge/test_target_connections.py
@@ -0,0 +1,92 @@
+"""Tests of the connections to targets: reuse and limits."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+
+from nutmegspoke.edge.target_connections import (
+    ConnectionLimitError,
+    TargetConnection,
+    TargetConnections,
+)
+
+
+async def _serve(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    await reader.read()
+
+
+class TargetConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """Opens connections to a target that answers each request alike."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen."""
+        server = await asyncio.start_server(_serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        self.connections = TargetConnections(2)
+
+    async def _take(
+        self, limit: int = 9, *, fresh: bool = True
+    ) -> TargetConnection:
+        return await self.connections.take(
+            self.address,
+            0.0,
+            fresh=fresh,
+            max_connections=limit,
+        )
+
+    async def test_a_target_gets_no_more_than_its_share(self) -> None:
+        """Pattern: many daemons. Connections beyond would be reset."""
+        await self._take(1)
+        with self.assertRaises(ConnectionLimitError):
+            await self._take(1)
+
+    async def test_all_targets_together(self) -> None:
+        """Descriptors are bounded, whatever a single target takes."""
+        await self._take()
+        await self._take()
+        with self.assertRaises(ConnectionLimitError):
+            await self._take()
+
+    async def test_an_idle_connection_gives_way(self) -> None:
+        """A request that wants a new one closes the oldest idle one."""
+        first = await self._take()
+        first.send(b'GET / HTTP/1.1\r\n\r\n', lambda headers: True)
+        while first.is_open_answer():
+            await first.next_event()
+        self.connections.keep(first, 5.0, 0.0)
+        second = await self._take(1)
+        self.assertIsNot(first, second)
+        self.assertFalse(first.can_be_kept())
+
+    async def test_a_silent_target_shows(self) -> None:
+        """Pattern: a host loses power. Its connections never close."""
+        connection = await self._take()
+        opened = connection._transport.get_extra_info('socket')
+        self.assertTrue(
+            opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        )
+        self.assertGreater(
+            opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            0,
+        )
+
+    async def test_a_closed_connection_is_not_counted(self) -> None:
+        """A place is free as soon as the loop has closed the connection."""
+        first = await self._take(1)
+        first.close()
+        while True:
+            try:
+                await self._take(1)
+            except ConnectionLimitError:
+                await asyncio.sleep(0.01)
+                continue
+            break
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -16,6 +16,8 @@
 from nutmegspoke.edge.daemon import EdgeDaemon
 from nutmegspoke.edge.decision_log import DecisionLog
 from nutmegspoke.edge.platform_parts import PlatformParts
+from nutmegspoke.entry_host import EntryHost
+from nutmegspoke.errors import SettingsError
 from nutmegspoke.platform import configuration, discovery, headers
 from nutmegspoke.platform.engine_calls import EngineClient
 from nutmegspoke.platform.store_client import StoreClient, new_session
@@ -71,7 +73,9 @@
             store_address=f'127.0.0.1:{ports[0]}',
         )
         self.host = host
+        self.described: EntryHost | SettingsError = host
         parts = PlatformParts(
+            read_host=self.read_host,
             store=StoreClient(host.store_address, self._session),
             engines=EngineClient(self._session),
             dialect=headers,
@@ -90,6 +94,12 @@
         self.metrics_port = ports[4]
         await self.daemon.start()
 
+    def read_host(self) -> EntryHost:
+        """Return the host as its settings describe it now."""
+        if isinstance(self.described, SettingsError):
+            raise self.described
+        return self.described
+
     async def stop(self) -> None:
         """Stop everything at once."""
         await self.daemon.close()
--- /dev/null
+++ b/tests/membership/test_common_work.py
@@ -0,0 +1,69 @@
+"""Tests of who does work for all daemons."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.membership.common_work import (
+    ALL_READ_LIMIT,
+    READERS,
+    rank,
+    reads_store,
+)
+
+_NAMES = tuple(
+    f'front-{zone}-{number}' for zone in 'abc' for number in range(27)
+)
+
+
+def _others(own: str, names: tuple[str, ...]) -> list[str]:
+    return [name for name in names if name != own]
+
+
+class CommonWorkTest(unittest.TestCase):
+    """Work is shared out without a word between the daemons."""
+
+    def test_one_is_first(self) -> None:
+        """Pattern: nobody leads. One daemon reads the reports, not 81."""
+        first = [
+            name for name in _NAMES if not rank(name, _others(name, _NAMES))
+        ]
+        self.assertEqual(len(first), 1)
+
+    def test_few_read_for_many(self) -> None:
+        """Pattern: 81 daemons and a busy table. Six readers, in all zones."""
+        readers = [
+            name
+            for name in _NAMES
+            if reads_store(name, _others(name, _NAMES), len(_NAMES) - 1)
+        ]
+        self.assertEqual(len(readers), READERS)
+        self.assertGreater(len({name.split('-')[1] for name in readers}), 1)
+
+    def test_the_next_take_over(self) -> None:
+        """Pattern: all readers are killed at once. Others take their place."""
+        known = len(_NAMES) - 1
+        left = tuple(
+            name
+            for name in _NAMES
+            if not reads_store(name, _others(name, _NAMES), known)
+        )
+        readers = [
+            name
+            for name in left
+            if reads_store(name, _others(name, left), known)
+        ]
+        self.assertEqual(len(readers), READERS)
+
+    def test_who_hears_nobody_reads(self) -> None:
+        """Pattern: a host cut off from the others."""
+        for name in _NAMES:
+            self.assertTrue(reads_store(name, (), len(_NAMES) - 1))
+
+    def test_small_deployments_all_read(self) -> None:
+        """Nine daemons read for themselves."""
+        names = _NAMES[: ALL_READ_LIMIT - 1]
+        for name in names:
+            self.assertTrue(
+                reads_store(name, _others(name, names), len(names) - 1)
+            )
--- a/tests/membership/test_feed_versions.py
+++ b/tests/membership/test_feed_versions.py
@@ -13,25 +13,41 @@
     def test_behind_for_a_while(self) -> None:
         """Pattern: connections go silent without a reset."""
         versions = FeedVersions()
-        versions.heard({'op': 7})
-        self.assertFalse(versions.must_restart('op', 5, 10.0))
-        self.assertFalse(versions.must_restart('op', 5, 10.4))
-        self.assertTrue(versions.must_restart('op', 5, 10.6))
-        self.assertFalse(versions.must_restart('op', 5, 11.0))
-        self.assertTrue(versions.must_restart('op', 5, 12.2))
+        versions.heard({'op': 7}, 10.0)
+        self.assertFalse(versions.must_restart('op', 5, 0.0, 10.0))
+        self.assertFalse(versions.must_restart('op', 5, 0.0, 10.4))
+        self.assertTrue(versions.must_restart('op', 5, 0.0, 10.6))
+        self.assertFalse(versions.must_restart('op', 5, 0.0, 11.0))
+        self.assertTrue(versions.must_restart('op', 5, 0.0, 12.2))
 
     def test_caught_up(self) -> None:
         """A feed that has caught up starts with a clean slate."""
         versions = FeedVersions()
-        versions.heard({'op': 7})
-        versions.must_restart('op', 5, 10.0)
-        self.assertFalse(versions.must_restart('op', 7, 10.4))
-        versions.heard({'op': 8})
-        self.assertFalse(versions.must_restart('op', 7, 10.6))
+        versions.heard({'op': 7}, 10.0)
+        self.assertFalse(versions.must_restart('op', 7, 0.0, 10.4))
+        versions.heard({'op': 8}, 10.5)
+        self.assertFalse(versions.must_restart('op', 7, 0.0, 10.6))
+
+    def test_a_table_that_changes_all_the_time(self) -> None:
+        """Pattern: heartbeats of 86 targets. Each version has its own time.
+
+        A feed that gathers changes for a second is always behind the newest,
+        and is in order all the same.
+        """
+        versions = FeedVersions()
+        for step in range(200):
+            now_s = step / 20
+            versions.heard({'servers': 70 * step}, now_s)
+            own = 70 * max(0, step - 22)
+            self.assertFalse(
+                versions.must_restart('servers', own, 1.0, now_s), step
+            )
+        own = 70 * (199 - 22)
+        self.assertTrue(versions.must_restart('servers', own, 1.0, 10.5))
 
     def test_without_a_list(self) -> None:
         """The first list is on its way already."""
         versions = FeedVersions()
-        versions.heard({'op': 7})
-        self.assertFalse(versions.must_restart('op', None, 10.0))
-        self.assertFalse(versions.must_restart('op', None, 20.0))
+        versions.heard({'op': 7}, 10.0)
+        self.assertFalse(versions.must_restart('op', None, 0.0, 10.0))
+        self.assertFalse(versions.must_restart('op', None, 0.0, 20.0))
--- a/tests/membership/test_load_news.py
+++ b/tests/membership/test_load_news.py
@@ -16,7 +16,7 @@
     host: str, number: int = 1, started_ms: int = 1, **changes: object
 ) -> LoadNews:
     promises = {'x': (100.0 * number, number)}
-    return LoadNews(host, started_ms, number, 5, promises, **changes)
+    return LoadNews(host, started_ms, number, promises, **changes)
 
 
 class LoadBoardTest(unittest.TestCase):
@@ -38,6 +38,15 @@
         self.assertTrue(board.take(_news('a', 1, started_ms=2), 0.2))
         self.assertFalse(board.take(_news('a', 9, started_ms=1), 0.3))
 
+    def test_a_clock_set_back_between_two_lives(self) -> None:
+        """Pattern: a daemon is restarted as its clock jumps back."""
+        board = LoadBoard()
+        board.take(_news('a', 50, started_ms=9_000), 0.0)
+        self.assertFalse(board.take(_news('a', 1, started_ms=4_000), 1.0))
+        self.assertTrue(
+            board.take(_news('a', 2, started_ms=4_000), SILENCE_LIMIT_S),
+        )
+
     def test_silent_daemons_don_t_count(self) -> None:
         """Pattern: a daemon is killed. Its promises end with it."""
         board = LoadBoard()
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
 import unittest
 
 from nutmegspoke.errors import SettingsError
-from nutmegspoke.platform.boot_settings import parse_settings
+from nutmegspoke.platform.boot_settings import SettingsFile, parse_settings
 from tests import builders_edge as build
 
 
@@ -20,7 +22,7 @@
         self.assertEqual(host.peer_ports, (7340, 7355))
         self.assertEqual(host.limits.cpu_cores, 1.0)
         self.assertEqual(host.limits.memory_bytes, 300_000_000)
-        self.assertEqual(host.limits.max_connections, 3_900)
+        self.assertEqual(host.limits.max_sockets, 3_900)
         self.assertEqual(host.bounds.drain_s, 2.5)
         self.assertEqual(host.bounds.stop_grace_s, 8.0)
         self.assertEqual(host.bounds.retry_slack, 202.0)
@@ -41,3 +43,31 @@
         """An empty file names no host."""
         with self.assertRaises(SettingsError):
             parse_settings('')
+
+
+class SettingsFileTest(unittest.TestCase):
+    """Tells what the file says now."""
+
+    def setUp(self) -> None:
+        """Write a file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / 'boot.conf'
+        self.path.write_text(build.boot_text())
+        self.file = SettingsFile(self.path)
+
+    def test_an_unchanged_file_is_decoded_once(self) -> None:
+        """The same object comes while the text is the same."""
+        self.assertIs(self.file.read(), self.file.read())
+
+    def test_a_changed_file(self) -> None:
+        """A new value is seen without a signal."""
+        self.file.read()
+        self.path.write_text(build.boot_text(**{'bounds.grace_s': '5'}))
+        self.assertEqual(self.file.read().bounds.stop_grace_s, 5.0)
+
+    def test_a_file_that_is_gone(self) -> None:
+        """A missing file is an error of the settings."""
+        self.path.unlink()
+        with self.assertRaises(SettingsError):
+            self.file.read()
