--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -44,7 +44,7 @@
             daemons,
             now_s,
         )
-        chain = self._view.finder(pool.name).find(
+        chain = self._view.finder(pool.name).find_near(
             engines,
             need,
             barred=barred,
--- a/nutmegspoke/routing/crossing_budget.py
+++ b/nutmegspoke/routing/crossing_budget.py
@@ -20,7 +20,7 @@
 # Part of a link that prompts may take: tokens in work need some, and a link
 # may be several times slower for a while.
 _LINK_SHARE = 0.35
-# Seconds' worth of crossings that may come at once.
+# Seconds' worth of its crossings that a daemon may use at once.
 _BURST_S = 1.0
 _LEAST_RATE_PER_S = 0.05
 
@@ -31,7 +31,7 @@
     """Crossings that this daemon's chains may make."""
 
     def __init__(self, profile: ModelProfile) -> None:
-        """Start with a full burst on each link.
+        """Start with one crossing on each link.
 
         :param profile: states the link and the size of a usual prompt.
         """
@@ -52,10 +52,12 @@
         :param daemons: daemons that share the links, this one included.
         """
         rate_per_s = self._rate_per_s / max(1, daemons)
+        rate_per_s = max(_LEAST_RATE_PER_S, rate_per_s)
         barred: set[ZonePair] = set()
         for pair in itertools.combinations(set(zones), 2):
             bucket = self._bucket(frozenset(pair))
-            bucket.rate_per_s = max(_LEAST_RATE_PER_S, rate_per_s)
+            bucket.rate_per_s = rate_per_s
+            bucket.burst = max(1.0, rate_per_s * _BURST_S)
             if bucket.wait_s(1.0, now_s) > 0:
                 barred.add(frozenset(pair))
         return frozenset(barred)
@@ -68,7 +70,6 @@
     def _bucket(self, pair: ZonePair) -> TokenBucket:
         bucket = self._buckets.get(pair)
         if bucket is None:
-            burst = max(1.0, self._rate_per_s * _BURST_S)
-            bucket = TokenBucket(self._rate_per_s, burst)
+            bucket = TokenBucket(self._rate_per_s, 1.0)
             self._buckets[pair] = bucket
         return bucket
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import zlib
 from typing import TYPE_CHECKING
 
@@ -226,6 +227,39 @@
         self._starts: list[int] = []
         self._factors: dict[str, float] = {}
 
+    def find_near(
+        self,
+        engines: Sequence[EngineLoad],
+        need: DraftNeed,
+        *,
+        barred: Container[ZonePair] = (),
+        firsts: Collection[str] | None = None,
+        spread: Spread = NO_SPREAD,
+    ) -> Chain | None:
+        """Return the cheapest chain within a zone, or else across zones.
+
+        A draft on a chain that crosses zones is late about every second time
+        where links are busy, and makes the others on them late.
+        """
+        zones = {engine.availability_zone for engine in engines}
+        pairs = itertools.combinations(zones, 2)
+        near = self.find(
+            engines,
+            need,
+            barred={frozenset(pair) for pair in pairs},
+            firsts=firsts,
+            spread=spread,
+        )
+        if near is not None:
+            return near
+        return self.find(
+            engines,
+            need,
+            barred=barred,
+            firsts=firsts,
+            spread=spread,
+        )
+
     def find(
         self,
         engines: Sequence[EngineLoad],
--- a/tests/routing/test_crossing_budget.py
+++ b/tests/routing/test_crossing_budget.py
@@ -57,6 +57,37 @@
         assert chain is not None
         self.assertEqual([stage.target for stage in chain], ['x', 'g'])
 
+    def test_many_daemons_that_begin_to_cross_at_once(self) -> None:
+        """Pattern: 81 daemons, and a zone lacks layers from one moment on.
+
+        Seen on a grown site: each could use the whole link for a second, and
+        three of four drafts that crossed were late.
+        """
+        budgets = [CrossingBudget(build.profile()) for _ in range(81)]
+        crossed = 0
+        for step in range(100):
+            for budget in budgets:
+                if _AB not in budget.barred('ab', len(budgets), step / 100):
+                    budget.crossed([_AB], step / 100)
+                    crossed += 1
+        self.assertLessEqual(crossed, 2 * len(budgets))
+
+    def test_near_chains_go_first(self) -> None:
+        """A slow chain at home is taken before a quick one across zones."""
+        engines = [
+            build.load('q', (0, 40), build.QUICK),
+            build.load('s', (40, 80), build.SLOW),
+            build.load('f', (40, 80), build.QUICK, zone='b'),
+        ]
+        finder = ChainFinder(build.profile(), 'a')
+        near = finder.find_near(engines, build.need())
+        assert near is not None
+        self.assertEqual([stage.target for stage in near], ['q', 's'])
+        left = [engine for engine in engines if engine.name != 's']
+        across = finder.find_near(left, build.need())
+        assert across is not None
+        self.assertEqual([stage.target for stage in across], ['q', 'f'])
+
     def test_no_chain_instead_of_a_crossing(self) -> None:
         """Without budget only chains within a zone are found."""
         finder = ChainFinder(build.profile(), 'a')
