--- a/nutmegspoke/edge/repeats.py
+++ b/nutmegspoke/edge/repeats.py
@@ -71,6 +71,6 @@
             left_s=round(work.left_s(now_s), 3),
             budget_left=round(budget.left(daemons, now_s, others), 1),
             daemons=daemons,
-            others_repeats=others.repeats,
+            others_borrowed=others.borrowed,
         )
         return verdict == RepeatVerdict.ALLOWED
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -58,7 +58,8 @@
         this daemon reads the reports for all.
     :param moves: engines that change their layers, if it leads: the layers
         that they are to hold, and the seconds in which they list them.
-    :param used: requests and repeats in the last window, by pool.
+    :param used: requests, and repeats beyond its own share, in the last
+        window, by pool.
     :param lost: engines that it has just found to have ended.
     :param feeds: versions of the store that its feeds have read, by table.
     """
@@ -125,7 +126,7 @@
         ]
         return PoolUse(
             requests=sum(requests for requests, _ in told),
-            repeats=sum(repeats for _, repeats in told),
+            borrowed=sum(borrowed for _, borrowed in told),
             daemons=len(told),
         )
 
--- a/nutmegspoke/retries/pool_budgets.py
+++ b/nutmegspoke/retries/pool_budgets.py
@@ -33,7 +33,7 @@
         return budget
 
     def used(self, now_s: float) -> dict[str, tuple[int, int]]:
-        """Return requests and repeats of the last window, by pool."""
+        """Return requests and borrowed repeats of the window, by pool."""
         used = {
             pool: budget.used(now_s) for pool, budget in self._budgets.items()
         }
--- a/nutmegspoke/retries/window_budget.py
+++ b/nutmegspoke/retries/window_budget.py
@@ -5,12 +5,14 @@
 import collections
 import dataclasses
 
-# The part of the bound that is used: requests spread unevenly in time, and what
-# others have repeated is known with a delay.
-_SAFETY = 0.8
-# Equal shares of what others leave unused that a daemon may borrow. Losses hit
-# some daemons more than others, and rarely all at the same moment.
-_BORROWED_SHARES = 4.0
+# Part of the bound that each daemon has an equal share of, and part that is
+# lent to those that need more. The rest is kept back: requests spread unevenly
+# in time, and what others have borrowed is known with a delay.
+_OWN_PART = 0.5
+_LENT_PART = 0.3
+# What is left of the lent part is shared out anew each second: news of what
+# others have borrowed are no older, so that all together borrow no more.
+_BORROW_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,11 +33,13 @@
 class PoolUse:
     """What some daemons did in the last window, for one pool.
 
-    :param daemons: how many they are.
+    :param requests: requests of callers.
+    :param borrowed: repeats beyond their own shares.
+    :param daemons: how many daemons they are.
     """
 
     requests: int = 0
-    repeats: int = 0
+    borrowed: int = 0
     daemons: int = 0
 
 
@@ -46,15 +50,16 @@
     """Repeats of this daemon to one pool.
 
     A daemon may repeat its share of its own requests, and an equal part of
-    the slack of all. Beyond that it may borrow some of what others, as far as
-    they are heard, leave unused.
+    the slack of all. Losses hit some daemons more than others: beyond that it
+    may borrow, as long as the others that are heard have not.
     """
 
     def __init__(self, settings: WindowSettings) -> None:
         """Start with an empty window."""
         self._settings = settings
         self._requests: collections.deque[float] = collections.deque()
-        self._repeats: collections.deque[float] = collections.deque()
+        self._own: collections.deque[float] = collections.deque()
+        self._borrowed: collections.deque[float] = collections.deque()
 
     def use(self, settings: WindowSettings) -> None:
         """Bound repeats by other settings from now on."""
@@ -66,9 +71,9 @@
         self._requests.append(now_s)
 
     def used(self, now_s: float) -> tuple[int, int]:
-        """Return the requests and the repeats in the window."""
+        """Return the requests and the borrowed repeats in the window."""
         self._forget(now_s)
-        return len(self._requests), len(self._repeats)
+        return len(self._requests), len(self._borrowed)
 
     def take(
         self,
@@ -81,10 +86,13 @@
         :param daemon_count: daemons that share the slack, this one included.
         :param others: what the daemons that are heard did.
         """
-        if self.left(daemon_count, now_s, others) < 1:
-            return False
-        self._repeats.append(now_s)
-        return True
+        if self._own_left(daemon_count, now_s) >= 1:
+            self._own.append(now_s)
+            return True
+        if self._lent(daemon_count, now_s, others) >= 1:
+            self._borrowed.append(now_s)
+            return True
+        return False
 
     def left(
         self,
@@ -92,26 +100,33 @@
         now_s: float,
         others: PoolUse = NO_USE,
     ) -> float:
-        """Return how many repeats may still be made in this window."""
-        requests, repeats = self.used(now_s)
+        """Return how many repeats may be made now."""
+        own_left = max(0.0, self._own_left(daemon_count, now_s))
+        return own_left + max(0.0, self._lent(daemon_count, now_s, others))
+
+    def _own_left(self, daemon_count: int, now_s: float) -> float:
+        self._forget(now_s)
         slack = self._settings.slack / max(1, daemon_count)
-        own_part = self._allowed(requests, slack)
-        together = self._allowed(
-            requests + others.requests,
-            slack * (others.daemons + 1),
-        )
-        unused = together - others.repeats - own_part
-        borrowed_part = max(0.0, unused) * min(
-            1.0,
-            _BORROWED_SHARES / max(1, daemon_count),
-        )
-        return own_part + borrowed_part - repeats
-
-    def _allowed(self, requests: int, slack: float) -> float:
-        return _SAFETY * (self._settings.share * requests + slack)
+        allowed = self._settings.share * len(self._requests) + slack
+        return _OWN_PART * allowed - len(self._own)
+
+    def _lent(
+        self,
+        daemon_count: int,
+        now_s: float,
+        others: PoolUse,
+    ) -> float:
+        """Return what may still be borrowed in this second."""
+        requests, borrowed = self.used(now_s)
+        daemons = others.daemons + 1
+        slack = self._settings.slack * daemons / max(1, daemon_count)
+        allowed = self._settings.share * (requests + others.requests) + slack
+        lately = sum(now_s - at < _BORROW_S for at in self._borrowed)
+        left = _LENT_PART * allowed - others.borrowed - (borrowed - lately)
+        return max(0.0, left) / max(1, daemon_count) - lately
 
     def _forget(self, now_s: float) -> None:
         oldest_s = now_s - self._settings.window_s
-        for times in (self._requests, self._repeats):
+        for times in (self._requests, self._own, self._borrowed):
             while times and times[0] <= oldest_s:
                 times.popleft()
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -128,6 +128,17 @@
         self.assertEqual(_numbers(answer.body), list(range(1, _EVENTS + 1)))
         self.assertEqual(len(self._running('x1', 'x2', 'x3')), 2)
 
+    async def test_refusals_count_as_targets(self) -> None:
+        """Pattern: engines are full. A third one is not tried."""
+        await self._row()
+        await self._copies()
+        await self.world.add_engine('x3', (0, 40))
+        for name in ('x1', 'x2', 'x3'):
+            self.world.targets[name].faults.refusals = 1
+        answer = await self.world.call('/drafts/1')
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self._running('x1', 'x2', 'x3')), 2)
+
     async def test_a_lost_target_does_not_count(self) -> None:
         """Pattern: engines crash one after the other."""
         await self._row()
--- a/tests/membership/test_table_news.py
+++ b/tests/membership/test_table_news.py
@@ -62,6 +62,12 @@
         self.assertEqual([row.key for row in found.rows], ['t/x', 't/y'])
         self.assertEqual((found.version, found.removed), (20, ()))
 
+    def test_known_changes_are_not_told_again(self) -> None:
+        """Of an answer that is known in part only the rest is new."""
+        found = new_changes(self._news(), 17)
+        assert found is not None
+        self.assertEqual([row.key for row in found.rows], ['t/y'])
+
     def test_a_row_that_came_back_stays(self) -> None:
         """Pattern: news are lost while a target leaves and returns."""
         found = new_changes(self._news(), 11)
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.mutation_list_claims import CLAIM_MUTATIONS
+from tests.mutation_list_edge import EDGE_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
 from tests.mutation_list_pipelines import PIPELINE_MUTATIONS
 from tests.mutation_list_tables import TABLES_MUTATIONS
@@ -42,6 +43,7 @@
         ('tests.cmd.test_cli_processes',),
     ),
     *CLAIM_MUTATIONS,
+    *EDGE_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
     *TABLES_MUTATIONS,
     *PIPELINE_MUTATIONS,
--- /dev/null
+++ b/tests/mutation_list_edge.py
@@ -0,0 +1,147 @@
+"""Mechanisms of the daemon on the users' platform, each with a line that
+breaks it.
+"""
+
+from __future__ import annotations
+
+from tests.mutation_types import Mutation
+
+_MEMBERSHIP = 'nutmegspoke/membership'
+_ROUTING = 'nutmegspoke/routing'
+_RETRIES = 'nutmegspoke/retries'
+
+EDGE_MUTATIONS: tuple[Mutation, ...] = (
+    Mutation(
+        'edge: a feed is behind whenever a newer version is known',
+        f'{_MEMBERSHIP}/feed_versions.py',
+        'BEHIND_LIMIT_S + gather_s:',
+        'BEHIND_LIMIT_S:',
+        ('tests.membership.test_feed_versions',),
+    ),
+    Mutation(
+        'edge: news after a gap are applied',
+        f'{_MEMBERSHIP}/table_news.py',
+        'not news.since <= version < news.version',
+        'not version < news.version',
+        ('tests.membership.test_table_news',),
+    ),
+    Mutation(
+        'edge: changes that are known are applied again',
+        f'{_MEMBERSHIP}/table_news.py',
+        '        if changed > version:\n',
+        '        if changed:\n',
+        ('tests.membership.test_table_news',),
+    ),
+    Mutation(
+        'edge: an old entry returns to its address',
+        f'{_MEMBERSHIP}/target_entries.py',
+        'self._versions[rival.name] > version for rival in rivals',
+        'False for rival in rivals',
+        ('tests.membership.test_target_entries',),
+    ),
+    Mutation(
+        'edge: layers that are given up are used',
+        f'{_MEMBERSHIP}/layer_moves.py',
+        'return common_layers(entry.layers, move.wanted)',
+        'return entry.layers',
+        ('tests.membership.test_layer_moves',),
+    ),
+    Mutation(
+        'edge: every feed tries a store that fails',
+        f'{_MEMBERSHIP}/store_health.py',
+        '        if self._trying is not None:\n            return _PAUSES_S[0]\n',
+        '',
+        ('tests.membership.test_store_health',),
+    ),
+    Mutation(
+        'edge: a loss that was heard is told on',
+        f'{_MEMBERSHIP}/lost_engines.py',
+        '        for target in targets:\n            self._take(target, now_s)\n',
+        '        for target in targets:\n            self.found(target, now_s)\n',
+        ('tests.membership.test_lost_engines',),
+    ),
+    Mutation(
+        'edge: every daemon reads a busy table',
+        f'{_MEMBERSHIP}/common_work.py',
+        'return rank(own, heard) < READERS',
+        'return True',
+        ('tests.membership.test_common_work',),
+    ),
+    Mutation(
+        'edge: addresses change while a daemon runs',
+        f'{_MEMBERSHIP}/host_changes.py',
+        "_CHANGEABLE = ('store_address', 'limits', 'bounds')",
+        "_CHANGEABLE = ('store_address', 'limits', 'bounds', 'callers_port')",
+        ('tests.membership.test_host_changes',),
+    ),
+    Mutation(
+        'edge: a new leader counts the age of gaps anew',
+        'nutmegspoke/placement/zone_gaps.py',
+        'zone: self._since_s.get(zone, now_s) for zone in zones',
+        'zone: now_s for zone in zones',
+        ('tests.placement.test_zone_gaps',),
+    ),
+    Mutation(
+        'edge: a planned departure is waited for',
+        'nutmegspoke/placement/zone_gaps.py',
+        'if zone in self._final or now_s',
+        'if now_s',
+        ('tests.placement.test_zone_gaps',),
+    ),
+    Mutation(
+        'edge: each daemon may use a whole link at once',
+        f'{_ROUTING}/crossing_budget.py',
+        'bucket.burst = max(1.0, rate_per_s * _BURST_S)',
+        'bucket.burst = max(1.0, self._rate_per_s * _BURST_S)',
+        ('tests.routing.test_crossing_budget',),
+    ),
+    Mutation(
+        'edge: a quick chain across zones goes first',
+        f'{_ROUTING}/room_chains.py',
+        '        if near is not None:\n',
+        '        if near is None:\n',
+        ('tests.routing.test_crossing_budget',),
+    ),
+    Mutation(
+        'edge: all daemons choose alike by late news',
+        f'{_ROUTING}/room_chains.py',
+        'return 1.0 + self.share * drawn',
+        'return 1.0',
+        ('tests.routing.test_room_chains',),
+    ),
+    Mutation(
+        'edge: repeats are borrowed without bound',
+        f'{_RETRIES}/window_budget.py',
+        'return max(0.0, left) / max(1, daemon_count) - lately',
+        'return max(0.0, left) - lately',
+        ('tests.retries.test_window_budget',),
+    ),
+    Mutation(
+        'edge: nothing is borrowed',
+        f'{_RETRIES}/window_budget.py',
+        '        if self._lent(daemon_count, now_s, others) >= 1:\n',
+        '        if daemon_count < 0:\n',
+        ('tests.retries.test_window_budget',),
+    ),
+    Mutation(
+        'edge: a draft begins at as many targets as it likes',
+        'nutmegspoke/edge/work.py',
+        'return counted if len(counted) >= self.route.max_targets else None',
+        'return None',
+        ('tests.edge.test_daemon.BrokenAnswersTest',),
+    ),
+    Mutation(
+        'edge: connections to a target are not bounded',
+        'nutmegspoke/edge/target_connections.py',
+        'if self._counts.of(address) >= max_connections:',
+        'if False:',
+        ('tests.edge.test_target_connections',),
+    ),
+    Mutation(
+        'edge: a kept connection is never used again',
+        'nutmegspoke/edge/answer_reader.py',
+        'self._keeps_open = self._parser.should_keep_alive()',
+        'self._keeps_open = False',
+        ('tests.edge.test_target_connections',),
+    ),
+)
--- a/tests/retries/test_window_budget.py
+++ b/tests/retries/test_window_budget.py
@@ -51,35 +51,43 @@
         nine tenths of it were unused.
         """
         daemons = 81
-        hit = WindowBudget(_SETTINGS)
-        calm = PoolUse(requests=1_600, repeats=0, daemons=80)
-        alone = hit.left(daemons, 0.0)
-        self.assertGreater(hit.left(daemons, 0.0, calm), 4 * alone)
+        calm = PoolUse(requests=1_600, borrowed=0, daemons=80)
+        taken = []
+        for others in (PoolUse(), calm):
+            hit = WindowBudget(_SETTINGS)
+            taken.append(
+                sum(
+                    hit.take(daemons, step / 4, others)
+                    for step in range(40)
+                    for _ in range(5)
+                ),
+            )
+        alone, lent = taken
+        self.assertGreater(lent, 5 * alone)
 
     def test_borrowing_stays_within_the_bound(self) -> None:
-        """Pattern: all daemons repeat all they may, and hear it a second late.
+        """Pattern: all drafts fail at once and are refused again and again.
 
-        Repeats come in bursts of at most one for each request in work.
+        Each daemon repeats all it may, and hears a second late what the
+        others did.
         """
         daemons = 9
         budgets = [WindowBudget(_SETTINGS) for _ in range(daemons)]
         repeats: list[float] = []
-        told = [(0, 0) for _ in budgets]
         for second in range(30):
             told = [budget.used(float(second)) for budget in budgets]
             for number, budget in enumerate(budgets):
-                for _ in range(11):
+                for _ in range(number * 3):
                     budget.request_came(float(second))
                 others = [one for at, one in enumerate(told) if at != number]
                 use = PoolUse(
                     requests=sum(requests for requests, _ in others),
-                    repeats=sum(used for _, used in others),
+                    borrowed=sum(borrowed for _, borrowed in others),
                     daemons=len(others),
                 )
-                for _ in range(11):
-                    if budget.take(daemons, float(second), use):
-                        repeats.append(float(second))
-        bound = _SETTINGS.share * 11 * daemons * 10 + _SETTINGS.slack
+                while budget.take(daemons, float(second), use):
+                    repeats.append(float(second))
+        bound = _SETTINGS.share * 108 * 10 + _SETTINGS.slack
         for start in range(20):
             in_window = sum(start <= at < start + 10 for at in repeats)
             self.assertLessEqual(in_window, bound)
--- a/tests/routing/test_crossing_budget.py
+++ b/tests/routing/test_crossing_budget.py
@@ -65,10 +65,13 @@
         """
         budgets = [CrossingBudget(build.profile()) for _ in range(81)]
         crossed = 0
+        for budget in budgets:
+            budget.barred('ab', len(budgets), 0.0)
         for step in range(100):
+            now_s = 60.0 + step / 100
             for budget in budgets:
-                if _AB not in budget.barred('ab', len(budgets), step / 100):
-                    budget.crossed([_AB], step / 100)
+                if _AB not in budget.barred('ab', len(budgets), now_s):
+                    budget.crossed([_AB], now_s)
                     crossed += 1
         self.assertLessEqual(crossed, 2 * len(budgets))
 
