--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -29,6 +29,10 @@
         self._clock = clock
 
     def find(self, work: Work, need: DraftNeed) -> Chain | None:
+        """Return the best chain with room now, which is then promised to it.
+
+        :returns: ``None`` if no chain has room.
+        """
         now_s = self._clock.now_s()
         pool = work.pool
         engines = self._view.engine_loads(
--- a/nutmegspoke/edge/layer_keeper.py
+++ b/nutmegspoke/edge/layer_keeper.py
@@ -79,20 +79,25 @@
         self._ordered: dict[str, _Ordered] = {}
         self._settled: tuple[Holder, ...] = ()
         self._gaps = ZoneGaps()
+        self._lease_steps = Periodic('lease', _STEP_S, self._step_lease)
         self._periodic = Periodic('layers', _STEP_S, self._step)
 
     async def start(self) -> None:
-        """Begin to keep."""
+        """Begin to keep; the lease is renewed while a plan is made."""
+        self._lease_steps.start()
         self._periodic.start()
 
     async def stop(self) -> None:
         """Keep no more, and give the lease back."""
         await self._periodic.stop()
+        await self._lease_steps.stop()
         await self._lease.release()
 
-    async def _step(self) -> None:
+    async def _step_lease(self) -> None:
         if await self._lease.step():
             self._ordered.clear()
+
+    async def _step(self) -> None:
         now_s = self._clock.now_s()
         self._note_gaps(now_s)
         if not self._lease.leads() or not self._targets.is_current:
