--- a/nutmegspoke/bench/measure.py
+++ b/nutmegspoke/bench/measure.py
@@ -13,6 +13,7 @@
     carrier_cost,
     changes_cost,
     daemon_loss,
+    draft_policies,
     idle_cost,
     policies,
     request_cost,
@@ -26,6 +27,7 @@
 
 _MEASUREMENTS = (
     policies,
+    draft_policies,
     throughput,
     request_cost,
     carrier_cost,
@@ -37,6 +39,7 @@
 )
 _QUICK_MEASUREMENTS = (
     policies,
+    draft_policies,
     request_cost,
     carrier_cost,
     stage_loss,
