--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.membership.load_news import news_interval_s
-from nutmegspoke.routing.room_chains import Spread, event_pause_s
+from nutmegspoke.routing.engine_loads import event_pause_s
+from nutmegspoke.routing.room_chains import ChainTerms, Spread
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -16,7 +17,7 @@
     from nutmegspoke.edge.work import Work
     from nutmegspoke.layers import Chain
     from nutmegspoke.routing.crossing_budget import ZonePair
-    from nutmegspoke.routing.room_chains import DraftNeed
+    from nutmegspoke.routing.engine_loads import DraftNeed
 
 
 class ChainChoice:
@@ -51,11 +52,13 @@
         chain = self._view.finder(pool.name).find_near(
             engines,
             need,
-            barred=barred,
-            firsts=work.may_begin_at(),
-            spread=Spread.from_age(
-                zlib.crc32(work.room_key.encode()) + work.sends,
-                news_interval_s(daemons - 1),
+            ChainTerms(
+                barred=barred,
+                firsts=work.may_begin_at(),
+                spread=Spread.from_age(
+                    zlib.crc32(work.room_key.encode()) + work.sends,
+                    news_interval_s(daemons - 1),
+                ),
             ),
         )
         if chain is None:
--- a/nutmegspoke/edge/decision_log.py
+++ b/nutmegspoke/edge/decision_log.py
@@ -93,8 +93,6 @@
     def _write_out(self, line: bytes) -> None:
         try:
             os.write(self._descriptor, line)
-        except BlockingIOError:
-            self.dropped += 1
         except OSError:
             self.dropped += 1
 
--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
 from nutmegspoke.admission.draft_line import DraftLine, Place, ReturnTimes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import Work
     from nutmegspoke.layers import Chain
-    from nutmegspoke.routing.room_chains import DraftNeed
+    from nutmegspoke.routing.engine_loads import DraftNeed
 
 # A draft waits for room at most for this part of its goal: its prompt takes
 # some of the rest.
@@ -30,6 +31,18 @@
 _LAYERS_RETURN_S = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """What a caller whose draft is refused is told.
+
+    :param retry_after_s: when it may come back.
+    :param inputs: what the refusal rests on, for the log.
+    """
+
+    retry_after_s: float
+    inputs: Mapping[str, object]
+
+
 class DraftAdmission:
     """Finds chains with room, in the order of the line.
 
@@ -83,14 +96,23 @@
         )
         return expected_s > _LONGEST_EXPECTED_S
 
-    def retry_after_s(self, work: Work, need: DraftNeed) -> float:
-        """Return when a refused caller may come back."""
-        earliest_s = 0.0 if self._may_come(work, need) else _LAYERS_RETURN_S
-        return self.returns.retry_after_s(earliest_s, self._clock.now_s())
-
-    def inputs(self, work: Work, need: DraftNeed) -> dict[str, object]:
-        """Return what a refusal rests on, for the log."""
+    def refuse(self, work: Work, need: DraftNeed) -> Refusal:
+        """Return when a refused caller may come back, and what decided it."""
         now_s = self._clock.now_s()
+        has_layers = self._may_come(work, need)
+        earliest_s = 0.0 if has_layers else _LAYERS_RETURN_S
+        inputs = self._inputs(work, need, now_s)
+        return Refusal(
+            self.returns.retry_after_s(earliest_s, now_s),
+            {**inputs, 'layers_held': has_layers},
+        )
+
+    def _inputs(
+        self,
+        work: Work,
+        need: DraftNeed,
+        now_s: float,
+    ) -> dict[str, object]:
         pool = work.pool
         engines = self._view.engine_loads(
             pool.name, pool.profile, work.avoided, now_s
@@ -102,7 +124,6 @@
             'engines_live': len(self._view.targets.live(pool.name)),
             'engines_usable': len(engines),
             'room_used': round(used / max(1.0, total), 3),
-            'layers_held': self._may_come(work, need),
             'line': len(self._line),
             'expected_s': round(
                 self.returns.next_room_s(len(self._line), now_s), 2
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -23,7 +23,7 @@
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
 from nutmegspoke.retries.target_faults import Fault
-from nutmegspoke.routing.room_chains import DraftNeed
+from nutmegspoke.routing.engine_loads import DraftNeed
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -307,12 +307,13 @@
             await self._own.send(work, status, reason=reason)
             return
         need = self._need(work, profile, stream)
+        refusal = self._admission.refuse(work, need)
         await self._own.send(
             work,
             OwnAnswer.NOT_RUN,
             reason=reason,
-            retry_after_s=self._admission.retry_after_s(work, need),
-            inputs=self._admission.inputs(work, need),
+            retry_after_s=refusal.retry_after_s,
+            inputs=refusal.inputs,
         )
 
 
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from nutmegspoke.admission.draft_room import NO_PROMISE
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.edge.lifelines import Lifelines
 from nutmegspoke.membership.common_work import rank
@@ -85,10 +86,23 @@
             if entry.layers is not None
             and not self._view.faults.is_left_out(entry.name, now_s)
         ]
-        await asyncio.gather(*(self._read(entry) for entry in engines))
+        promised = self._view.promised(now_s)
+        await asyncio.gather(
+            *(
+                self._read(
+                    entry,
+                    promised.get(entry.name, NO_PROMISE).token_layers,
+                )
+                for entry in engines
+            ),
+        )
+
+    async def _read(self, entry: TargetEntry, promised: float) -> None:
+        """Read a report.
 
-    async def _read(self, entry: TargetEntry) -> None:
-        promised = self._view.promised_on(entry.name, self._clock.now_s())
+        :param promised: memory that daemons had promised when it was asked
+            for, in tokens times layers.
+        """
         report = await self._calls.report(entry.address)
         if report is None:
             return
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -103,7 +103,6 @@
         """Begin with nothing written."""
         self._connection = connection
         self._is_chunked = False
-        self.has_begun = False
         self.has_ended = False
 
     async def begin(
@@ -116,7 +115,6 @@
 
         :param length: bytes of the body; ``None`` if it is not yet known.
         """
-        self.has_begun = True
         self._is_chunked = length is None
         lines = [b'HTTP/1.1 %d %s' % (status, _phrase(status))]
         lines.extend(b'%s: %s' % header for header in headers)
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -48,7 +48,6 @@
     ) -> None:
         """Use the view and the connections."""
         self._repeats = Repeats(view, log, clock)
-        self._log = log
         self._view = view
         self._attempts = attempts
         self._own = own
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -24,15 +24,13 @@
 from nutmegspoke.retries.window_budget import WindowSettings
 from nutmegspoke.routing.crossing_budget import CrossingBudget
 from nutmegspoke.routing.entry_routes import RouteIndex
-from nutmegspoke.routing.room_chains import (
-    ChainFinder,
-    EngineLoad,
-    fill_limit,
-)
+from nutmegspoke.routing.engine_loads import EngineLoad, fill_limit
+from nutmegspoke.routing.room_chains import ChainFinder
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
+    from nutmegspoke.admission.draft_room import Promise
     from nutmegspoke.entry_host import (
         EntryHost,
         EntryPool,
@@ -40,7 +38,7 @@
         ModelProfile,
         RecoveryBounds,
     )
-    from nutmegspoke.routing.room_chains import DraftNeed
+    from nutmegspoke.routing.engine_loads import DraftNeed
 
 
 # Daemons that may come up unheard while this one starts or is cut off.
@@ -149,9 +147,7 @@
 
         :param avoided: names of engines that the request has failed on.
         """
-        promised = sum_promises(
-            (self.ledger.promised(), self.board.promised(now_s)),
-        )
+        promised = self.promised(now_s)
         limit = fill_limit(news_interval_s(self.board.daemons(now_s)))
         loads: list[EngineLoad] = []
         for entry in self.targets.live(pool):
@@ -212,14 +208,15 @@
         held = len(entry.layers)
         total = pool.profile.room_token_layers(entry.kind, held)
         unknown = self.reports.of(target, now_s).unknown_token_layers
-        used = self.promised_on(target, now_s) + unknown
+        promise = self.promised(now_s).get(target, NO_PROMISE)
+        used = promise.token_layers + unknown
         return used / max(1.0, total)
 
-    def promised_on(self, target: str, now_s: float) -> float:
-        """Return the memory that daemons have promised on an engine."""
-        own = self.ledger.promised().get(target, NO_PROMISE)
-        others = self.board.promised(now_s).get(target, NO_PROMISE)
-        return own.plus(others).token_layers
+    def promised(self, now_s: float) -> Mapping[str, Promise]:
+        """Return what daemons have promised on each engine."""
+        return sum_promises(
+            (self.ledger.promised(), self.board.promised(now_s)),
+        )
 
     def zone_of(self, target: str) -> str:
         """Return the availability zone of a target."""
--- a/nutmegspoke/placement/chain_capacity.py
+++ b/nutmegspoke/placement/chain_capacity.py
@@ -10,7 +10,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from nutmegspoke.routing.room_chains import ChainFinder, DraftNeed, EngineLoad
+from nutmegspoke.routing.engine_loads import DraftNeed, EngineLoad
+from nutmegspoke.routing.room_chains import ChainFinder
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -14,33 +14,23 @@
 from nutmegspoke.layers import LayerRange, Stage
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Container, Iterable, Sequence
+    from collections.abc import Iterable, Sequence
 
-    from nutmegspoke.entry_host import AcceleratorKind, ModelProfile
+    from nutmegspoke.entry_host import ModelProfile
     from nutmegspoke.layers import Chain
     from nutmegspoke.routing.crossing_budget import ZonePair
+    from nutmegspoke.routing.engine_loads import DraftNeed, EngineLoad
 
-# Engines allot memory for tokens in blocks of this size.
-TOKEN_BLOCK = 16
 # Crossing a zone takes a link that all share: its time counts several times.
 _CROSSING_WEIGHT = 6.0
 # A chain that starts in another zone brings its answer back from there.
 _REMOTE_START_S = 0.05
-# Part of a pass that a request waits for on a busy engine.
-_PASS_WAIT = 0.5
 # Added time for an engine that has no place left for first requests.
 _SLOT_WEIGHT_S = 1.0
-# Added time for a full engine, as a share of its own time: spreads load.
-_FILL_WEIGHT = 1.0
 # Fill from which on a chain may leave an engine before its last layer.
 _EARLY_FILL = 0.5
 # Time that each stage adds to a draft: a delay for each of its tokens.
 _HOP_S = 0.05
-# Share of an engine's room that may be promised to requests, and by how much
-# it is less for each second by which others' promises are known late.
-_FILL_LIMIT = 0.97
-_LATE_FILL_PER_S = 0.12
-_LEAST_FILL_LIMIT = 0.85
 # Part by which costs are raised at most, for each second by which others' load
 # is known late; the slowest chains cost several times what the quickest do.
 _SPREAD_PER_S = 1.2
@@ -48,120 +38,6 @@
 _CRC_RANGE = 2.0**32
 
 
-def fill_limit(load_age_s: float) -> float:
-    """Return the share of an engine's room that may be promised.
-
-    :param load_age_s: age of what is known of others' promises.
-    """
-    limit = _FILL_LIMIT - _LATE_FILL_PER_S * load_age_s
-    return max(_LEAST_FILL_LIMIT, limit)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DraftNeed:
-    """What a draft asks of each engine of its chain.
-
-    :param prompt_tokens: tokens to read, events already sent included.
-    :param answer_tokens: tokens that are expected to be written.
-    """
-
-    prompt_tokens: float
-    answer_tokens: float
-
-    @property
-    def room_tokens(self) -> float:
-        """Return the memory it takes at its end, in tokens."""
-        return self.prompt_tokens + self.answer_tokens + TOKEN_BLOCK
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineLoad:
-    """An engine that may run a part of a chain.
-
-    :param name: name of the target.
-    :param address: ``IP:PORT``.
-    :param availability_zone: where it is.
-    :param layers: layers that it holds.
-    :param accelerator: its kind.
-    :param total_token_layers: memory for requests.
-    :param used_token_layers: memory promised to requests.
-    :param requests: requests that pass through it.
-    :param firsts: those of them whose chain begins here.
-    :param slowness: 1 is the usual pace, more is slower.
-    :param fill_limit: share of the memory that may be promised.
-    """
-
-    name: str
-    address: str
-    availability_zone: str
-    layers: LayerRange
-    accelerator: AcceleratorKind
-    total_token_layers: float
-    used_token_layers: float = 0.0
-    requests: int = 0
-    firsts: int = 0
-    slowness: float = 1.0
-    fill_limit: float = _FILL_LIMIT
-
-    @property
-    def free_token_layers(self) -> float:
-        """Return the memory that may still be promised."""
-        limit = self.total_token_layers * self.fill_limit
-        return max(0.0, limit - self.used_token_layers)
-
-    def fits(self, need: DraftNeed, layer_count: int) -> bool:
-        """Tell whether there is room for a request in so many layers."""
-        return need.room_tokens * layer_count <= self.free_token_layers
-
-    def token_s(self, layer_count: int, profile: ModelProfile) -> float:
-        """Return the time that a token of a request spends here.
-
-        Requests take turns on the engines of a chain, so that a pass has as
-        many of them as the engine's part of the layers. A request waits for
-        the pass that runs when it comes: half a pass on a busy engine.
-        """
-        share = layer_count / profile.layer_count
-        writers = self.requests * share
-        held = max(1, len(self.layers))
-        context_tokens = self.used_token_layers / held * share
-        step_s = (
-            profile.step_s
-            + profile.step_per_request_s * (writers + 1)
-            + profile.step_per_context_token_s * context_tokens
-        )
-        wait = 1 + _PASS_WAIT * min(1.0, writers)
-        return (
-            share * step_s * self.accelerator.step_factor * wait * self.slowness
-        )
-
-    def run_s(
-        self,
-        need: DraftNeed,
-        layer_count: int,
-        profile: ModelProfile,
-    ) -> float:
-        """Return the time that a request spends here."""
-        share = layer_count / profile.layer_count
-        prompt = need.prompt_tokens
-        read_s = (
-            prompt / profile.read_tokens_per_s
-            + profile.read_per_pair_s * prompt * prompt / 2
-        ) * self.accelerator.read_factor
-        write_s = need.answer_tokens * self.token_s(layer_count, profile)
-        return write_s + share * read_s * self.slowness
-
-    def cost_s(
-        self,
-        need: DraftNeed,
-        layer_count: int,
-        profile: ModelProfile,
-    ) -> float:
-        """Return the time, weighted by how full the engine is."""
-        fill = self.used_token_layers / max(1.0, self.total_token_layers)
-        weight = 1 + _FILL_WEIGHT * fill * fill
-        return self.run_s(need, layer_count, profile) * weight
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Path:
     """The cheapest way found to a layer, ending in one zone."""
@@ -208,7 +84,19 @@
         return 1.0 + self.share * drawn
 
 
-NO_SPREAD = Spread()
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChainTerms:
+    """Bounds on the choice of a chain.
+
+    :param barred: pairs of zones between which it may not pass.
+    :param firsts: names of the engines at which it may begin; ``None`` for
+        any.
+    :param spread: varies the choice.
+    """
+
+    barred: frozenset[ZonePair] = frozenset()
+    firsts: frozenset[str] | None = None
+    spread: Spread = Spread()
 
 
 class ChainFinder:
@@ -222,8 +110,7 @@
         """Use a profile."""
         self._profile = profile
         self._home_zone = home_zone
-        self._barred: Container[ZonePair] = frozenset()
-        self._firsts: Collection[str] | None = None
+        self._terms = ChainTerms()
         self._starts: list[int] = []
         self._factors: dict[str, float] = {}
 
@@ -231,10 +118,7 @@
         self,
         engines: Sequence[EngineLoad],
         need: DraftNeed,
-        *,
-        barred: Container[ZonePair] = (),
-        firsts: Collection[str] | None = None,
-        spread: Spread = NO_SPREAD,
+        terms: ChainTerms,
     ) -> Chain | None:
         """Return the cheapest chain within a zone, or else across zones.
 
@@ -243,45 +127,30 @@
         """
         zones = {engine.availability_zone for engine in engines}
         pairs = itertools.combinations(zones, 2)
+        within = frozenset(frozenset(pair) for pair in pairs)
         near = self.find(
             engines,
             need,
-            barred={frozenset(pair) for pair in pairs},
-            firsts=firsts,
-            spread=spread,
-        )
-        if near is not None:
-            return near
-        return self.find(
-            engines,
-            need,
-            barred=barred,
-            firsts=firsts,
-            spread=spread,
+            dataclasses.replace(terms, barred=within),
         )
+        return near or self.find(engines, need, terms)
 
     def find(
         self,
         engines: Sequence[EngineLoad],
         need: DraftNeed,
-        *,
-        barred: Container[ZonePair] = (),
-        firsts: Collection[str] | None = None,
-        spread: Spread = NO_SPREAD,
+        terms: ChainTerms | None = None,
     ) -> Chain | None:
         """Return the cheapest chain with room; ``None`` without one.
 
         :param engines: engines that may be used.
-        :param barred: pairs of zones between which it may not pass.
-        :param firsts: names of the engines at which it may begin; ``None``
-            for any.
-        :param spread: varies the choice.
+        :param terms: bounds on the choice; ``None`` for none.
         """
+        self._terms = terms or ChainTerms()
         self._factors = {
-            engine.name: spread.factor(engine.name) for engine in engines
+            engine.name: self._terms.spread.factor(engine.name)
+            for engine in engines
         }
-        self._barred = barred
-        self._firsts = firsts
         self._starts = sorted({engine.layers.start for engine in engines})
         layer_count = self._profile.layer_count
         borders = _borders(engines, layer_count)
@@ -358,7 +227,7 @@
             (path.cost_s + (0.0 if path.zone == zone else crossing_s), path)
             for path in known
             if not path.visits(engine)
-            and frozenset((path.zone, zone)) not in self._barred
+            and frozenset((path.zone, zone)) not in self._terms.barred
         ]
         if not costs:
             return None
@@ -367,7 +236,8 @@
 
     def _may_begin(self, engine: EngineLoad) -> bool:
         """Tell whether a chain may begin at an engine."""
-        if self._firsts is not None and engine.name not in self._firsts:
+        firsts = self._terms.firsts
+        if firsts is not None and engine.name not in firsts:
             return False
         return engine.firsts < self._profile.first_slots
 
@@ -386,23 +256,6 @@
         return _CROSSING_WEIGHT * moved / rate
 
 
-def event_pause_s(
-    chain: Chain,
-    engines: Iterable[EngineLoad],
-    profile: ModelProfile,
-) -> float:
-    """Return the time between two events of a draft on a chain.
-
-    :param engines: all engines of the chain, and maybe others.
-    """
-    by_name = {engine.name: engine for engine in engines}
-    token_s = sum(
-        by_name[stage.target].token_s(len(stage.layers), profile)
-        for stage in chain
-    )
-    return profile.tokens_per_event * token_s
-
-
 def _borders(engines: Sequence[EngineLoad], layer_count: int) -> list[int]:
     marks = {0, layer_count}
     for engine in engines:
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -23,7 +23,7 @@
 )
 from nutmegspoke.layers import LayerRange
 from nutmegspoke.placement.layer_plan import Holder
-from nutmegspoke.routing.room_chains import DraftNeed, EngineLoad
+from nutmegspoke.routing.engine_loads import DraftNeed, EngineLoad
 from nutmegspoke.targets import TargetState
 
 QUICK = AcceleratorKind('quick', 72e9, 2.0, 3.0)
--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -98,8 +98,8 @@
     Mutation(
         'edge: a quick chain across zones goes first',
         f'{_ROUTING}/room_chains.py',
-        '        if near is not None:\n',
-        '        if near is None:\n',
+        'return near or self.find(engines, need, terms)',
+        'return self.find(engines, need, terms)',
         ('tests.routing.test_crossing_budget',),
     ),
     Mutation(
--- a/tests/routing/test_crossing_budget.py
+++ b/tests/routing/test_crossing_budget.py
@@ -5,7 +5,7 @@
 import unittest
 
 from nutmegspoke.routing.crossing_budget import CrossingBudget
-from nutmegspoke.routing.room_chains import ChainFinder
+from nutmegspoke.routing.room_chains import ChainFinder, ChainTerms
 from tests import builders_edge as build
 
 
@@ -52,7 +52,7 @@
         chain = ChainFinder(build.profile(), 'a').find(
             engines,
             build.need(),
-            barred=budget.barred('abc', 9, 0.1),
+            ChainTerms(barred=budget.barred('abc', 9, 0.1)),
         )
         assert chain is not None
         self.assertEqual([stage.target for stage in chain], ['x', 'g'])
@@ -83,11 +83,11 @@
             build.load('f', (40, 80), build.QUICK, zone='b'),
         ]
         finder = ChainFinder(build.profile(), 'a')
-        near = finder.find_near(engines, build.need())
+        near = finder.find_near(engines, build.need(), ChainTerms())
         assert near is not None
         self.assertEqual([stage.target for stage in near], ['q', 's'])
         left = [engine for engine in engines if engine.name != 's']
-        across = finder.find_near(left, build.need())
+        across = finder.find_near(left, build.need(), ChainTerms())
         assert across is not None
         self.assertEqual([stage.target for stage in across], ['q', 'f'])
 
@@ -99,6 +99,10 @@
             build.load('f', (40, 80), zone='b'),
         ]
         self.assertIsNone(
-            finder.find(engines, build.need(), barred={_AB, _AC, _BC}),
+            finder.find(
+                engines,
+                build.need(),
+                ChainTerms(barred=frozenset((_AB, _AC, _BC))),
+            ),
         )
         self.assertIsNotNone(finder.find(engines, build.need()))
--- a/tests/routing/test_room_chains.py
+++ b/tests/routing/test_room_chains.py
@@ -5,7 +5,8 @@
 import unittest
 
 from nutmegspoke.layers import covers
-from nutmegspoke.routing.room_chains import ChainFinder, Spread, fill_limit
+from nutmegspoke.routing.engine_loads import fill_limit
+from nutmegspoke.routing.room_chains import ChainFinder, ChainTerms, Spread
 from tests import builders_edge as build
 
 
@@ -151,7 +152,7 @@
             finder.find(
                 engines,
                 build.need(),
-                spread=Spread.from_age(salt, load_age_s),
+                ChainTerms(spread=Spread.from_age(salt, load_age_s)),
             )[0].target
             for salt in range(40)
         }
