Tell in the log why a caller got neither an answer nor a refusal

Before: an error of the handler was logged as caller_left, a cut stream did not say how long its engine had been silent, connections closed by timers, limits and stops were not counted, and a store whose versions went back left no line.

Now: outcome 'error' for errors of the handler; 'tables_age_s' on every end that is not an answer; 'silent_s' and 'targets_listed' on cut streams; 'closed_unanswered' and a counter by cause for callers' connections; 'store_went_back' for versions. No decision changes.

--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
+from nutmegspoke.edge.http_server import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
 from nutmegspoke.routing.entry_routes import pick_pool
 
@@ -31,6 +33,8 @@
 # Answers are sent this long before the timeout of the route.
 _ANSWER_MARGIN_S = 0.02
 _DEFAULT_TEAM_PRIORITY = 9
+# A handler is cancelled when its caller disconnects.
+_CALLER_GONE_ERRORS = (asyncio.CancelledError, CallerGoneError)
 
 
 class CallerHandler:
@@ -140,8 +144,9 @@
             else:
                 await self._drafts.serve(context, context.pool.profile)
         except BaseException as error:
+            is_gone = isinstance(error, _CALLER_GONE_ERRORS)
             self._answer_sender.record_end(
-                context, 'caller_left', 0, repr(error)
+                context, 'caller_left' if is_gone else 'error', 0, repr(error)
             )
             raise
 
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -16,7 +16,7 @@
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.feeds import Listeners, new_feeds
 from nutmegspoke.edge.held_lease import PlacementLease
-from nutmegspoke.edge.http_server import ConnectionSet, listen
+from nutmegspoke.edge.http_server import CloseCause, ConnectionSet, listen
 from nutmegspoke.edge.layer_keeper import LayerController
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
@@ -91,6 +91,7 @@
                 clock,
             ),
         )
+        self._callers.on_close = self._caller_closed
         self._apply_socket_limits(host)
         self._daemons = DaemonsListener(host.name)
         tables = TablesListener(
@@ -237,6 +238,19 @@
         self._connections.max_open = target_sockets(host.limits)
         self._callers.max_open = caller_sockets(host.limits)
 
+    def _caller_closed(self, cause: CloseCause, unanswered: int) -> None:
+        """Count the end of a connection; log one with unanswered requests."""
+        self.metrics.count_closed_connection(cause.value, unanswered == 0)
+        if unanswered and cause != CloseCause.CALLER:
+            now_s = self._clock.now_s()
+            self._log.decided(
+                'closed_unanswered',
+                cause=cause.value,
+                requests=unanswered,
+                tables_version=self.view.version,
+                tables_age_s=round(self.view.tables_age_s(now_s), 3),
+            )
+
     def _tables_changed(self, tables: EntryTables) -> None:
         self._callers.limits = tables.limits
 
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -343,7 +343,7 @@
     ) -> None:
         if stream.has_head:
             self._answer_sender.record_end(
-                context, 'cut', 0, reason, _timing_fields(context, stream)
+                context, 'cut', 0, reason, self._cut_fields(context, stream)
             )
             context.answer.abort()
             return
@@ -362,6 +362,21 @@
             log_fields=refusal.log_fields,
         )
 
+    def _cut_fields(
+        self, context: RequestContext, stream: DraftStream
+    ) -> dict[str, object]:
+        """Return the log fields of a stream that is cut."""
+        fields = _timing_fields(context, stream)
+        if stream.first_event_s is not None:
+            silent_s = self._clock.now_s() - stream.last_event_s
+            fields['silent_s'] = round(silent_s, 3)
+        fields['targets_listed'] = [
+            name
+            for name in context.targets
+            if self._view.targets.find(name) is not None
+        ]
+        return fields
+
 
 def _timing_fields(
     context: RequestContext, stream: DraftStream
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -24,12 +24,27 @@
             registry=self.registry,
             buckets=_SECONDS,
         )
+        self._closed_connections = aioprometheus.Counter(
+            'nutmegspoke_edge_caller_connections_closed_total',
+            'Connections of callers by cause, and whether all was answered.',
+            registry=self.registry,
+        )
         self._events = aioprometheus.Counter(
             'nutmegspoke_edge_events_total',
             'Decisions and changes of belief by kind.',
             registry=self.registry,
         )
 
+    def count_closed_connection(self, cause: str, is_answered: bool) -> None:
+        """Count a connection of a caller that has ended.
+
+        :param cause: why it was closed.
+        :param is_answered: whether all its requests were answered.
+        """
+        self._closed_connections.inc(
+            {'cause': cause, 'answered': str(is_answered).lower()}
+        )
+
     def count_request(
         self, route: str, outcome: str, duration_s: float
     ) -> None:
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -120,6 +120,9 @@
         self._clock = clock
         # Version up to which the table is known, by calls or by updates.
         self._version: int | None = None
+        # Version of the last answer; unlike the one above, it is kept when the
+        # whole table is read again.
+        self._last_version = 0
         # Version of the newest change read, insignificant ones included.
         self._newest_change = 0
         self._failures = 0
@@ -237,6 +240,14 @@
             return False
         self._answered(now_s)
         if isinstance(result, TableChanges):
+            if result.version < self._last_version:
+                self._log.decided(
+                    'store_went_back',
+                    table=self.table,
+                    known_version=self._last_version,
+                    read_version=result.version,
+                )
+            self._last_version = result.version
             self._newest_change = max(self._newest_change, result.newest_change)
         if isinstance(result, HistoryLost):
             self._log.decided('history_lost', table=self.table)
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
@@ -39,6 +40,27 @@
     """The connection to the caller is closed or the caller does not read."""
 
 
+class CloseCause(enum.StrEnum):
+    """Why the connection of a caller was closed.
+
+    ``CALLER``: the caller closed it, or it was lost. ``IDLE``: no request came
+    in time. ``CAPACITY``: another caller needed its place, or it was one too
+    many. ``STOPPING``: the daemon stops. ``ANSWERED``: the answer announced the
+    end of the connection. ``REJECTED``: an invalid request. ``ABORTED``: the
+    handler gave an answer up or failed. ``NOT_READING``: the caller does not
+    read its answer.
+    """
+
+    CALLER = 'caller'
+    IDLE = 'idle'
+    CAPACITY = 'capacity'
+    STOPPING = 'stopping'
+    ANSWERED = 'answered'
+    REJECTED = 'rejected'
+    ABORTED = 'aborted'
+    NOT_READING = 'not_reading'
+
+
 class Handler(Protocol):
     """Handler of requests."""
 
@@ -49,6 +71,9 @@
 class ConnectionSet:
     """The open connections of a server, with its limits.
 
+    ``on_close`` is called for each connection that ends, with the cause and the
+    number of its requests that were read but not answered completely.
+
     :param handler: answers the requests.
     """
 
@@ -60,6 +85,7 @@
         self.max_open = _MAX_OPEN
         self.rejected_count = 0
         self.open: set[HttpConnection] = set()
+        self.on_close: Callable[[CloseCause, int], None] = _ignore_close
 
     def connect(self) -> HttpConnection:
         """Return the protocol of a new connection."""
@@ -75,7 +101,7 @@
             return True
         for connection in self.open:
             if not connection.is_busy:
-                connection.close_if_idle()
+                connection.close(CloseCause.CAPACITY)
                 return True
         self.rejected_count += 1
         return False
@@ -83,7 +109,8 @@
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
         for connection in tuple(self.open):
-            connection.close_if_idle()
+            if not connection.is_busy:
+                connection.close(CloseCause.STOPPING)
 
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
@@ -92,7 +119,7 @@
     def abort_all(self) -> None:
         """Abort all open connections."""
         for connection in tuple(self.open):
-            connection.abort()
+            connection.abort(CloseCause.STOPPING)
 
 
 class Answer:
@@ -153,7 +180,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller sees an incomplete answer."""
-        self._connection.abort()
+        self._connection.abort(CloseCause.ABORTED)
 
 
 class HttpConnection(asyncio.Protocol):
@@ -172,6 +199,8 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._gate = WriteGate()
+        self._close_cause: CloseCause | None = None
+        self._unanswered_count = 0
 
     @property
     def is_busy(self) -> bool:
@@ -188,7 +217,7 @@
         """
         self._transport = transport
         if not self._owner.make_capacity():
-            transport.abort()
+            self.abort(CloseCause.CAPACITY)
             return
         transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         self._owner.open.add(self)
@@ -211,6 +240,9 @@
         if self._task is not None:
             self._task.cancel()
         self._transport = None
+        self._owner.on_close(
+            self._close_cause or CloseCause.CALLER, self._unanswered_count
+        )
 
     def pause_writing(self) -> None:
         """Make writers wait, as the write buffer is full."""
@@ -232,7 +264,7 @@
         try:
             await self._gate.wait(_WRITE_TIMEOUT_S)
         except TimeoutError as error:
-            self.abort()
+            self.abort(CloseCause.NOT_READING)
             raise CallerGoneError('caller does not read') from error
 
     def closes_after_answer(self) -> bool:
@@ -241,17 +273,20 @@
             self._keep_alive = False
         return not self._keep_alive
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is in progress."""
-        if not self.is_busy and self._transport is not None:
-            self._transport.close()
-
-    def abort(self) -> None:
+    def abort(self, cause: CloseCause) -> None:
         """Abort the connection without sending the unsent bytes."""
+        self._close_cause = self._close_cause or cause
         if self._transport is not None:
             self._transport.abort()
 
+    def close(self, cause: CloseCause) -> None:
+        """Close the connection after the unsent bytes."""
+        self._close_cause = self._close_cause or cause
+        if self._transport is not None:
+            self._transport.close()
+
     def _on_request(self, request: CallerRequest) -> None:
+        self._unanswered_count += 1
         if self._transport is None or self._transport.is_closing():
             return
         self._set_timeout(None)
@@ -283,12 +318,14 @@
         self._finish(answer)
 
     def _finish(self, answer: Answer) -> None:
+        if answer.has_ended:
+            self._unanswered_count -= 1
         if self._transport is None:
             return
         if not answer.has_ended:
-            self.abort()
+            self.abort(CloseCause.ABORTED)
         elif self.closes_after_answer():
-            self._transport.close()
+            self.close(CloseCause.ANSWERED)
         elif self._pipelined:
             self._serve_next()
         else:
@@ -307,8 +344,8 @@
             self._timer = loop.call_later(timeout_s, self._close_unused)
 
     def _close_unused(self) -> None:
-        if self._task is None and self._transport is not None:
-            self._transport.close()
+        if self._task is None:
+            self.close(CloseCause.IDLE)
 
     def _reject(self, status: HTTPStatus) -> None:
         """Answer an invalid request with an error status and close."""
@@ -319,7 +356,11 @@
                 b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
                 b'Connection: close\r\n\r\n' % (status, _phrase(status)),
             )
-        self._transport.close()
+        self.close(CloseCause.REJECTED)
+
+
+def _ignore_close(cause: CloseCause, unanswered: int) -> None:
+    """Do nothing; default of ``on_close``."""
 
 
 def _phrase(status: int) -> bytes:
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -56,7 +56,7 @@
         """
         for row in changes.rows:
             if row.key.endswith(f'/{self._row_name}'):
-                self._apply_row(row)
+                self._apply_row(row, now_s)
         return frozenset()
 
     def failed_elsewhere(self, failed_s: float) -> None:
@@ -68,13 +68,13 @@
     def answered(self, now_s: float) -> None:
         """Ignore this: there is no failure state to reset."""
 
-    def _apply_row(self, row: StoredRow) -> None:
+    def _apply_row(self, row: StoredRow, now_s: float) -> None:
         try:
             tables = self._decode(row.body)
         except ValueError as error:
             self._log.decided('tables_unreadable', reason=str(error))
             return
-        if self._view.apply_tables(tables):
+        if self._view.apply_tables(tables, now_s):
             self._on_change(tables)
             self._log.decided(
                 'tables_in_force',
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -102,6 +102,9 @@
         """Log and count the end of a request."""
         now_s = self._clock.now_s()
         took_s = now_s - context.received_s
+        fields = dict(log_fields or {})
+        if outcome != 'answered':
+            fields['tables_age_s'] = round(self._view.tables_age_s(now_s), 3)
         self._log.decided(
             'request_ended',
             request=context.facts.request_id,
@@ -116,7 +119,7 @@
             took_s=round(took_s, 4),
             left_s=round(context.left_s(now_s), 3),
             tables_version=self._view.version,
-            **(log_fields or {}),
+            **fields,
         )
         self._metrics.count_request(context.route.name, outcome, took_s)
 
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -71,6 +71,7 @@
         self.host = host
         self.tables: EntryTables | None = None
         self._tables_applied = asyncio.Event()
+        self._tables_applied_s = 0.0
         self.routes = RouteIndex(())
         self.targets = TargetEntries(host.bounds.drain_s)
         self.targets_version = 0
@@ -85,11 +86,12 @@
         self._chain_finders: dict[str, ChainFinder] = {}
         self._crossing_budgets: dict[str, CrossingBudget] = {}
 
-    def apply_tables(self, tables: EntryTables) -> bool:
+    def apply_tables(self, tables: EntryTables, now_s: float) -> bool:
         """Put tables into force; ``False`` if their version is not newer."""
         if self.tables is not None and tables.version <= self.tables.version:
             return False
         self.tables = tables
+        self._tables_applied_s = now_s
         self._tables_applied.set()
         self.routes = RouteIndex.from_tables(tables)
         self._chain_finders = {
@@ -119,6 +121,13 @@
         """Return the version of the tables; 0 without tables."""
         return 0 if self.tables is None else self.tables.version
 
+    def tables_age_s(self, now_s: float) -> float:
+        """Return for how long the tables have been in force, in seconds.
+
+        :returns: -1 without tables.
+        """
+        return -1.0 if self.tables is None else now_s - self._tables_applied_s
+
     def pool(self, name: str) -> EntryPool | None:
         """Return a pool of the tables."""
         return None if self.tables is None else self.tables.pools.get(name)
