Serve a draft with the profile of the tables it was matched with

Callers saw a connection closed without any answer, or a stream cut, beside a change of the tables: while a draft waited for a chain, or ran on one, newer tables removed its pool or the profile of the pool's engines. When the draft then needed another chain, there was none to ask for.

Cause: the chain finder was looked up by the pool's name in the newest tables. A missing name raised KeyError, the handler ended, and the connection was aborted. If the name was still there with another model, the finder of that model built chains for a draft of the old one: with fewer layers the chain ran only part of the model. The check whether a draft may wait, and the utilization of an engine, looked up the profile in the same way.

The finder is now made from the profile that the request holds; it has no state worth keeping. The view keeps the profile of a removed pool while its targets are listed, for the lookups that have only a name.

Ruled out: engine loads, crossing budgets, answer lengths, retry budgets and connection limits take the request's own pool or create what is missing, so they do not raise. A plain call holds its pool and looks up only targets by its name.

--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -51,7 +51,7 @@
             daemons,
             now_s,
         )
-        chain = self._view.chain_finder(pool.name).find_preferring_one_zone(
+        chain = self._view.chain_finder(pool.profile).find_preferring_one_zone(
             engines,
             need,
             ChainOptions(
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -83,7 +83,7 @@
         self.lost_engines = LostEngines()
         self.retry_budgets = PoolBudgets(_window_settings(host.bounds))
         self._answer_lengths: dict[str, AnswerLengths] = {}
-        self._chain_finders: dict[str, ChainFinder] = {}
+        self._profiles: dict[str, ModelProfile] = {}
         self._crossing_budgets: dict[str, CrossingBudget] = {}
 
     def apply_tables(self, tables: EntryTables, now_s: float) -> bool:
@@ -94,11 +94,7 @@
         self._tables_applied_s = now_s
         self._tables_applied.set()
         self.routes = RouteIndex.from_tables(tables)
-        self._chain_finders = {
-            pool.name: ChainFinder(pool.profile, self.host.availability_zone)
-            for pool in tables.pools.values()
-            if pool.profile is not None
-        }
+        self._update_profiles(tables)
         return True
 
     async def wait_for_tables(self, timeout_s: float) -> None:
@@ -128,13 +124,13 @@
         """
         return -1.0 if self.tables is None else now_s - self._tables_applied_s
 
-    def pool(self, name: str) -> EntryPool | None:
-        """Return a pool of the tables."""
-        return None if self.tables is None else self.tables.pools.get(name)
+    def chain_finder(self, profile: ModelProfile) -> ChainFinder:
+        """Return a chain finder for engines with a profile.
 
-    def chain_finder(self, pool: str) -> ChainFinder:
-        """Return the chain finder of a pool of engines."""
-        return self._chain_finders[pool]
+        A request passes the profile of the tables that it was matched with, as
+        newer tables may describe its pool differently or not at all.
+        """
+        return ChainFinder(profile, self.host.availability_zone)
 
     def count_budget_daemons(self, now_s: float) -> int:
         """Return the number of daemons that share the budgets.
@@ -222,15 +218,14 @@
         Reserved memory is ignored. Engines that are left out because of a
         fault are not used.
         """
-        named_pool = self.pool(pool)
-        if named_pool is None or named_pool.profile is None:
+        profile = self._profiles.get(pool)
+        if profile is None:
             return False
-        profile = named_pool.profile
         engines = [
             dataclasses.replace(load, used_token_layers=0.0)
             for load in self.engine_loads(pool, profile, (), now_s)
         ]
-        return self.chain_finder(pool).find(engines, need) is not None
+        return self.chain_finder(profile).find(engines, need) is not None
 
     def find_utilization(self, target: str, now_s: float) -> float:
         """Return the share of an engine's memory that is in use.
@@ -238,13 +233,11 @@
         :returns: 0 if empty or unknown, 1 if full.
         """
         entry = self.targets.find(target)
-        pool = None if entry is None else self.pool(entry.pool)
-        if entry is None or entry.layers is None or pool is None:
-            return 0.0
-        if pool.profile is None:
+        profile = None if entry is None else self._profiles.get(entry.pool)
+        if entry is None or entry.layers is None or profile is None:
             return 0.0
         held = len(entry.layers)
-        total = pool.profile.capacity_token_layers(entry.kind, held)
+        total = profile.capacity_token_layers(entry.kind, held)
         unknown = self.reports.find_state(target, now_s).unknown_token_layers
         reservation = self.total_reservations(now_s).get(target, NO_RESERVATION)
         used = reservation.token_layers + unknown
@@ -274,6 +267,25 @@
                 return entry.name
         return None
 
+    def _update_profiles(self, tables: EntryTables) -> None:
+        """Store the profiles of the tables.
+
+        That of a pool without one in the tables is kept while targets of the
+        pool are listed, as requests matched before still run on them.
+        """
+        listed_pools = {entry.pool for entry in self.targets.all()}
+        kept_profiles = {
+            name: profile
+            for name, profile in self._profiles.items()
+            if name in listed_pools
+        }
+        profiles = {
+            pool.name: pool.profile
+            for pool in tables.pools.values()
+            if pool.profile is not None
+        }
+        self._profiles = {**kept_profiles, **profiles}
+
 
 def _window_settings(bounds: RecoveryBounds) -> WindowSettings:
     return WindowSettings(
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -198,6 +198,47 @@
     return '\n'.join(f'{name}={text}' for name, text in values.items())
 
 
+def wire_engine_service(layers: int = 80) -> dict[str, Any]:
+    """Return a service of engines, as the operator writes it.
+
+    :param layers: number of layers of the model.
+    """
+    return {
+        'name': 'engines',
+        'health_path': '/healthz',
+        'max_conns': 978,
+        'engine': {
+            'slots': 96,
+            'kv_bytes': 1_836_000,
+            'stride': 3,
+            'models': [{'name': 'm', 'pace': 1.0, 'load_s': 14.0}],
+            'step_ms': 1.02,
+            'per_seq_ms': 0.014,
+            'context_per_k': 0.019,
+            'read_per_s': 105_000.0,
+            'pairs_per_m': 0.3,
+            'usual': {'prompt': 774, 'answer': 203},
+            'layers': layers,
+            'layer_mb': 1_750.0,
+            'act_bytes': 91_800,
+            'pipe_mbps': 18_000.0,
+            'kinds': [
+                {
+                    'name': 'quick',
+                    'size_mb': 72_000.0,
+                    'pace': 2.4,
+                    'read_factor': 3.2,
+                },
+            ],
+        },
+    }
+
+
+def wire_plain_service(name: str) -> dict[str, Any]:
+    """Return a service without an engine profile, as the operator writes it."""
+    return {'name': name, 'health_path': '/healthz', 'max_conns': 110}
+
+
 def wire_configuration(
     weights: tuple[int, int] = (90, 10),
     **changes: Any,
@@ -239,36 +280,8 @@
             },
         ],
         'services': [
-            {
-                'name': 'engines',
-                'health_path': '/healthz',
-                'max_conns': 978,
-                'engine': {
-                    'slots': 96,
-                    'kv_bytes': 1_836_000,
-                    'stride': 3,
-                    'models': [{'name': 'm', 'pace': 1.0, 'load_s': 14.0}],
-                    'step_ms': 1.02,
-                    'per_seq_ms': 0.014,
-                    'context_per_k': 0.019,
-                    'read_per_s': 105_000.0,
-                    'pairs_per_m': 0.3,
-                    'usual': {'prompt': 774, 'answer': 203},
-                    'layers': 80,
-                    'layer_mb': 1_750.0,
-                    'act_bytes': 91_800,
-                    'pipe_mbps': 18_000.0,
-                    'kinds': [
-                        {
-                            'name': 'quick',
-                            'size_mb': 72_000.0,
-                            'pace': 2.4,
-                            'read_factor': 3.2,
-                        },
-                    ],
-                },
-            },
-            {'name': 'records', 'health_path': '/healthz', 'max_conns': 110},
+            wire_engine_service(),
+            wire_plain_service('records'),
         ],
         'limits': {'max_header_bytes': 16_384, 'idle_timeout_ms': 15_000},
         'tenants': [{'name': 't', 'api_keys': ['k1', 'k2'], 'priority': 1}],
