Answer a request whose handler fails instead of closing its connection

Callers saw a connection closed without any answer after an unexpected error while their request was handled.

Cause: such an error was logged, and then the connection was aborted even if nothing of an answer had been written.

Evidence, tests.edge.test_changed_tables.HandlerErrorTest before the change: test_an_error_before_a_target_was_selected: ServerDisconnectedError test_an_error_while_a_draft_waits_for_a_chain: ServerDisconnectedError test_an_error_after_a_request_was_sent: ServerDisconnectedError test_an_error_before_a_route_was_matched: ServerDisconnectedError

The handler of callers now answers 503 if no target was selected before the error, so that nothing can have been sent, and 502 otherwise, which promises nothing. An error outside of it is answered 502 by the connection. An answer that has begun is still aborted, so that it does not look complete (test_an_error_in_a_stream_cuts_it, unchanged behaviour). The request is logged with outcome error and the status that was sent.

Ruled out: a count of sends as the sign for 503. It is raised only after the head of an answer, so an error while waiting for one would claim that a request did not run that may run.

--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,8 @@
     )
     from nutmegspoke.forwarded import CallerRequest, HeaderCodec, RequestFacts
 
+logger = logging.getLogger(__name__)
+
 # A daemon that has just started receives the tables within some round trips.
 _FIRST_TABLES_S = 0.2
 # A daemon still without tables is disconnected from the store, which lasts
@@ -143,12 +146,14 @@
                 await self._plain_calls.serve(context)
             else:
                 await self._drafts.serve(context, context.pool.profile)
-        except BaseException as error:
-            is_gone = isinstance(error, _CALLER_GONE_ERRORS)
+        except _CALLER_GONE_ERRORS as error:
             self._answer_sender.record_end(
-                context, 'caller_left' if is_gone else 'error', 0, repr(error)
+                context, 'caller_left', 0, repr(error)
             )
             raise
+        except Exception as error:
+            logger.exception('callers: request failed')
+            await self._answer_sender.send_error(context, error)
 
 
 def _pool(tables: EntryTables | None, name: str | None) -> EntryPool | None:
--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -66,6 +66,7 @@
         )
         if chain is None:
             return None
+        context.has_target = True
         zone_crossings = self._zone_crossings(chain)
         crossings.record_crossings(zone_crossings, now_s)
         self._view.own_reservations.reserve(
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -126,12 +126,15 @@
     """Writer of the answer to one request.
 
     :param connection: connection on which the answer is sent.
+    :ivar has_begun: whether the head was written.
+    :ivar has_ended: whether the whole answer was written.
     """
 
     def __init__(self, connection: HttpConnection) -> None:
         """Create an answer of which nothing is sent yet."""
         self._connection = connection
         self._is_chunked = False
+        self.has_begun = False
         self.has_ended = False
 
     async def begin(
@@ -145,6 +148,7 @@
         :param length: length of the body in bytes; ``None`` if it is unknown,
             in which case the body is sent in chunks.
         """
+        self.has_begun = True
         self._is_chunked = length is None
         lines = [b'HTTP/1.1 %d %s' % (status, _phrase(status))]
         lines.extend(b'%s: %s' % header for header in headers)
@@ -178,6 +182,19 @@
         await self.send(body)
         await self.end()
 
+    async def fail(self) -> None:
+        """Send an error, or abort the answer if it has begun.
+
+        The status promises nothing, as the request may have run.
+        """
+        if self.has_begun:
+            self.abort()
+            return
+        try:
+            await self.send_complete(HTTPStatus.BAD_GATEWAY, [], b'')
+        except CallerGoneError as error:
+            logger.debug('callers: %s', error)
+
     def abort(self) -> None:
         """Abort the connection, so that the caller sees an incomplete answer."""
         self._connection.abort(CloseCause.ABORTED)
@@ -312,7 +329,7 @@
             raise
         except Exception:
             logger.exception('callers: request failed')
-            answer.abort()
+            await answer.fail()
         finally:
             self._task = None
         self._finish(answer)
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.edge.work import OwnAnswer
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -13,9 +15,12 @@
     from nutmegspoke.edge.edge_metrics import EdgeMetrics
     from nutmegspoke.edge.http_server import Answer
     from nutmegspoke.edge.view import View
-    from nutmegspoke.edge.work import OwnAnswer, RequestContext
+    from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.forwarded import HeaderCodec
 
+# The caller may try another daemon at once.
+_ERROR_RETRY_AFTER_S = 0.1
+
 
 class AnswerSender:
     """Sender of final answers that logs and counts each request.
@@ -81,6 +86,28 @@
         request_id = context.facts.request_id
         await self._write(context.answer, request_id, status, retry_after_s)
 
+    async def send_error(
+        self, context: RequestContext, error: Exception
+    ) -> None:
+        """Answer a request whose handler failed.
+
+        An answer that has begun is aborted instead. The answer says that the
+        request has not run only if no target was selected before.
+        """
+        if context.answer.has_begun:
+            self.record_end(context, 'error', 0, repr(error))
+            context.answer.abort()
+            return
+        status = OwnAnswer.FAILED
+        retry_after_s = None
+        if not context.has_target:
+            status = OwnAnswer.NOT_RUN
+            retry_after_s = _ERROR_RETRY_AFTER_S
+        self.record_end(context, 'error', status.value, repr(error))
+        await self._write(
+            context.answer, context.facts.request_id, status, retry_after_s
+        )
+
     async def forward(
         self, context: RequestContext, target_answer: CompleteAnswer
     ) -> None:
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -62,6 +62,7 @@
             target = self._choose_target(context, self._clock.now_s())
             if target is None:
                 break
+            context.has_target = True
             last_result = await self._send(context, target)
             if _is_answered(last_result):
                 break
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -40,6 +40,8 @@
     :param answer: writer of the answer to the caller.
     :param received_s: time at which the request was received.
     :param deadline_s: deadline of the answer.
+    :param has_target: whether a target was selected; before that, nothing of
+        the request was sent.
     :param may_have_run: whether a target may have run the request.
     :param sends: number of times that it was sent to a target.
     :param targets: names of the targets to which it was sent.
@@ -56,6 +58,7 @@
     answer: Answer
     received_s: float
     deadline_s: float
+    has_target: bool = False
     may_have_run: bool = False
     sends: int = 0
     targets: list[str] = dataclasses.field(default_factory=list)
--- a/tests/edge/test_changed_tables.py
+++ b/tests/edge/test_changed_tables.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from nutmegspoke.border.clock import SystemClock
 from nutmegspoke.edge.view import View
@@ -143,3 +144,71 @@
             'x1', SystemClock().now_s()
         )
         return await pending_call
+
+
+class HandlerErrorTest(DaemonCase):
+    """An unexpected error never closes a connection without an answer."""
+
+    async def test_an_error_before_a_target_was_selected(self) -> None:
+        """Guards against a closed connection in place of a refusal."""
+        await self.deployment.add_service('r1')
+        budgets = self.deployment.daemon.view.retry_budgets
+        with mock.patch.object(budgets, 'for_pool', side_effect=KeyError('x')):
+            answer = await self.deployment.call('/calls/1')
+        self.assertEqual(answer.status, 503)
+        self.assertIn('Retry-After', answer.headers)
+        self.assertEqual(self._names_with_runs('r1'), [])
+        self._assert_logged_error(503)
+
+    async def test_an_error_while_a_draft_waits_for_a_chain(self) -> None:
+        """Guards against a closed connection in place of a refusal."""
+        await self._start_chain()
+        view = self.deployment.daemon.view
+        with mock.patch.object(view, 'engine_loads', side_effect=KeyError('x')):
+            answer = await self.deployment.call('/drafts/1')
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self._names_with_runs('x1', 'y1'), [])
+        self._assert_logged_error(503)
+
+    async def test_an_error_after_a_request_was_sent(self) -> None:
+        """Guards against a refusal of a request that may have run."""
+        await self.deployment.add_service('r1')
+        faults = self.deployment.daemon.view.faults
+        with mock.patch.object(faults, 'succeeded', side_effect=KeyError('x')):
+            answer = await self.deployment.call('/calls/1')
+        self.assertEqual(answer.status, 502)
+        self.assertNotIn('Retry-After', answer.headers)
+        self.assertEqual(self._names_with_runs('r1'), ['r1'])
+        self._assert_logged_error(502)
+
+    async def test_an_error_in_a_stream_cuts_it(self) -> None:
+        """An answer that has begun ends without looking complete."""
+        await self._start_chain()
+        view = self.deployment.daemon.view
+        lengths = view.answer_lengths('engines', build.profile())
+        with mock.patch.object(
+            lengths, 'add_length', side_effect=KeyError('x')
+        ):
+            answer = await self.deployment.call('/drafts/1')
+        self.assertEqual(answer.status, 200)
+        self.assertFalse(answer.is_whole)
+        self._assert_logged_error(0)
+
+    async def test_an_error_before_a_route_was_matched(self) -> None:
+        """Guards against a closed connection; the connection stays usable."""
+        await self.deployment.add_service('r1')
+        routes = self.deployment.daemon.view.routes
+        with mock.patch.object(routes, 'match', side_effect=KeyError('x')):
+            answer = await self.deployment.call('/calls/1')
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.deployment.events('closed_unanswered'), [])
+
+    def _assert_logged_error(self, status: int) -> None:
+        """Check the line of the request that failed.
+
+        :param status: status of the answer; 0 for none.
+        """
+        (line,) = self.deployment.events('request_ended')
+        self.assertEqual(line['outcome'], 'error')
+        self.assertEqual(line['reason'], "KeyError('x')")
+        self.assertEqual(line['status'], status)
