Ignore numbers in headers that are infinite, NaN or too long

Callers saw an error in place of an answer, or a closed connection before errors of handlers were answered, if a number in a header was huge or infinite. An answer that its target had completed was replaced by an error if its load was huge, and a load of some hundred digits made every later choice of a target in the pool fail.

Cause: int() refuses more than 4300 digits, long integers and infinity overflow in later arithmetic, and NaN counted as a deadline of 0.

Such numbers now count as absent, as other invalid ones do already.

Ruled out: Keep-Alive, which is read as a float, and Content-Length, which the parser limits.

--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from nutmegspoke.forwarded import (
@@ -71,6 +72,8 @@
 _BAD_REQUEST = 400
 _SUCCESS = range(200, 300)
 _CRLF = b'\r\n'
+# Longer numbers count as invalid; arithmetic with them could overflow.
+_MAX_COUNT_DIGITS = 15
 
 
 def read_request(request: CallerRequest) -> RequestFacts:
@@ -195,25 +198,38 @@
     if raw is None:
         return None
     try:
-        return max(0.0, float(raw))
+        number = float(raw)
     except ValueError:
-        logger.info('headers: invalid number: %r', raw)
-        return None
+        number = math.nan
+    if math.isfinite(number):
+        return max(0.0, number)
+    logger.info('headers: invalid number: %r', raw)
+    return None
+
+
+def _parse_count(raw: bytes) -> int | None:
+    text = raw.strip()
+    if text.isdigit() and len(text) <= _MAX_COUNT_DIGITS:
+        return int(text)
+    return None
 
 
 def _parse_token_counts(raw: bytes) -> tuple[int, int]:
-    prompt_count, _, max_answer = raw.partition(b',')
-    if prompt_count.isdigit() and max_answer.isdigit():
-        return int(prompt_count), int(max_answer)
-    return 0, 0
+    prompt_text, _, answer_text = raw.partition(b',')
+    prompt_count = _parse_count(prompt_text)
+    max_answer = _parse_count(answer_text)
+    if prompt_count is None or max_answer is None:
+        return 0, 0
+    return prompt_count, max_answer
 
 
 def _parse_load(raw: bytes | None) -> tuple[int, int, int] | None:
-    parts = (raw or b'').split(b',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, queued, slots = (int(part) for part in parts)
-    return running, queued, slots
+    counts = [_parse_count(part) for part in (raw or b'').split(b',')]
+    match counts:
+        case [int(running), int(queued), int(slots)]:
+            return running, queued, slots
+        case _:
+            return None
 
 
 def _parse_keep_alive(raw: bytes | None) -> float | None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -51,6 +51,30 @@
         self.assertIsNone(facts.deadline_s)
         self.assertEqual(facts.prompt_tokens, 0)
 
+    def test_numbers_that_overflow_count_as_absent(self) -> None:
+        """Guards against arithmetic errors while a request is handled."""
+        request = CallerRequest(
+            b'GET',
+            b'/',
+            [
+                (b'Deadline-Ms', b'nan'),
+                (b'Length-Hint', b'1e400'),
+                (b'Token-Counts', b'9' * 5_000 + b',1'),
+            ],
+            b'',
+        )
+        facts = headers.read_request(request)
+        self.assertIsNone(facts.deadline_s)
+        self.assertIsNone(facts.hinted_answer_tokens)
+        self.assertEqual((facts.prompt_tokens, facts.max_answer_tokens), (0, 0))
+
+    def test_a_load_that_overflows_counts_as_absent(self) -> None:
+        """Guards against a whole answer that is lost for its load."""
+        for load in (b'9' * 400 + b',0,1', b'9' * 5_000 + b',0,1', b'1,2,x'):
+            with self.subTest(load[:9]):
+                facts = headers.read_answer(200, [(b'Server-Load', load)])
+                self.assertIsNone(facts.load)
+
     def test_writes_its_own_headers_only(self) -> None:
         """The caller's key, team and deadline are not forwarded."""
         chain = (('10.0.0.1:80', 0, 20), ('10.0.0.2:80', 20, 80))
