Skip rows of targets whose address, name or layers can't be used

Callers of a plain service saw an error in place of an answer, or a closed connection before errors of handlers were answered, as long as a row listed a target with an impossible address or name. After a row with deeply nested bytes the daemon did not learn of any change of the targets any more.

Cause: the address was checked by a pattern only, so a port above 65535 or a host of dots raised OverflowError or UnicodeError, which are no OSError, at each connection. No fault was recorded, so the target stayed in use. A name that is no header text failed in the same way. Nested bytes raise RecursionError, which ended the task that reads the table.

Evidence before the change: test_a_target_that_cannot_be_reached_by_address: 502 != 200, logged as OverflowError('connect(): port must be 0-65535.') test_a_row_that_is_nested_too_deeply: TimeoutError, and RecursionError in the task of the follower test_skips_targets_that_cannot_be_used, test_skips_impossible_layers: the rows were accepted

Such rows are skipped at the border with a log line, like other invalid ones. Reports of engines treat the same errors as an answer that was not received.

Ruled out: invalid UTF-8 and wrong types, which were skipped already.

--- a/nutmegspoke/platform/discovery.py
+++ b/nutmegspoke/platform/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import logging
 from types import MappingProxyType
 from typing import Annotated, Literal
@@ -18,6 +19,15 @@
 TABLE = 'servers'
 
 
+# Models have far fewer layers.
+_MAX_LAYERS = 100_000
+_MAX_PORT = 65_535
+_LayerIndex = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LAYERS)]
+# Raised for bytes that are no JSON of the expected types; nested too deeply,
+# they raise RecursionError.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
 class HeldLayers(msgspec.Struct, rename={'start': 'from', 'stop': 'to'}):
     """Layers that an engine holds.
 
@@ -25,8 +35,8 @@
     :param stop: layer after the last one; ``to`` in JSON.
     """
 
-    start: int
-    stop: int
+    start: _LayerIndex
+    stop: _LayerIndex
 
     def to_range(self) -> LayerRange | None:
         """Return the layer range; ``None`` if it is empty."""
@@ -38,7 +48,7 @@
 class _Server(msgspec.Struct):
     # Name of the pool; the platform calls pools services.
     service: str
-    address: Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:\d+$')]
+    address: str
     zone: str
     state: Literal['ready', 'draining']
     slots: int = 1
@@ -63,9 +73,14 @@
     """
     try:
         server = _decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         logger.warning('discovery: row %s skipped: %s', name, error)
         return None
+    if not (_is_header_text(name) and _is_address(server.address)):
+        logger.warning(
+            'discovery: row %r skipped: address %r', name, server.address
+        )
+        return None
     return TargetEntry(
         name=name,
         address=server.address,
@@ -77,3 +92,19 @@
         layers=server.layers.to_range() if server.layers else None,
         started_ms=server.born,
     )
+
+
+def _is_header_text(text: str) -> bool:
+    """Return whether a text can be sent in a header."""
+    return text.isascii() and text.isprintable()
+
+
+def _is_address(address: str) -> bool:
+    """Return whether a text is ``IP:PORT``, so that it can be connected to."""
+    ip, _, port = address.partition(':')
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    return is_number and 0 < int(port) <= _MAX_PORT
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from nutmegspoke.engine_orders import EngineReport, OrderAnswer
-from nutmegspoke.platform.discovery import HeldLayers
+from nutmegspoke.platform.discovery import DECODE_ERRORS, HeldLayers
 
 if TYPE_CHECKING:
     from nutmegspoke.layers import LayerRange
@@ -22,7 +22,7 @@
 _REPORT_TIMEOUT_S = 0.5
 _ORDER_TIMEOUT_S = 1.0
 _ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
-_REPORT_ERRORS = (*_ERRORS, msgspec.MsgspecError)
+_REPORT_ERRORS = (*_ERRORS, *DECODE_ERRORS)
 
 
 _ANSWER_BY_STATUS = MappingProxyType(
--- a/tests/edge/test_odd_requests.py
+++ b/tests/edge/test_odd_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tests import builders_edge as build
 from tests.edge.test_daemon import DaemonCase
 
 
@@ -24,3 +25,39 @@
                 answer = await self.deployment.call('/drafts/1', **changes)
                 self.assertEqual(answer.status, 200)
                 self.assertTrue(answer.is_whole)
+
+
+class OddRowsTest(DaemonCase):
+    """Rows of other writers harm neither requests nor the other rows."""
+
+    async def test_a_target_that_cannot_be_reached_by_address(self) -> None:
+        """Guards against an error in place of an answer.
+
+        The row of a target had an address with an impossible port.
+        """
+        await self.deployment.add_service('r1')
+        await self._write_target('r0', address='127.0.0.1:99999')
+        answer = await self.deployment.call('/calls/1')
+        self.assertEqual(answer.status, 200)
+
+    async def test_a_row_that_is_nested_too_deeply(self) -> None:
+        """Guards against the end of the task that reads the targets."""
+        await self.deployment.store.put(
+            'servers', 'r0', b'{"x":' + b'[' * 20_000
+        )
+        await self.deployment.add_service('r1')
+        answer = await self.deployment.call('/calls/1')
+        self.assertEqual(answer.status, 200)
+
+    async def _write_target(self, name: str, **changes: object) -> None:
+        """Write the row of a plain target and wait until it was read."""
+        changes = {'service': 'records', 'layers': None, 'zone': 'a', **changes}
+        await self.deployment.store.put(
+            'servers', name, build.wire_server(**changes)
+        )
+        await self.deployment.add_service('last')
+        await self.deployment.targets['last'].stop()
+        await self.deployment.store.put('servers', 'last', None)
+        await self.deployment.until(
+            lambda: self.deployment.daemon.view.targets.find('last') is None
+        )
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -51,3 +51,31 @@
         for body in invalid_bodies:
             with self.subTest(body[:40]):
                 self.assertIsNone(decode_target('i-1', body))
+
+    def test_skips_targets_that_cannot_be_used(self) -> None:
+        """Guards against rows whose use raises errors in every request."""
+        for address in (
+            '10.0.0.9:99999',
+            '10.0.0.9:0',
+            '10.0.0.9:8080\n',
+            '10.0.0.9:\u0663',
+            '10.0.0.999:80',
+            '...:80',
+        ):
+            with self.subTest(address):
+                body = build.wire_server(address=address)
+                self.assertIsNone(decode_target('i-1', body))
+        for name in ('\u0442', 'i-1\r\nKey: k'):
+            with self.subTest(name):
+                self.assertIsNone(decode_target(name, build.wire_server()))
+
+    def test_skips_bytes_that_are_nested_too_deeply(self) -> None:
+        """Guards against the end of the task that reads the targets."""
+        self.assertIsNone(decode_target('i-1', b'{"x":' + b'[' * 20_000))
+
+    def test_skips_impossible_layers(self) -> None:
+        """Guards against ranges of layers that overflow or never end."""
+        for layers in ({'from': -5, 'to': 3}, {'from': 0, 'to': 2**62}):
+            with self.subTest(layers):
+                body = build.wire_server(layers=layers)
+                self.assertIsNone(decode_target('i-1', body))
