Refuse tables with a model without layers, and bytes nested too deeply

After such a row the daemon did not take any later version of the tables: routes, keys and limits stayed as they were until a restart.

Cause: the decoder raised ZeroDivisionError or RecursionError. The listener of the tables handles ValueError only, so the task that reads the table ended.

Evidence before the change: test_tables_that_cannot_be_used: TimeoutError, and ZeroDivisionError in the task of the follower test_a_configuration_that_cannot_be_used: ZeroDivisionError, RecursionError

The decoder now raises ConfigurationError, which is logged as tables_unreadable; the tables in force stay until a version that can be used.

Ruled out: huge integers, numbers out of range, invalid UTF-8 and wrong types, which raised ConfigurationError already.

--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from nutmegspoke.entry_host import (
@@ -81,7 +83,7 @@
     # Limits only the requests that an engine gets as first engine of a chain.
     slots: int = 96
     stride: int = 1
-    layers: int = 1
+    layers: Annotated[int, msgspec.Meta(ge=1)] = 1
     layer_mb: float = 0
     act_bytes: float = 0
     pipe_mbps: float = 0
@@ -131,7 +133,7 @@
     """
     try:
         config = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ConfigurationError(str(error)) from error
     pools = (_build_pool(service) for service in config.services)
     return EntryTables(
--- a/tests/edge/test_odd_requests.py
+++ b/tests/edge/test_odd_requests.py
@@ -49,6 +49,21 @@
         answer = await self.deployment.call('/calls/1')
         self.assertEqual(answer.status, 200)
 
+    async def test_tables_that_cannot_be_used(self) -> None:
+        """Guards against tables that stay in force for good.
+
+        A version with a model without layers ended the task that reads the
+        tables, so later versions were not read.
+        """
+        body = build.wire_configuration(
+            version=8, services=[build.wire_engine_service(layers=0)]
+        )
+        await self.deployment.store.put('op', 'config', body)
+        await self.deployment.until(
+            lambda: self.deployment.events('tables_unreadable')
+        )
+        await self.deployment.serve_tables(version=9)
+
     async def _write_target(self, name: str, **changes: object) -> None:
         """Write the row of a plain target and wait until it was read."""
         changes = {'service': 'records', 'layers': None, 'zone': 'a', **changes}
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -56,3 +56,16 @@
         for body in (b'', b'{}', build.wire_configuration(version='x')):
             with self.subTest(body[:20]), self.assertRaises(ConfigurationError):
                 decode_configuration(body)
+
+    def test_a_configuration_that_cannot_be_used(self) -> None:
+        """Guards against the end of the task that reads the tables."""
+        no_layers = build.wire_engine_service(layers=0)
+        for body in (
+            build.wire_configuration(services=[no_layers]),
+            b'{"x":' + b'[' * 20_000,
+        ):
+            with (
+                self.subTest(body[:10]),
+                self.assertRaises(ConfigurationError),
+            ):
+                decode_configuration(body)
