--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -51,7 +51,7 @@
             daemons,
             now_s,
         )
-        chain = self._view.chain_finder(pool.name).find_preferring_one_zone(
+        chain = self._view.chain_finder(pool.profile).find_preferring_one_zone(
             engines,
             need,
             ChainOptions(
@@ -66,6 +66,7 @@
         )
         if chain is None:
             return None
+        context.has_target = True
         zone_crossings = self._zone_crossings(chain)
         crossings.record_crossings(zone_crossings, now_s)
         self._view.own_reservations.reserve(
