Run the tests of broken answers on the daemon's event loop

Cause: unittest takes a loop from the class attribute `loop_factory` only from Python 3.13 on. On 3.11 the tests of StreamLoopDaemonTest ran on asyncio's selector loop, so that nothing in them was tested on uvloop.

Evidence: a test that checks the class of the running loop failed before with "AssertionError: <_UnixSelectorEventLoop running=True ...> is not an instance of <class 'nutmegspoke.border.loop.StreamLoop'>".

The tests of the class pass unchanged on the right loop.

--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -6,6 +6,7 @@
 import unittest
 
 from nutmegspoke.border.loop import StreamLoop
+from tests.edge.stream_loop_case import StreamLoopCase
 from tests.edge.world import Deployment
 
 _EVENTS = 12
@@ -355,7 +356,9 @@
         await stopping
 
 
-class StreamLoopDaemonTest(BrokenAnswersTest):
+class StreamLoopDaemonTest(StreamLoopCase, BrokenAnswersTest):
     """The tests of broken answers on the event loop of the daemon."""
 
-    loop_factory = StreamLoop
+    async def test_the_loop(self) -> None:
+        """Guards against tests that run on the default loop instead."""
+        self.assertIsInstance(asyncio.get_running_loop(), StreamLoop)
