Answer requests that were read behind an answer without close

Callers saw: a request on a kept connection was read, the answer before it ended, and the connection closed with neither an answer nor a refusal. It happens when SIGTERM arrives while that earlier answer is under way, and with pipelined requests whenever a later one has 'Connection: close'.

Cause: whether the connection closes was decided when an answer ended, although its head had not announced it, and requests that were queued or partly read were dropped. The value of 'Connection' of the request that was read last was applied to the request in progress.

Why it works: an answer that announced the close is the last one. After any other answer what was read is answered first, and that answer announces the close; only a connection on which nothing more was read closes while stopping.

Ruled out: keeping such connections open for further requests while stopping; they took new streams until the end of the grace period.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -13,6 +13,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
+from nutmegspoke.edge.connection_timer import ConnectionTimer
 from nutmegspoke.edge.request_reader import RequestReader
 from nutmegspoke.edge.write_gate import WriteGate
 from nutmegspoke.entry_host import CallerLimits
@@ -194,10 +195,12 @@
         self._owner = owner
         self._reader = RequestReader(owner.limits, self._on_request)
         self._transport: asyncio.Transport | None = None
+        # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
-        self._pipelined: list[CallerRequest] = []
+        self._has_announced_close = False
+        self._pipelined: list[tuple[CallerRequest, bool]] = []
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = ConnectionTimer(self._close_unused)
         self._gate = WriteGate()
         self._close_cause: CloseCause | None = None
         self._unanswered_count = 0
@@ -221,12 +224,12 @@
             return
         transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
         self._owner.open.add(self)
-        self._set_timeout(self._owner.limits.idle_timeout_s)
+        self._timer.start(self._owner.limits.idle_timeout_s)
 
     def data_received(self, received: bytes) -> None:
         """Parse the received bytes."""
         if not self.is_busy:
-            self._set_timeout(self._owner.limits.header_timeout_s)
+            self._timer.start(self._owner.limits.header_timeout_s)
         self._reader.limits = self._owner.limits
         fault = self._reader.feed(received)
         if fault is not None:
@@ -235,7 +238,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress."""
         self._owner.open.discard(self)
-        self._set_timeout(None)
+        self._timer.clear()
         self._gate.open(CallerGoneError('caller left'))
         if self._task is not None:
             self._task.cancel()
@@ -268,10 +271,16 @@
             raise CallerGoneError('caller does not read') from error
 
     def closes_after_answer(self) -> bool:
-        """Return whether the connection closes after the current answer."""
-        if self._owner.is_stopping:
-            self._keep_alive = False
-        return not self._keep_alive
+        """Return whether the connection closes after the current answer.
+
+        If so, the answer must announce it. While stopping it is the answer to
+        the last request that was read.
+        """
+        is_last = not self._pipelined and not self._reader.is_reading
+        self._has_announced_close = not self._keep_alive or (
+            self._owner.is_stopping and is_last
+        )
+        return self._has_announced_close
 
     def abort(self, cause: CloseCause) -> None:
         """Abort the connection without sending the unsent bytes."""
@@ -289,16 +298,16 @@
         self._unanswered_count += 1
         if self._transport is None or self._transport.is_closing():
             return
-        self._set_timeout(None)
-        self._keep_alive = self._reader.keep_alive
-        self._pipelined.append(request)
+        self._timer.clear()
+        self._pipelined.append((request, self._reader.keep_alive))
         if self._task is None:
             self._serve_next()
         elif len(self._pipelined) > _MAX_PIPELINED:
             self._reject(HTTPStatus.BAD_REQUEST)
 
     def _serve_next(self) -> None:
-        request = self._pipelined.pop(0)
+        request, keep_alive = self._pipelined.pop(0)
+        self._keep_alive = keep_alive
         self._task = asyncio.create_task(self._serve(request))
 
     async def _serve(self, request: CallerRequest) -> None:
@@ -324,24 +333,24 @@
             return
         if not answer.has_ended:
             self.abort(CloseCause.ABORTED)
-        elif self.closes_after_answer():
+        elif self._has_announced_close:
             self.close(CloseCause.ANSWERED)
         elif self._pipelined:
             self._serve_next()
         else:
-            self._set_timeout(self._owner.limits.idle_timeout_s)
+            self._await_request()
 
-    def _set_timeout(self, timeout_s: float | None) -> None:
-        """Set the timeout after which an unused connection is closed.
+    def _await_request(self) -> None:
+        """Wait for the next request, or for the rest of one that has begun.
 
-        :param timeout_s: timeout in seconds; ``None`` clears it.
+        While stopping only for the latter.
         """
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if timeout_s is not None:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(timeout_s, self._close_unused)
+        if self._reader.is_reading:
+            self._timer.start(self._owner.limits.header_timeout_s)
+        elif self._owner.is_stopping:
+            self.close(CloseCause.STOPPING)
+        else:
+            self._timer.start(self._owner.limits.idle_timeout_s)
 
     def _close_unused(self) -> None:
         if self._task is None:
--- /dev/null
+++ b/tests/edge/test_connection_ends.py
@@ -0,0 +1,142 @@
+"""Tests of how the connections of callers and to targets end."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.http_server import ConnectionSet, listen
+from nutmegspoke.entry_host import CallerLimits
+from tests.edge.stream_loop_case import StreamLoopCase
+from tests.edge.world import WAIT_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.edge.http_server import Answer, HttpConnection
+    from nutmegspoke.forwarded import CallerRequest
+
+_CLOSE = b'Connection: close\r\n'
+
+
+class _HeldAnswers:
+    """Handler that echoes; it holds answers below ``/held`` back.
+
+    Their heads are sent at once and their bodies after ``released`` is set.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[CallerRequest] = []
+        self.released = asyncio.Event()
+
+    async def handle(self, request: CallerRequest, answer: Answer) -> None:
+        self.requests.append(request)
+        await answer.begin(200, [], None)
+        if request.url.startswith(b'/held'):
+            await self.released.wait()
+        await answer.send(request.body or request.url)
+        await answer.end()
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class that starts a server with a handler that holds answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server."""
+        self.handler = _HeldAnswers()
+        self.connections = ConnectionSet(self.handler)
+        self.connections.limits = CallerLimits(max_body_bytes=1_000)
+        server = await listen(self.connections.connect, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.address = server.sockets[0].getsockname()[:2]
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection as a caller."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def read_all(self, reader: asyncio.StreamReader) -> bytes:
+        """Return what the server sends until it closes the connection."""
+        return await asyncio.wait_for(reader.read(), WAIT_S)
+
+    async def until(self, predicate: Callable[[], object]) -> None:
+        """Wait until a predicate returns a true value."""
+        async with asyncio.timeout(WAIT_S):
+            while not predicate():
+                await asyncio.sleep(0.01)
+
+
+class PipelinedRequestsTest(CallerCase):
+    """Each request that was read is answered before its connection closes."""
+
+    async def test_a_request_behind_an_unannounced_close(self) -> None:
+        """Guards against a request dropped behind an answer begun before a stop.
+
+        The answer did not announce the end of the connection, so the caller
+        sent its next request on it.
+        """
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\n')
+        await self.until(lambda: self.handler.requests)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'GET /next HTTP/1.1\r\n\r\n')
+        (connection,) = self.connections.open
+        await self.until(lambda: connection._pipelined)
+        self.connections.is_stopping = True
+        self.handler.released.set()
+        received = await self.read_all(reader)
+        self.assertIn(b'/next', received)
+        self.assertIn(_CLOSE, received)
+
+    async def test_a_partial_request_behind_an_unannounced_close(self) -> None:
+        """Guards against a connection closed while a request is being read."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\nGET /ne')
+        (connection,) = await self._wait_for_partial_requests()
+        self.connections.is_stopping = True
+        self.handler.released.set()
+        await reader.readuntil(b'0\r\n\r\n')
+        await self.until(lambda: connection._task is None)
+        writer.write(b'xt HTTP/1.1\r\n\r\n')
+        self.assertIn(b'/next', await self.read_all(reader))
+
+    async def _wait_for_partial_requests(self) -> list[HttpConnection]:
+        """Return the connections, once all read and answer a request."""
+        await self.until(lambda: self.handler.requests)
+        await self.until(
+            lambda: all(
+                connection._reader.is_reading
+                for connection in self.connections.open
+            )
+        )
+        return list(self.connections.open)
+
+    async def test_requests_read_together_while_stopping(self) -> None:
+        """Guards against a close announced before the last request read."""
+        self.connections.is_stopping = True
+        reader, writer = await self.connect()
+        writer.write(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n')
+        received = await self.read_all(reader)
+        self.assertIn(b'/b', received)
+        self.assertEqual(received.count(_CLOSE), 1)
+
+    async def test_the_close_of_a_later_request(self) -> None:
+        """Guards against ``Connection: close`` applied to an earlier request.
+
+        The connection closed after the first answer, without the second.
+        """
+        reader, writer = await self.connect()
+        writer.write(
+            b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n%s\r\n' % _CLOSE
+        )
+        received = await self.read_all(reader)
+        self.assertIn(b'/b', received)
+        self.assertEqual(received.count(_CLOSE), 1)
+
+
+class StreamLoopPipelinedRequestsTest(StreamLoopCase, PipelinedRequestsTest):
+    """The tests of pipelined requests on the event loop of the daemon."""
