Ignore the offer of another protocol

Callers saw: requests with 'Connection: Upgrade' (clients that offer HTTP/2 over plain TCP send it by default) lost their connection without an answer, though they had been read and may have been passed on, and without their body.

Cause: after a head with an upgrade the parser expects the other protocol, skips the body and raises an error behind the head. The request was handed over without its body, and the error closed its connection.

Evidence, before the change on both loops: of three requests on a connection one got an answer ("1 != 3"); a CONNECT request reached the handler ("[CallerRequest(method=b'CONNECT', ...)] != []").

Why it works: the head is parsed again without the offer, as HTTP allows servers to ignore it. A tunnel can't be ignored and is refused.

Ruled out: an option of the parser; it has none.

--- a/nutmegspoke/edge/request_reader.py
+++ b/nutmegspoke/edge/request_reader.py
@@ -17,6 +17,8 @@
 
 # Colon, space and line end of a header.
 _HEADER_EXTRA_BYTES = 4
+_TUNNEL = b'CONNECT'
+_UPGRADE = b'upgrade'
 
 
 class RequestReader:
@@ -52,10 +54,9 @@
         :returns: error status for an invalid or too large request, otherwise
             ``None``.
         """
-        try:
-            self._parser.feed_data(received)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            return self._fault or HTTPStatus.BAD_REQUEST
+        rest = received
+        while rest:
+            rest = self._parse(rest)
         return self._fault
 
     def on_message_begin(self) -> None:
@@ -87,6 +88,8 @@
 
     def on_message_complete(self) -> None:
         """Call ``on_request`` unless the request exceeded a limit."""
+        if self._parser.should_upgrade():
+            return
         self.is_reading = False
         if self._fault is not None:
             return
@@ -100,6 +103,39 @@
             ),
         )
 
+    def _parse(self, received: bytes) -> bytes:
+        """Parse bytes and return those that must be parsed again."""
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as upgrade:
+            return self._decline_upgrade(received[upgrade.args[0] :])
+        except httptools.HttpParserError:
+            self._fault = self._fault or HTTPStatus.BAD_REQUEST
+        return b''
+
+    def _decline_upgrade(self, rest: bytes) -> bytes:
+        """Return a request without its offer of another protocol.
+
+        The parser expects that protocol behind the head, so it needs a head
+        without the offer to read the body.
+
+        :param rest: bytes behind the head.
+        """
+        method = self._parser.get_method()
+        if method == _TUNNEL:
+            self._fault = self._fault or HTTPStatus.BAD_REQUEST
+        if self._fault is not None:
+            return b''
+        version = self._parser.get_http_version().encode()
+        lines = [b'%s %s HTTP/%s' % (method, self._url, version)]
+        lines.extend(
+            b'%s: %s' % header
+            for header in self._headers
+            if header[0].lower() != _UPGRADE
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        return b'\r\n'.join((*lines, b'', rest))
+
     def _count_header(self, added: int) -> None:
         self._header_bytes += added
         if self._header_bytes > self.limits.max_header_bytes:
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -193,3 +193,58 @@
 
 class StreamLoopInvalidBytesTest(StreamLoopCase, InvalidBytesTest):
     """The tests of invalid bytes on the event loop of the daemon."""
+
+
+class ProtocolOffersTest(CallerCase):
+    """Offers of a caller that the server declines don't cost an answer."""
+
+    async def test_an_upgrade_is_ignored(self) -> None:
+        """Guards against a dropped request of a caller that offers HTTP/2.
+
+        Its body was lost and its connection closed while it was in progress.
+        """
+        received = await self._exchange(
+            b'POST /held HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+            b'Upgrade: h2c\r\nContent-Length: 4\r\n\r\nbody'
+            b'POST /b HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+            b'GET /c HTTP/1.1\r\n%s\r\n' % _CLOSE
+        )
+        self.assertEqual(received.count(b'HTTP/1.1 200'), 3)
+        bodies = [request.body for request in self.handler.requests]
+        self.assertEqual(bodies, [b'body', b'abc', b''])
+
+    async def test_an_upgrade_in_pieces(self) -> None:
+        """The body may arrive later than the head."""
+        reader, writer = await self.connect()
+        writer.write(
+            b'POST /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+            b'Content-Length: 4\r\n\r\nbo'
+        )
+        await self.until(
+            lambda: any(
+                connection.is_busy for connection in self.connections.open
+            )
+        )
+        writer.write(b'dyGET /c HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b'HTTP/1.1 200'), 2)
+        self.assertEqual(self.handler.requests[0].body, b'body')
+
+    async def test_a_tunnel_is_refused(self) -> None:
+        """Guards against a handler that is cancelled by the bytes of a tunnel."""
+        received = await self._exchange(
+            b'CONNECT other:80 HTTP/1.1\r\nHost: other\r\n\r\nbytes'
+        )
+        self.assertIn(b'HTTP/1.1 400', received)
+        self.assertEqual(self.handler.requests, [])
+
+    async def _exchange(self, sent: bytes) -> bytes:
+        reader, writer = await self.connect()
+        writer.write(sent)
+        self.handler.released.set()
+        return await self.read_all(reader)
+
+
+class StreamLoopProtocolOffersTest(StreamLoopCase, ProtocolOffersTest):
+    """The tests of declined offers on the event loop of the daemon."""
