--- /dev/null
+++ b/tests/edge/test_connection_ends.py
@@ -0,0 +1,298 @@
+"""Tests of how the connections of callers and to targets end."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+
+from nutmegspoke.edge.http_server import _MAX_PIPELINED, ConnectionSet, listen
+from nutmegspoke.entry_host import CallerLimits
+from tests.edge.stream_loop_case import StreamLoopCase
+from tests.edge.world import WAIT_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from nutmegspoke.edge.http_server import Answer, HttpConnection
+    from nutmegspoke.forwarded import CallerRequest
+
+_CLOSE = b'Connection: close\r\n'
+_ASKING_HEAD = (
+    b'POST /a HTTP/1.1\r\nExpect: 100-Continue\r\n'
+    b'Content-Length: 4\r\n%s\r\n' % _CLOSE
+)
+
+
+class _HeldAnswers:
+    """Handler that echoes; it holds answers below ``/held`` back.
+
+    Their heads are sent at once and their bodies after ``released`` is set.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[CallerRequest] = []
+        self.released = asyncio.Event()
+
+    async def handle(self, request: CallerRequest, answer: Answer) -> None:
+        self.requests.append(request)
+        await answer.begin(200, [], None)
+        if request.url.startswith(b'/held'):
+            await self.released.wait()
+        await answer.send(request.body or request.url)
+        await answer.end()
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    """Base class that starts a server with a handler that holds answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server."""
+        self.handler = _HeldAnswers()
+        self.connections = ConnectionSet(self.handler)
+        self.connections.limits = CallerLimits(max_body_bytes=1_000)
+        server = await listen(self.connections.connect, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.address = server.sockets[0].getsockname()[:2]
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection as a caller."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def read_all(self, reader: asyncio.StreamReader) -> bytes:
+        """Return what the server sends until it closes the connection."""
+        return await asyncio.wait_for(reader.read(), WAIT_S)
+
+    async def until(self, predicate: Callable[[], object]) -> None:
+        """Wait until a predicate returns a true value."""
+        async with asyncio.timeout(WAIT_S):
+            while not predicate():
+                await asyncio.sleep(0.01)
+
+
+class PipelinedRequestsTest(CallerCase):
+    """Each request that was read is answered before its connection closes."""
+
+    async def test_a_request_behind_an_unannounced_close(self) -> None:
+        """Guards against a request dropped behind an answer begun before a stop.
+
+        The answer did not announce the end of the connection, so the caller
+        sent its next request on it.
+        """
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\n')
+        await self.until(lambda: self.handler.requests)
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'GET /next HTTP/1.1\r\n\r\n')
+        (connection,) = self.connections.open
+        await self.until(lambda: connection._pipelined)
+        self.connections.is_stopping = True
+        self.handler.released.set()
+        received = await self.read_all(reader)
+        self.assertIn(b'/next', received)
+        self.assertIn(_CLOSE, received)
+
+    async def test_a_partial_request_behind_an_unannounced_close(self) -> None:
+        """Guards against a connection closed while a request is being read."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\nGET /ne')
+        (connection,) = await self._wait_for_partial_requests()
+        self.connections.is_stopping = True
+        self.handler.released.set()
+        await reader.readuntil(b'0\r\n\r\n')
+        await self.until(lambda: connection._task is None)
+        writer.write(b'xt HTTP/1.1\r\n\r\n')
+        self.assertIn(b'/next', await self.read_all(reader))
+
+    async def _wait_for_partial_requests(self) -> list[HttpConnection]:
+        """Return the connections, once all read and answer a request."""
+        await self.until(lambda: self.handler.requests)
+        await self.until(
+            lambda: all(
+                connection._reader.is_reading
+                for connection in self.connections.open
+            )
+        )
+        return list(self.connections.open)
+
+    async def test_requests_read_together_while_stopping(self) -> None:
+        """Guards against a close announced before the last request read."""
+        self.connections.is_stopping = True
+        reader, writer = await self.connect()
+        writer.write(b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n')
+        received = await self.read_all(reader)
+        self.assertIn(b'/b', received)
+        self.assertEqual(received.count(_CLOSE), 1)
+
+    async def test_the_close_of_a_later_request(self) -> None:
+        """Guards against ``Connection: close`` applied to an earlier request.
+
+        The connection closed after the first answer, without the second.
+        """
+        reader, writer = await self.connect()
+        writer.write(
+            b'GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n%s\r\n' % _CLOSE
+        )
+        received = await self.read_all(reader)
+        self.assertIn(b'/b', received)
+        self.assertEqual(received.count(_CLOSE), 1)
+
+
+class StreamLoopPipelinedRequestsTest(StreamLoopCase, PipelinedRequestsTest):
+    """The tests of pipelined requests on the event loop of the daemon."""
+
+
+class InvalidBytesTest(CallerCase):
+    """Invalid bytes behind a request don't cost its answer."""
+
+    async def test_invalid_bytes_behind_a_request(self) -> None:
+        """Guards against a lost answer to the request before invalid bytes."""
+        received = await self._release_after(
+            b'GET /held HTTP/1.1\r\n\r\n\x00\x01\r\n\r\n'
+        )
+        self.assertIn(b'/held', received)
+        self.assertEqual(received.count(b'HTTP/1.1 400'), 1)
+
+    async def test_a_too_large_request_behind_another(self) -> None:
+        """Guards against a lost answer to the request before a too large one."""
+        received = await self._release_after(
+            b'GET /held HTTP/1.1\r\n\r\n'
+            b'POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n' + b'x' * 2_000
+        )
+        self.assertIn(b'/held', received)
+        self.assertEqual(received.count(b'HTTP/1.1 413'), 1)
+
+    async def test_bytes_behind_the_last_request(self) -> None:
+        """Guards against a lost answer to a request with ``close``.
+
+        Bytes that follow it are an error of the parser.
+        """
+        received = await self._release_after(
+            b'GET /held HTTP/1.1\r\n%s\r\nGET /a HTTP/1.1\r\n\r\n' % _CLOSE
+        )
+        self.assertIn(b'/held', received)
+        self.assertNotIn(b'400', received)
+
+    async def test_too_many_requests_at_once(self) -> None:
+        """Guards against lost answers if a caller pipelines too many requests."""
+        received = await self._release_after(
+            b'GET /held HTTP/1.1\r\n\r\n' + b'GET /a HTTP/1.1\r\n\r\n' * 40
+        )
+        self.assertIn(b'/held', received)
+        self.assertEqual(received.count(b'/a'), _MAX_PIPELINED)
+        self.assertEqual(received.count(b'HTTP/1.1 400'), 1)
+
+    async def _release_after(self, sent: bytes) -> bytes:
+        """Return what is received if the answer is released after all is read."""
+        reader, writer = await self.connect()
+        writer.write(sent)
+        await self.until(lambda: self.handler.requests)
+        self.handler.released.set()
+        return await self.read_all(reader)
+
+
+class StreamLoopInvalidBytesTest(StreamLoopCase, InvalidBytesTest):
+    """The tests of invalid bytes on the event loop of the daemon."""
+
+
+class ProtocolOffersTest(CallerCase):
+    """Offers of a caller that the server declines don't cost an answer."""
+
+    async def test_an_upgrade_is_ignored(self) -> None:
+        """Guards against a dropped request of a caller that offers HTTP/2.
+
+        Its body was lost and its connection closed while it was in progress.
+        """
+        received = await self._exchange(
+            b'POST /held HTTP/1.1\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+            b'Upgrade: h2c\r\nContent-Length: 4\r\n\r\nbody'
+            b'POST /b HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'
+            b'GET /c HTTP/1.1\r\n%s\r\n' % _CLOSE
+        )
+        self.assertEqual(received.count(b'HTTP/1.1 200'), 3)
+        bodies = [request.body for request in self.handler.requests]
+        self.assertEqual(bodies, [b'body', b'abc', b''])
+
+    async def test_an_upgrade_in_pieces(self) -> None:
+        """The body may arrive later than the head."""
+        reader, writer = await self.connect()
+        writer.write(
+            b'POST /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+            b'Content-Length: 4\r\n\r\nbo'
+        )
+        await self.until(
+            lambda: any(
+                connection.is_busy for connection in self.connections.open
+            )
+        )
+        writer.write(b'dyGET /c HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b'HTTP/1.1 200'), 2)
+        self.assertEqual(self.handler.requests[0].body, b'body')
+
+    async def test_a_tunnel_is_refused(self) -> None:
+        """Guards against a handler that is cancelled by the bytes of a tunnel."""
+        received = await self._exchange(
+            b'CONNECT other:80 HTTP/1.1\r\nHost: other\r\n\r\nbytes'
+        )
+        self.assertIn(b'HTTP/1.1 400', received)
+        self.assertEqual(self.handler.requests, [])
+
+    async def _exchange(self, sent: bytes) -> bytes:
+        reader, writer = await self.connect()
+        writer.write(sent)
+        self.handler.released.set()
+        return await self.read_all(reader)
+
+
+class StreamLoopProtocolOffersTest(StreamLoopCase, ProtocolOffersTest):
+    """The tests of declined offers on the event loop of the daemon."""
+
+
+class AwaitedBodiesTest(CallerCase):
+    """Callers that wait for leave to send their body."""
+
+    async def test_a_caller_that_asks_first(self) -> None:
+        """Guards against a caller that waits for leave to send until a timeout.
+
+        Its connection was closed without an answer.
+        """
+        reader, writer = await self.connect()
+        writer.write(_ASKING_HEAD)
+        interim = await self._read_head(reader)
+        self.assertEqual(interim, b'HTTP/1.1 100 Continue\r\n\r\n')
+        writer.write(b'body')
+        self.assertIn(b'body', await self.read_all(reader))
+
+    async def test_a_caller_that_asks_behind_an_answer(self) -> None:
+        """The leave is not sent within the answer to an earlier request."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\n' + _ASKING_HEAD)
+        await self.until(lambda: self.handler.requests)
+        self.handler.released.set()
+        answer = await asyncio.wait_for(
+            reader.readuntil(b'\r\n0\r\n\r\n'), WAIT_S
+        )
+        self.assertNotIn(b'100 Continue', answer)
+        self.assertIn(b'100 Continue', await self._read_head(reader))
+        writer.write(b'body')
+        self.assertIn(b'body', await self.read_all(reader))
+
+    async def test_a_body_that_came_unasked(self) -> None:
+        """No leave is given if the body is there."""
+        reader, writer = await self.connect()
+        writer.write(_ASKING_HEAD + b'body')
+        received = await self.read_all(reader)
+        self.assertTrue(received.startswith(b'HTTP/1.1 200'), received)
+
+    async def _read_head(self, reader: asyncio.StreamReader) -> bytes:
+        return await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), WAIT_S)
+
+
+class StreamLoopAwaitedBodiesTest(StreamLoopCase, AwaitedBodiesTest):
+    """The tests of callers that ask first on the event loop of the daemon."""
