Take a status 410 on a read of rows as a failed call

Callers saw: a daemon whose read of a table was answered with 410 went on with the tables and targets it knew, for as long as it ran. It refused callers with 404 or 401 that newer tables allow, and sent requests to targets that had left.

Cause: the client took every 410 for a feed whose history is gone.

Evidence: the new test failed before with AttributeError: 'HistoryLost' object has no attribute 'rows'

Why it works: only the feed gives HistoryLost. A read that is answered with 410 is a failed call like any other, and is made again after a pause.

Ruled out: an unreadable body; that already gave Unavailable.

--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -105,7 +105,7 @@
         """
         table, _, name = key.partition('/')
         query = {'table': table, 'part': '', 'from': name, 'limit': '1'}
-        answer = await self._request_rows('/v1/rows-get', query, CALL_TIMEOUT_S)
+        answer = await self._request_rows(query)
         if isinstance(answer, Unavailable):
             return answer
         for row in answer.rows:
@@ -123,9 +123,7 @@
         rows: list[StoredRow] = []
         version: int | None = None
         while True:
-            answer = await self._request_rows(
-                '/v1/rows-get', query, CALL_TIMEOUT_S
-            )
+            answer = await self._request_rows(query)
             if isinstance(answer, Unavailable):
                 return answer
             rows.extend(_to_stored_row(row) for row in answer.rows)
@@ -153,7 +151,7 @@
             'wait_ms': str(int(wait_s * 1_000)),
         }
         timeout_s = wait_s + CALL_TIMEOUT_S
-        answer = await self._request_rows('/v1/rows-feed', query, timeout_s)
+        answer = await self._request_feed(query, timeout_s)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
         return TableChanges(
@@ -184,22 +182,30 @@
 
     async def _request_rows(
         self,
-        path: str,
+        query: dict[str, str],
+    ) -> _WireRows | Unavailable:
+        try:
+            status, body = await self._request(
+                'GET', '/v1/rows-get', query, CALL_TIMEOUT_S
+            )
+        except _CALL_ERRORS as error:
+            return Unavailable(repr(error))
+        return _parse_rows(status, body)
+
+    async def _request_feed(
+        self,
         query: dict[str, str],
         timeout_s: float,
-    ) -> Any:
+    ) -> _WireRows | HistoryLost | Unavailable:
         try:
-            status, body = await self._request('GET', path, query, timeout_s)
+            status, body = await self._request(
+                'GET', '/v1/rows-feed', query, timeout_s
+            )
         except _CALL_ERRORS as error:
             return Unavailable(repr(error))
         if status == _GONE:
             return HistoryLost()
-        if status != _OK:
-            return Unavailable(f'status {status}')
-        try:
-            return _rows_decoder.decode(body)
-        except msgspec.MsgspecError as error:
-            return Unavailable(f'unreadable answer: {error}')
+        return _parse_rows(status, body)
 
     async def _request(
         self,
@@ -221,6 +227,15 @@
                 return response.status, await response.read()
 
 
+def _parse_rows(status: int, body: bytes) -> _WireRows | Unavailable:
+    if status != _OK:
+        return Unavailable(f'status {status}')
+    try:
+        return _rows_decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return Unavailable(f'unreadable answer: {error}')
+
+
 def _to_stored_row(row: _WireRow) -> StoredRow:
     key = f'{row.table}/{row.key}'
     try:
--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -21,11 +21,13 @@
     :param refuses: calls are answered with status 503 and not run.
     :param loses_answers: writes are applied, then their connection is reset.
     :param is_silent: calls get no answer.
+    :param has_no_rows: reads of rows are answered with status 410.
     """
 
     refuses: bool = False
     loses_answers: bool = False
     is_silent: bool = False
+    has_no_rows: bool = False
 
 
 class RowStore:
@@ -87,6 +89,8 @@
         table = request.query['table']
         first = request.query.get('from', '')
         limit = int(request.query.get('limit', '500'))
+        if self.faults.has_no_rows:
+            return web.Response(status=_GONE)
         keys = sorted(
             key for owner, key in self._rows if owner == table and key >= first
         )
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -117,6 +117,15 @@
         fed_changes = await self.client.changes('lease', 0, 1.0)
         self.assertIsInstance(fed_changes, HistoryLost)
 
+    async def test_a_read_answered_with_410(self) -> None:
+        """Guards against an error in the caller after a status 410.
+
+        Only a feed can continue with a list of the whole table.
+        """
+        self.store.faults.has_no_rows = True
+        self.assertIsInstance(await self.client.read(_KEY), Unavailable)
+        self.assertIsInstance(await self.client.snapshot('lease'), Unavailable)
+
     async def test_a_long_table_comes_in_pages(self) -> None:
         """Each row is returned once, with the version of the first page."""
         for number in range(620):
