Keep a follower running after an unexpected error

Callers saw: after one error while changes were applied, a daemon kept its tables and targets for as long as it ran. It answered 404 or 401 to requests that newer tables allow, and sent requests to targets that had left.

Cause: the follower's task ended with the error. Nothing logged it, and the restart of a stale feed could not help: it waits for the old task, which raised the error again before a new task was created. An error while an update from another daemon was applied left the version raised and its changes lost.

Evidence: the new tests failed before with test_an_error_in_the_listener: TimeoutError, then RuntimeError from stop() test_an_error_with_an_update: RuntimeError from receive_update()

Why it works: the task logs the error as `follower_failed` with its traceback, forgets the version and reads the whole table after a pause. What a pending call returns is used only for the version from which it was made, so that the changes it returns are never taken for the whole table.

The results of calls move to a class of their own, as the follower would otherwise have too many methods; their logic is unchanged.

Ruled out: errors in decoding rows; they are caught and logged where they occur.

--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -11,6 +11,7 @@
 import logging
 from typing import TYPE_CHECKING, Protocol
 
+from nutmegspoke.edge.call_results import CallResults
 from nutmegspoke.membership.table_news import RecentChanges, find_new_changes
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
 
@@ -35,15 +36,14 @@
 _POLL_INTERVAL_S = 0.1
 # Longest pause of a reader between two calls, as many others depend on it.
 _MAX_READER_PAUSE_S = 0.4
-# A failure of the store is reported to other daemons for this time, as an entry
-# that disappears shortly after a failure may only have expired.
-_FAILURE_REPORTED_S = 5.0
 # Pause after changes, so that several changes in a row cost one call. It grows
 # with the number of daemons, whose calls add up, and is short compared to the
 # drain time of a target.
 _PAUSE_PER_DAEMON_S = 0.02
 _MIN_PAUSE_S = 0.2
 _MAX_PAUSE_S = 1.0
+# Pause after an unexpected error, which may occur again with each read.
+_ERROR_PAUSE_S = 1.0
 
 
 def batch_pause_s(daemons: int) -> float:
@@ -112,11 +112,11 @@
         self._reads_table = reads_table
         self._recent_changes = RecentChanges()
         self._last_current_s = float('-inf')
-        self._last_failure_s = float('-inf')
         self.table = table
         self._feed = feed
         self._listener = listener
         self._log = log
+        self._results = CallResults(table, listener, log, health)
         self._clock = clock
         # Version up to which the table is known, by calls or by updates.
         self._version: int | None = None
@@ -125,7 +125,6 @@
         self._last_version = 0
         # Version of the newest change read, insignificant ones included.
         self._newest_change = 0
-        self._failures = 0
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -166,9 +165,7 @@
         if self._version is None or self._health.is_failing:
             return None
         now_s = self._clock.now_s()
-        age_s = now_s - self._last_failure_s
-        if age_s > _FAILURE_REPORTED_S:
-            age_s = -1.0
+        age_s = self._results.reported_age_s(now_s)
         return self._recent_changes.build_update(host, self.table, age_s, now_s)
 
     def receive_update(self, update: TableUpdate) -> None:
@@ -184,8 +181,12 @@
         if update.failure_age_s >= 0:
             self._listener.failed_elsewhere(now_s - update.failure_age_s)
         changes = find_new_changes(update, self._version)
-        if changes is not None:
+        if changes is None:
+            return
+        try:
             self._apply(self._version, changes, now_s)
+        except Exception as error:  # noqa: BLE001 -- the table is read anew
+            self._discard_table(error)
 
     async def restart(self) -> None:
         """Cancel the pending call and read the whole table again."""
@@ -195,25 +196,47 @@
 
     async def _run(self) -> None:
         while True:
-            if self._is_kept_current():
-                await asyncio.sleep(_POLL_INTERVAL_S)
-                continue
-            now_s = self._clock.now_s()
-            wait_s = self._health.wait_s(self.table, now_s)
-            if wait_s > 0:
-                # The store fails for another follower of this daemon. That
-                # counts as a failure here, too, although no call is made.
-                self._record_failure('another call failed', now_s)
-                await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
-            elif self._handle_read(await self._read()):
-                await asyncio.sleep(self._pause_s())
-
-    async def _read(self) -> TableChanges | HistoryLost | Unavailable:
-        if self._version is None:
+            try:
+                await self._run_once()
+            except Exception as error:  # noqa: BLE001 -- the table is read anew
+                self._discard_table(error)
+                await asyncio.sleep(_ERROR_PAUSE_S)
+
+    async def _run_once(self) -> None:
+        if self._is_kept_current():
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            return
+        now_s = self._clock.now_s()
+        wait_s = self._health.wait_s(self.table, now_s)
+        if wait_s > 0:
+            # The store fails for another follower of this daemon. That
+            # counts as a failure here, too, although no call is made.
+            self._results.failed_elsewhere('another call failed', now_s)
+            await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
+            return
+        since = self._version
+        if self._handle_read(since, await self._read(since)):
+            await asyncio.sleep(self._pause_s())
+
+    def _discard_table(self, error: Exception) -> None:
+        """Log an unexpected error and read the whole table again.
+
+        The changes may have been applied in part.
+        """
+        logger.error('followers: table %s', self.table, exc_info=error)
+        self._log.decided(
+            'follower_failed', table=self.table, reason=repr(error)
+        )
+        self._version = None
+
+    async def _read(
+        self, since: int | None
+    ) -> TableChanges | HistoryLost | Unavailable:
+        if since is None:
             return await self._feed.snapshot(self.table)
         is_immediate = self._health.is_failing or not self.is_reader()
         wait_s = 0.0 if is_immediate else FEED_WAIT_S
-        return await self._feed.changes(self.table, self._version, wait_s)
+        return await self._feed.changes(self.table, since, wait_s)
 
     def _is_kept_current(self) -> bool:
         """Return whether updates from readers keep this daemon current."""
@@ -228,17 +251,21 @@
         return min(_MAX_READER_PAUSE_S, batch_pause_s(self._count_daemons()))
 
     def _handle_read(
-        self, result: TableChanges | HistoryLost | Unavailable
+        self,
+        since: int | None,
+        result: TableChanges | HistoryLost | Unavailable,
     ) -> bool:
         """Process the result of a call.
 
+        :param since: version after which changes were requested; ``None`` if
+            the whole table was.
         :returns: whether the store answered.
         """
         now_s = self._clock.now_s()
         if isinstance(result, Unavailable):
-            self._failed(result.reason, now_s)
+            self._results.failed(result.reason, now_s)
             return False
-        self._answered(now_s)
+        self._results.answered(now_s)
         if isinstance(result, TableChanges):
             if result.version < self._last_version:
                 self._log.decided(
@@ -252,11 +279,11 @@
         if isinstance(result, HistoryLost):
             self._log.decided('history_lost', table=self.table)
             self._version = None
-        elif self._version is None:
+        elif since is None:
             self._version = result.version
             self._recent_changes.reset(result)
             self._listener.listed(result, now_s)
-        else:
+        elif self._version is not None:
             self._apply(self._version, result, now_s)
         self._last_current_s = now_s
         return True
@@ -267,26 +294,3 @@
         changed_names = self._listener.changed(result, now_s)
         if self.is_shared:
             self._recent_changes.add_answer(since, result, changed_names, now_s)
-
-    def _failed(self, reason: str, now_s: float) -> None:
-        self._health.failed(self.table, now_s)
-        self._failures += 1
-        if self._failures == 1:
-            self._log.decided('store_lost', table=self.table, reason=reason)
-        self._record_failure(reason, now_s)
-
-    def _record_failure(self, reason: str, now_s: float) -> None:
-        self._last_failure_s = now_s
-        self._listener.failed(reason, now_s)
-
-    def _answered(self, now_s: float) -> None:
-        self._health.answered(self.table)
-        if self._failures:
-            self._last_failure_s = now_s
-            self._log.decided(
-                'store_regained',
-                table=self.table,
-                failures=self._failures,
-            )
-        self._failures = 0
-        self._listener.answered(now_s)
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -50,11 +50,15 @@
         self.known: set[str] = set()
         self.failures = 0
         self.failures_elsewhere: list[float] = []
+        # Number of calls that raise an error before changes are applied.
+        self.errors_left = 0
 
     def listed(self, table: TableChanges, now_s: float) -> None:
+        self._raise_error()
         self.known = {row.key for row in table.rows}
 
     def changed(self, changes: TableChanges, now_s: float) -> frozenset[str]:
+        self._raise_error()
         self.known |= {row.key for row in changes.rows}
         self.known -= {f't/{name}' for name in changes.removed}
         return frozenset()
@@ -68,6 +72,11 @@
     def failed_elsewhere(self, failed_s: float) -> None:
         self.failures_elsewhere.append(failed_s)
 
+    def _raise_error(self) -> None:
+        if self.errors_left:
+            self.errors_left -= 1
+            raise RuntimeError('listener')
+
 
 def _new_update(since: int, version: int, **changes: object) -> TableUpdate:
     known = {'changes': (), **changes}
@@ -82,6 +91,7 @@
         self.feed = _FakeFeed()
         self.listener = _Listener()
         self.is_reader = False
+        self.events: list[str] = []
         self.follower = self._follower('t', StoreHealth())
         await self.follower.start()
         await self._until(lambda: 't/x' in self.listener.known)
@@ -95,7 +105,7 @@
             self.feed,
             self.listener,
             lambda: 80,
-            DecisionLog('h', clock, null),
+            self._new_log(clock, null),
             clock,
             health,
             lambda: self.is_reader,
@@ -103,6 +113,11 @@
         self.addAsyncCleanup(follower.stop)
         return follower
 
+    def _new_log(self, clock: SystemClock, descriptor: int) -> DecisionLog:
+        log = DecisionLog('h', clock, descriptor)
+        log.on_event = self.events.append
+        return log
+
     async def _until(self, predicate: object) -> None:
         async with asyncio.timeout(20.0):
             while not predicate():
@@ -162,3 +177,26 @@
         await self._until(
             lambda: all(feed.newest_change is not None for feed in feeds),
         )
+
+    async def test_an_error_in_the_listener(self) -> None:
+        """Guards against a follower that ends with an error of its listener.
+
+        The daemon would not hear of another version of the table.
+        """
+        self.listener.known.clear()
+        self.listener.errors_left = 1
+        await self.follower.restart()
+        await self._until(lambda: 't/x' in self.listener.known)
+        self.assertEqual(self.events, ['follower_failed'])
+
+    async def test_an_error_with_an_update(self) -> None:
+        """Guards against changes that are lost with an error of the listener.
+
+        The version would rise although the changes were not applied.
+        """
+        self.listener.known.clear()
+        self.listener.errors_left = 1
+        change = (('y', 12, b'y'),)
+        self.follower.receive_update(_new_update(9, 12, changes=change))
+        await self._until(lambda: 't/x' in self.listener.known)
+        self.assertEqual(self.events, ['follower_failed'])
