Acquire the lease again after the store came back from an older copy

Callers saw: nothing at first. From then on no engine got an order, so that layers that were lost with an engine stayed lost, and drafts were refused with 503 until a daemon was restarted.

Cause: the lease row in the store had a lower version than the one that the daemons knew. Conditional writes failed, and the row was ignored as old each time that it was read. This held for the leader and for all who knew its row.

Why it works: the store's answers are linearizable, so a read that began after a version was known and returns a lower one shows that the store went back. The daemon then forgets the row and any lease, and acquires it by the usual rules. The fencing number stays above the highest one known, as the engines may know a number that the store has lost.

Ruled out: a row that another daemon sent while the read was under way; only the version known before the read counts.

The stand-in of the store can come back from a copy: versions are given out again, reads after a version that it lacks get 410, and `Store-Era` rises.

--- a/nutmegspoke/edge/held_lease.py
+++ b/nutmegspoke/edge/held_lease.py
@@ -8,6 +8,7 @@
 
 from nutmegspoke.metadata_store import StoredRow, Unavailable
 from nutmegspoke.placement.lease import (
+    LEASE_PREFIX,
     CommitLease,
     LeaseKeeper,
     LeaseSettings,
@@ -97,13 +98,31 @@
     async def _sync_with_store(self, now_s: float) -> None:
         step = self._lease.next_step(now_s)
         if isinstance(step, ReadLease):
+            known_version = self._lease.version
             row = await self._tables.read(step.key)
             if not isinstance(row, Unavailable):
+                self._forget_lost_row(known_version, row)
                 self._lease.handle_row(row, self._clock.now_s())
         elif isinstance(step, CommitLease):
             answer = await self._tables.commit(step.transaction)
             self._lease.handle_commit_result(answer, self._clock.now_s())
 
+    def _forget_lost_row(self, known_version: int, row: StoredRow) -> None:
+        """Forget the known row if the store came back from an older copy.
+
+        :param known_version: version that was known before the read began.
+            Other daemons may have sent a newer one since.
+        """
+        if row.version >= known_version:
+            return
+        self._log.decided(
+            'store_went_back',
+            table=LEASE_PREFIX.removesuffix('/'),
+            known_version=known_version,
+            read_version=row.version,
+        )
+        self._lease.forget_row()
+
     def _log_change(self) -> bool:
         is_leader_now = self.is_leader()
         if is_leader_now == self._was_leader:
--- a/nutmegspoke/placement/lease.py
+++ b/nutmegspoke/placement/lease.py
@@ -113,6 +113,7 @@
         self.key = f'{LEASE_PREFIX}{pool}'
         self.version = ABSENT_VERSION
         self.last_row: LeaseRow | None = None
+        self._highest_fencing_number = 0
         self._holder = holder
         self._settings = settings
         self._must_read = True
@@ -203,6 +204,7 @@
             return
         self.version = row.version
         self.last_row = _decode_lease(row)
+        self._highest_fencing_number = self._last_fencing_number()
         self._unchanged_since_s = now_s
         own = self._own_write()
         if own is None:
@@ -210,6 +212,18 @@
         else:
             self._extend_lease(own, now_s)
 
+    def forget_row(self) -> None:
+        """Forget the known row, which the store has lost, and the lease.
+
+        The fencing number still rises: engines may know the lost one.
+        """
+        self.version = ABSENT_VERSION
+        self.last_row = None
+        self._must_read = True
+        self._unchanged_since_s = math.inf
+        self._held_until_s = -math.inf
+        self._in_doubt.clear()
+
     def handle_commit_result(self, result: CommitResult, now_s: float) -> None:
         """Update the state from the result of a write.
 
@@ -284,7 +298,8 @@
             self._orders_from_s = now_s + self._settings.order_timeout_s
 
     def _last_fencing_number(self) -> int:
-        return self.last_row.fencing_number if self.last_row else 0
+        number = self.last_row.fencing_number if self.last_row else 0
+        return max(number, self._highest_fencing_number)
 
 
 def _decode_lease(row: StoredRow) -> LeaseRow | None:
--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -12,6 +12,7 @@
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
+_ERA_HEADER = 'Store-Era'
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,13 +31,26 @@
     has_no_rows: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of a store at one moment."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, str]]
+    history: list[dict[str, Any]]
+
+
 class RowStore:
-    """Table rows versioned by one counter, with transactions and feeds."""
+    """Table rows versioned by one counter, with transactions and feeds.
+
+    :ivar era: raised each time that the store comes back from a copy.
+    """
 
     def __init__(self) -> None:
         """Start without rows and faults."""
         self.faults = StoreFaults()
         self.calls = 0
+        self.era = 1
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[int, str]] = {}
         self._history: list[dict[str, Any]] = []
@@ -60,14 +74,35 @@
         self._history.clear()
         self._dropped_version = self._version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(self._version, dict(self._rows), list(self._history))
+
+    async def come_back_from(self, copy: StoreCopy) -> None:
+        """Continue from a copy; what was written since is lost.
+
+        Versions are given out again, and feeds that wait are cut.
+        """
+        self.era += 1
+        self._version = copy.version
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        await self._notify_feeds()
+
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application(middlewares=[self._apply_faults])
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get('/v1/rows-get', self._handle_get)
         app.router.add_get('/v1/rows-feed', self._handle_feed)
         app.router.add_post('/v1/rows-tx', self._handle_transaction)
         return app
 
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[_ERA_HEADER] = str(self.era)
+
     @web.middleware
     async def _apply_faults(
         self,
@@ -101,16 +136,23 @@
         table = request.query['table']
         after = int(request.query['after'])
         wait_s = int(request.query.get('wait_ms', '0')) / 1_000
-        if after < self._dropped_version:
+        if not self._dropped_version <= after <= self._version:
             return web.Response(status=_GONE)
+        era = self.era
         async with self._changed:
             try:
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait_for(
-                        lambda: bool(self._changes_after(table, after)),
+                        lambda: (
+                            self.era != era
+                            or bool(self._changes_after(table, after))
+                        ),
                     )
             except TimeoutError:
                 return self._respond([])
+        if self.era != era:
+            assert request.transport is not None
+            request.transport.abort()
         return self._respond(self._changes_after(table, after))
 
     async def _handle_transaction(self, request: web.Request) -> web.Response:
