Keep a silent run of a draft open while another one is sought

What callers saw: a stream was cut, or a draft without a first event was answered with 502, a second or so after an engine had fallen silent, although the engine went on a moment later. With `max_attempts` 1, the draft was sent to a second engine while the first one still worked on it.

Cause: silence was taken for loss. When an engine returned no report within 0.5 s, or the first engine named a stalled one, the connection to the first engine was closed at once, and another chain was looked for only then. Without another chain, a retry in the budget, or a further target the caller lost its answer. A silent engine was also recorded as lost, so that it did not count toward the limit of targets.

The fix: a silent run stays open while further ones are sought (`DraftReplacements`). The first run that yields an event is relayed, and the others end. Until then nothing is closed but runs that have failed themselves; the last one left is relayed to its end or to the deadline. Searches follow each other at growing intervals and only while all open runs are silent; limits on sends, targets and the retry budget hold as before, and the budget is charged only when there is a chain. Each run has its own reservation, so memory is counted for as long as an engine may hold it. Silent engines count as targets.

Two faults of the same kind on the way: the time of queries was not counted toward the deadline, and avoided targets were queried after it.

Ruled out: a second run of a stream that may not be resumed (such streams only wait, before and now); runs that go on after their caller has left; duplicate or missing events after a replacement. There are tests for each.

--- a/nutmegspoke/admission/draft_room.py
+++ b/nutmegspoke/admission/draft_room.py
@@ -77,6 +77,16 @@
         if reserved is not None:
             self._add(reserved[0], -reserved[1], -1)
 
+    def move(self, request_id: str, new_id: str) -> None:
+        """Move a reservation to another id; ignored if there is none.
+
+        :param new_id: id under which it replaces an earlier reservation.
+        """
+        reserved = self._by_request.pop(request_id, None)
+        if reserved is not None:
+            self.release(new_id)
+            self._by_request[new_id] = reserved
+
     def total_reservations(self) -> Mapping[str, Reservation]:
         """Return the sum of the reservations on each engine."""
         return self._by_engine
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -9,29 +9,28 @@
 
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.answer_reader import AnswerStalled
 from nutmegspoke.edge.attempts import (
     Broken,
     NotSent,
     OpenedAnswer,
-    OutboundRequest,
-    Refused,
     failure_reason,
 )
 from nutmegspoke.edge.chain_choice import ChainSelector
 from nutmegspoke.edge.draft_admission import DraftAdmission
+from nutmegspoke.edge.draft_replacements import DraftReplacements
+from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.repeats import RetryPolicy
 from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
-from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S
+from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S, EngineSilent
 from nutmegspoke.edge.work import OwnAnswer
-from nutmegspoke.forwarded import AnswerKind, Dispatch
-from nutmegspoke.retries.target_faults import Fault
+from nutmegspoke.forwarded import AnswerKind
 from nutmegspoke.routing.engine_loads import DraftNeed
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.draft_runs import DraftRun
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.view import View
@@ -39,9 +38,6 @@
     from nutmegspoke.entry_host import ModelProfile
     from nutmegspoke.layers import Chain
 
-# An engine that refuses above this utilization lacks memory; it is not faulty.
-_FULL_UTILIZATION = 0.6
-
 
 class DraftHandler:
     """Handler of requests for drafts, which run on chains of engines."""
@@ -63,10 +59,13 @@
             view, chain_selector.reserve_chain, clock
         )
         self._retries = RetryPolicy(view, log, clock)
+        self._runs = DraftRuns(view, attempts, watch, log, clock)
+        self._replacements = DraftReplacements(
+            self._runs, self._admission, self._retries, watch, clock
+        )
         self._view = view
         self._attempts = attempts
         self._answer_sender = answer_sender
-        self._log = log
         self._clock = clock
 
     async def serve(
@@ -79,27 +78,46 @@
         # A resume id that is not a number is not counted but forwarded.
         if context.facts.resume_after.isdigit():
             stream.last_event_id = int(context.facts.resume_after)
-        reason = 'no chain'
         try:
-            while True:
-                chain = await self._admission.admit(
-                    context,
-                    self._estimate_need(context, profile, stream),
-                    is_new=not stream.has_head,
-                )
-                if chain is None:
-                    break
-                failure = await self._run(context, chain, stream, profile)
-                if failure is None:
-                    return
-                reason = failure
-                await self._recheck_avoided(context)
-                if not self._retries.allows(context, reason):
-                    break
+            reason = await self._run_until_answered(context, stream, profile)
         finally:
-            self._view.own_reservations.release(context.reservation_key)
-            self._watch.unwatch(context.reservation_key)
-        await self._answer_failure(context, stream, profile, reason)
+            self._runs.release_reservation(context)
+        if reason is not None:
+            await self._answer_failure(context, stream, profile, reason)
+
+    async def _run_until_answered(
+        self,
+        context: RequestContext,
+        stream: DraftStream,
+        profile: ModelProfile,
+    ) -> str | None:
+        """Run a draft until it is answered or no further run is possible.
+
+        :returns: ``None`` if it was answered, otherwise the failure reason.
+        """
+        reason = 'no chain'
+        while True:
+            chain = await self._admission.admit(
+                context,
+                self._estimate_need(context, profile, stream),
+                is_new=not stream.has_head,
+            )
+            if chain is None:
+                return reason
+            failure = await self._run(context, chain, stream, profile)
+            if failure is None:
+                return None
+            reason = failure
+            if not await self._may_run_again(context, reason):
+                return reason
+
+    async def _may_run_again(
+        self, context: RequestContext, reason: str
+    ) -> bool:
+        if context.is_out_of_time(self._clock.now_s()):
+            return False
+        await self._recheck_avoided(context)
+        return self._retries.allows(context, reason)
 
     def _estimate_need(
         self,
@@ -128,127 +146,69 @@
         stream: DraftStream,
         profile: ModelProfile,
     ) -> str | None:
-        """Run a draft on a chain.
+        """Run a draft on a chain, and on others while engines are silent.
 
         :returns: ``None`` if it was answered, otherwise the failure reason.
         """
-        result = await self._open(context, chain, stream)
-        self._record_result(context, chain, result)
-        if not isinstance(result, OpenedAnswer):
-            return failure_reason(result)
-        if result.facts.kind == AnswerKind.FAILURE:
-            return await self._forward_failure(context, stream, result)
-        end = await self._relay.run(context, stream, result)
-        if isinstance(end, RelayEnd):
-            if end.lost_address:
-                self._avoid_stalled_engine(
-                    context, end.lost_address, self._clock.now_s()
+        run = await self._runs.start(context, chain, stream)
+        if isinstance(run, NotSent):
+            return run.reason
+        try:
+            while True:
+                end = await self._follow(context, run, stream, profile)
+                if not isinstance(end, EngineSilent):
+                    return end
+                run = await self._replacements.find_next_run(
+                    context,
+                    stream,
+                    run,
+                    end.address,
+                    self._estimate_need(context, profile, stream),
                 )
-            return end.reason
-        await self._complete(context, stream, result, profile)
-        return None
+        finally:
+            self._runs.end_last(context, run)
 
-    async def _open(
+    async def _follow(
         self,
         context: RequestContext,
-        chain: Chain,
+        run: DraftRun,
         stream: DraftStream,
-    ) -> OpenResult:
-        now_s = self._clock.now_s()
-        left_s = context.left_s(now_s)
-        # An id that is not a number is forwarded until an event was sent.
-        resume_after = context.facts.resume_after
-        if stream.last_event_id >= 0:
-            resume_after = str(stream.last_event_id)
-        dispatch = Dispatch(
-            target=chain[0].target,
-            team=context.team,
-            time_left_s=left_s,
-            chain=tuple(
-                (stage.address, stage.layers.start, stage.layers.stop)
-                for stage in chain
-            ),
-            resume_after=resume_after,
-        )
-        request = self._attempts.header_codec.write_request(
-            context.request, dispatch
-        )
-        connection = await self._attempts.send(
-            OutboundRequest(
-                address=chain[0].address,
-                request_id=context.facts.request_id,
-                request=request,
-                # On a reused connection a request that was never read can't be
-                # told from a lost answer.
-                fresh=not context.route.retry_rule.may_retry,
-                timeout_s=left_s,
-                max_connections=self._view.max_connections_per_target(
-                    context.pool, now_s
-                ),
-            ),
-        )
-        if isinstance(connection, NotSent):
-            return connection
-        if context.route.retry_rule.may_retry:
-            self._watch.watch(context.reservation_key, connection, chain)
-        try:
-            event = await self._relay.next_event(
-                context, connection, QUERY_AFTER_SEND_S
-            )
-        except BaseException:
-            connection.close()
-            raise
-        if isinstance(event, AnswerStalled):
-            connection.close()
-            return Broken(
-                'no first event',
-                is_timeout=True,
-                lost_address=event.address,
-            )
-        return self._attempts.classify_first_event(connection, event)
+        profile: ModelProfile,
+    ) -> EngineSilent | str | None:
+        """Relay a run until it ends or an engine is silent.
 
-    def _record_result(
-        self, context: RequestContext, chain: Chain, result: OpenResult
-    ) -> None:
-        now_s = self._clock.now_s()
-        first_engine = chain[0].target
-        if isinstance(result, NotSent):
-            kind = Fault.FULL if result.is_full else Fault.UNREACHABLE
-            if not result.is_full:
-                context.lost.add(first_engine)
-            self._record_fault(context, first_engine, kind, now_s)
-            return
-        context.sends += 1
-        if first_engine not in context.targets:
-            context.targets.append(first_engine)
-        if isinstance(result, Refused):
-            named_target = self._view.find_target_at(
-                result.facts.unreachable_address
-            )
-            target = named_target or first_engine
-            is_full = (
-                self._view.find_utilization(target, now_s) > _FULL_UTILIZATION
+        :returns: ``None`` if the draft was answered, the failure reason, or
+            the silent engine.
+        """
+        opened = await self._receive_head(context, run)
+        if isinstance(opened, EngineSilent):
+            return opened
+        if not isinstance(opened, OpenedAnswer):
+            return failure_reason(opened)
+        if opened.facts.kind == AnswerKind.FAILURE:
+            return await self._forward_failure(context, stream, run, opened)
+        end = await self._relay.run(context, stream, run, opened)
+        if isinstance(end, RelayEnd):
+            self._runs.avoid_stalled_engine(
+                context, end.lost_address, self._clock.now_s()
             )
-            kind = Fault.FULL if is_full else Fault.NAMED_AT_FAULT
-            self._record_fault(context, target, kind, now_s)
-            return
-        context.may_have_run = True
-        if isinstance(result, Broken):
-            self._record_broken(context, chain, result, now_s)
-        else:
-            self._view.faults.succeeded(first_engine, now_s)
+            return end.reason
+        if end is None:
+            await self._complete(context, stream, run, opened, profile)
+        return end
 
-    def _record_broken(
-        self,
-        context: RequestContext,
-        chain: Chain,
-        result: Broken,
-        now_s: float,
-    ) -> None:
-        if result.is_timeout:
-            self._avoid_stalled_engine(context, result.lost_address, now_s)
-        else:
-            self._record_fault(context, chain[0].target, Fault.BROKE_OFF, now_s)
+    async def _receive_head(
+        self, context: RequestContext, run: DraftRun
+    ) -> OpenResult | EngineSilent:
+        """Return the answer of a run as soon as its head is received."""
+        if run.opened is not None:
+            return run.opened
+        event = await self._relay.next_event(
+            context, run.connection, QUERY_AFTER_SEND_S
+        )
+        if isinstance(event, EngineSilent):
+            return event
+        return self._runs.record_head(context, run, event)
 
     async def _recheck_avoided(self, context: RequestContext) -> None:
         """Check avoided targets once the route's limit on targets is reached.
@@ -266,40 +226,11 @@
             else:
                 context.avoided.discard(name)
 
-    def _avoid_stalled_engine(
-        self, context: RequestContext, address: str, now_s: float
-    ) -> None:
-        """Avoid the engine that stalls a stream, if it is known."""
-        target = self._view.find_target_at(address)
-        if target is not None:
-            self._record_fault(context, target, Fault.SILENT, now_s)
-
-    def _record_fault(
-        self,
-        context: RequestContext,
-        target: str,
-        fault: Fault,
-        now_s: float,
-    ) -> None:
-        """Record a fault of a target.
-
-        This request avoids the target from now on, and the daemon leaves it
-        out for some time.
-        """
-        context.avoided.add(target)
-        left_out_s = self._view.faults.record_fault(target, fault, now_s)
-        self._log.decided(
-            'target_left_out',
-            request=context.facts.request_id,
-            target=target,
-            fault=fault.value,
-            left_out_s=left_out_s,
-        )
-
     async def _forward_failure(
         self,
         context: RequestContext,
         stream: DraftStream,
+        run: DraftRun,
         opened: OpenedAnswer,
     ) -> str | None:
         """Forward an engine's own failure unless the answer has begun.
@@ -307,10 +238,11 @@
         :returns: ``None`` if it was forwarded, otherwise the failure reason.
         """
         if stream.has_head:
-            opened.connection.close()
             return f'engine answered {opened.head.status}'
         left_s = context.left_s(self._clock.now_s())
         answer = await self._attempts.read_body(opened, left_s)
+        # The connection may carry another request from now on.
+        self._runs.end(run)
         if isinstance(answer, Broken):
             return answer.reason
         await self._answer_sender.forward(context, answer)
@@ -320,10 +252,11 @@
         self,
         context: RequestContext,
         stream: DraftStream,
+        run: DraftRun,
         opened: OpenedAnswer,
         profile: ModelProfile,
     ) -> None:
-        self._attempts.release_connection(opened)
+        self._runs.complete(run, opened)
         tokens = stream.events * profile.tokens_per_event
         answer_lengths = self._view.answer_lengths(context.pool.name, profile)
         answer_lengths.add_length(context.route.name, tokens)
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -11,17 +11,18 @@
     AnswerPart,
     AnswerStalled,
 )
-from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S
-from nutmegspoke.pipelines.event_stream import EventSplitter
+from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S, EngineSilent
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.attempts import OpenedAnswer
+    from nutmegspoke.edge.draft_runs import DraftRun
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.forwarded import HeaderCodec
+    from nutmegspoke.pipelines.event_stream import EventSplitter
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,31 +91,30 @@
         self,
         context: RequestContext,
         stream: DraftStream,
+        run: DraftRun,
         opened: OpenedAnswer,
-    ) -> RelayEnd | None:
-        """Relay events until the stream ends.
+    ) -> RelayEnd | EngineSilent | None:
+        """Relay events until the stream ends or an engine is silent.
 
+        :param opened: answer of the run.
         :returns: ``None`` if the stream is complete.
         """
-        splitter = EventSplitter()
-        try:
-            while True:
-                event = await self.next_event(
-                    context,
-                    opened.connection,
-                    QUERY_AFTER_PAUSE_S,
-                )
-                if not isinstance(event, AnswerPart):
-                    end = _relay_end(event, splitter)
-                    return await self._finish(context, stream, opened, end)
-                await self._relay_events(
-                    context, stream, opened, splitter, event
-                )
-                if splitter.is_too_long:
-                    return RelayEnd('event without end')
-        finally:
-            if opened.connection.is_answer_pending():
-                opened.connection.close()
+        while True:
+            event = await self.next_event(
+                context,
+                opened.connection,
+                QUERY_AFTER_PAUSE_S,
+            )
+            if isinstance(event, EngineSilent):
+                return event
+            if not isinstance(event, AnswerPart):
+                end = _relay_end(event, run.splitter)
+                return await self._finish(context, stream, opened, end)
+            await self._relay_events(
+                context, stream, opened, run.splitter, event
+            )
+            if run.splitter.is_too_long:
+                return RelayEnd('event without end')
 
     async def _finish(
         self,
@@ -133,7 +133,7 @@
         context: RequestContext,
         connection: TargetConnection,
         query_after_s: float,
-    ) -> AnswerEvent:
+    ) -> AnswerEvent | EngineSilent:
         """Wait for the next event of an answer.
 
         The engines of a stream that may not be resumed are not queried: its
--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -1,8 +1,13 @@
-"""Waits for the events of streams and detects lost engines."""
+"""Waits for the events of streams and detects silent engines.
+
+A silent engine may go on after a while. So silence is only a reason to look
+for another run; it does not end the silent one.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.answer_reader import AnswerStalled
@@ -22,6 +27,16 @@
 _QUERY_BACKOFF = 2.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineSilent:
+    """An engine that a stream waits for may be lost.
+
+    :param address: ``IP:PORT`` of the engine.
+    """
+
+    address: str
+
+
 class StreamWatch:
     """Watch over streams that queries engines if no event arrives.
 
@@ -31,29 +46,23 @@
     def __init__(self, calls: EngineCalls) -> None:
         """Start without watched streams."""
         self._calls = calls
-        self._streams: dict[str, tuple[TargetConnection, Chain]] = {}
+        self._streams: dict[TargetConnection, Chain] = {}
 
-    def watch(
-        self,
-        request: str,
-        connection: TargetConnection,
-        chain: Chain,
-    ) -> None:
+    def watch(self, connection: TargetConnection, chain: Chain) -> None:
         """Stall a connection as soon as an engine of its chain has ended.
 
-        :param request: key of the request on this daemon.
         :param connection: connection on which the answer is received.
         :param chain: chain that runs the request.
         """
-        self._streams[request] = (connection, chain)
+        self._streams[connection] = chain
 
-    def unwatch(self, request: str) -> None:
-        """Stop watching a request; ignored if it is not watched."""
-        self._streams.pop(request, None)
+    def unwatch(self, connection: TargetConnection) -> None:
+        """Stop watching a connection; ignored if it is not watched."""
+        self._streams.pop(connection, None)
 
     def engine_ended(self, target: str) -> None:
         """Stall the watched connections whose chain contains an engine."""
-        for connection, chain in tuple(self._streams.values()):
+        for connection, chain in tuple(self._streams.items()):
             for stage in chain:
                 if stage.target == target:
                     connection.stall(stage.address)
@@ -64,44 +73,53 @@
         request_id: str,
         query_after_s: float,
         timeout_s: float,
-    ) -> AnswerEvent:
+    ) -> AnswerEvent | EngineSilent:
         """Wait for the next event of an answer.
 
         The absence of events alone does not end the wait. It ends when an
-        engine is known to be lost, or after the timeout.
+        engine may be lost, or after the timeout.
 
         :param query_after_s: time without an event after which the first
             engine is queried.
         :param timeout_s: remaining time of the request.
-        :returns: the event; :class:`AnswerStalled` if none arrives.
+        :returns: the event; :class:`AnswerStalled` after the timeout.
         """
-        waited_s = 0.0
-        pause_s = query_after_s
-        while waited_s < timeout_s:
-            pause_s = min(pause_s, timeout_s - waited_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._next_event(
+                    connection, request_id, query_after_s
+                )
+        except TimeoutError:
+            return AnswerStalled('')
+
+    async def _next_event(
+        self,
+        connection: TargetConnection,
+        request_id: str,
+        pause_s: float,
+    ) -> AnswerEvent | EngineSilent:
+        while True:
             try:
                 async with asyncio.timeout(pause_s):
                     return await connection.next_event()
             except TimeoutError:
-                waited_s += pause_s
                 pause_s *= _QUERY_BACKOFF
-            lost = await self._find_lost_engine(connection, request_id)
-            if lost and connection.peek() is None:
-                return AnswerStalled(lost)
-        return AnswerStalled('')
+            silent = await self.find_silent_engine(connection, request_id)
+            if silent and connection.peek() is None:
+                return EngineSilent(silent)
 
     async def is_unreachable(self, address: str) -> bool:
         """Return whether an engine fails to return a report."""
         return await self._calls.report(address) is None
 
-    async def _find_lost_engine(
+    async def find_silent_engine(
         self,
         connection: TargetConnection,
         request_id: str,
     ) -> str:
         """Return the address of the engine that stalls a request.
 
-        :returns: empty if no engine is known to be lost.
+        :returns: empty if all engines seem to work.
         """
         report = await self._calls.report(connection.address)
         if report is None:
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -81,6 +81,7 @@
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
         self._is_closed = False
+        self._arrival: asyncio.Event | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport and enable keepalive probes.
@@ -162,6 +163,15 @@
         """Return the next event without removing it; ``None`` without one."""
         return self._events[0] if self._events else None
 
+    def notify(self, arrival: asyncio.Event | None) -> None:
+        """Set an asyncio event as soon as :meth:`peek` returns an event.
+
+        :param arrival: replaces an earlier one; ``None`` for none.
+        """
+        self._arrival = arrival
+        if arrival is not None and self._events:
+            arrival.set()
+
     def close(self) -> None:
         """Abort the connection and the request in progress on it."""
         self._is_closed = True
@@ -189,6 +199,8 @@
                 self._transport.pause_reading()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+        if self._arrival is not None:
+            self._arrival.set()
 
 
 def _was_reset(transport: Any) -> bool:
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -39,6 +39,11 @@
     :param stray_answers: number of requests that get the answer to another
         request first.
     :param is_silent: requests get no answer.
+    :param silent_after: number of events of a stream after which the target
+        falls silent on all its connections, once; ``None`` for never.
+    :param wait_after: number of events after which a stream waits for another
+        engine, once; ``None`` for never.
+    :param awaited_address: address of the engine that such a stream waits for.
     """
 
     refusals: int = 0
@@ -53,6 +58,9 @@
     failures: int = 0
     stray_answers: int = 0
     is_silent: bool = False
+    silent_after: int | None = None
+    wait_after: int | None = None
+    awaited_address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +73,54 @@
     body: bytes
 
 
+class Silence:
+    """Silence of a target, which goes on later where it stopped."""
+
+    def __init__(self) -> None:
+        """Start without silence."""
+        self._is_talking = asyncio.Event()
+        self._is_talking.set()
+        self._has_next_engine = asyncio.Event()
+        self._has_next_engine.set()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the target's streams wait for another engine."""
+        return not self._has_next_engine.is_set()
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether the target is silent or waits for another engine."""
+        return self.is_waiting or not self._is_talking.is_set()
+
+    def begin(self) -> None:
+        """Send nothing on any connection until :meth:`end` is called."""
+        self._is_talking.clear()
+
+    def end(self) -> None:
+        """Continue every stream and answer."""
+        self._is_talking.set()
+        self._has_next_engine.set()
+
+    async def wait(self) -> None:
+        """Wait while the target is silent."""
+        await self._is_talking.wait()
+
+    async def hold_stream(self, sent: int, faults: TargetFaults) -> None:
+        """Begin the faults of a stream and wait while it is held.
+
+        :param sent: number of events sent.
+        """
+        if sent == faults.silent_after:
+            faults.silent_after = None
+            self.begin()
+        if sent == faults.wait_after:
+            faults.wait_after = None
+            self._has_next_engine.clear()
+            await self._has_next_engine.wait()
+        await self.wait()
+
+
 class WireTarget:
     """Target that streams events if a request names a chain.
 
@@ -84,7 +140,9 @@
         self.orders: list[dict[str, Any]] = []
         self.disconnect_count = 0
         self.idle_connections: set[asyncio.StreamWriter] = set()
+        self._open_connections: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self.silence = Silence()
 
     async def start(self) -> str:
         """Start to listen on the loopback address.
@@ -106,6 +164,11 @@
         for writer in tuple(self.idle_connections):
             writer.transport.abort()
 
+    def reset_connections(self) -> None:
+        """Reset all open connections, those of running streams too."""
+        for writer in tuple(self._open_connections):
+            writer.transport.abort()
+
     def caller_requests(self) -> list[ReceivedRequest]:
         """Return the received requests, except those for reports and orders."""
         return [
@@ -120,6 +183,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.idle_connections.add(writer)
+        self._open_connections.add(writer)
         try:
             while True:
                 request = await _read_request(reader)
@@ -130,18 +194,21 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.disconnect_count += 1
         finally:
-            self.idle_connections.discard(writer)
-            writer.close()
+            self._close(writer)
+
+    def _close(self, writer: asyncio.StreamWriter) -> None:
+        self.idle_connections.discard(writer)
+        self._open_connections.discard(writer)
+        writer.close()
 
     async def _answer(
         self,
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        if request.path == '/v1/report':
-            return await self._send_report(writer)
-        if request.path == '/v1/order':
-            return await self._receive_order(request, writer)
+        await self.silence.wait()
+        if request.path.startswith('/v1/'):
+            return await self._answer_control_call(request, writer)
         if self.faults.is_silent:
             await asyncio.sleep(60.0)
         if self.faults.refusals:
@@ -163,6 +230,15 @@
             return await self._send_stream(request, own_headers, writer)
         return await self._answer_plainly(own_headers, writer)
 
+    async def _answer_control_call(
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if request.path == '/v1/order':
+            return await self._receive_order(request, writer)
+        return await self._send_report(writer)
+
     async def _answer_plainly(
         self,
         own_headers: dict[str, str],
@@ -205,6 +281,7 @@
             if sent == self.faults.stall_after:
                 self.faults.stall_after = None
                 await asyncio.sleep(60.0)
+            await self.silence.hold_stream(sent, self.faults)
             if sent == self.faults.break_after and self.faults.break_count:
                 self.faults.break_count -= 1
                 writer.write(b'40\r\nid: 99\ndata: ha')
@@ -227,13 +304,16 @@
         return await _write_answer(writer, 503, headers, b'')
 
     async def _send_report(self, writer: asyncio.StreamWriter) -> bool:
+        address = self.faults.lost_engine_address
+        if self.silence.is_waiting:
+            address = self.faults.awaited_address
         stalled = [
             {
                 'id': request.headers.get('attempt-id', ''),
-                'address': self.faults.lost_engine_address,
+                'address': address,
             }
             for request in self.caller_requests()
-            if self.faults.lost_engine_address
+            if address
         ]
         report = {
             'layers': self._wire_layers(),
--- a/tests/admission/test_draft_room.py
+++ b/tests/admission/test_draft_room.py
@@ -42,6 +42,21 @@
             reservations.total_reservations(), {'x': Reservation(200.0, 1, 1)}
         )
 
+    def test_a_moved_reservation_is_counted_once(self) -> None:
+        """A moved reservation is released under its new id only."""
+        reservations = MemoryReservations()
+        reservations.reserve('r1', _CHAIN, 100.0)
+        reservations.reserve('r2', _CHAIN, 50.0)
+        reservations.move('r1', 'r2')
+        reservations.move('r1', 'r2')
+        reservations.release('r1')
+        self.assertEqual(
+            reservations.total_reservations(),
+            {'x': Reservation(2_000.0, 1, 1), 'y': Reservation(6_000.0, 1)},
+        )
+        reservations.release('r2')
+        self.assertEqual(reservations.total_reservations(), {})
+
     def test_sums_over_daemons(self) -> None:
         """Reservations of several daemons on the same engine are summed up."""
         by_daemon = ({'x': Reservation(1.0, 1)}, {'x': Reservation(2.0, 3)}, {})
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -277,6 +277,15 @@
     return json.dumps(document).encode()
 
 
+def wire_routes(**changes: Any) -> list[dict[str, Any]]:
+    """Return the routes of :func:`wire_configuration`.
+
+    :param changes: changed fields of the route of drafts.
+    """
+    drafts, calls = json.loads(wire_configuration(weights=(1, 0)))['routes']
+    return [{**drafts, **changes}, calls]
+
+
 def wire_server(**changes: Any) -> bytes:
     """Return a target's row as the target itself writes it."""
     document = {
--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -128,6 +128,20 @@
         'return None',
         ('tests.edge.test_daemon.BrokenAnswersTest',),
     ),
+    Mutation(
+        'edge: a run ends as soon as its engine is silent',
+        'nutmegspoke/edge/draft_replacements.py',
+        '        search.add_run(silent_run)\n',
+        '        search.add_run(silent_run)\n        self._runs.end(silent_run)\n',
+        ('tests.edge.test_silent_engines.SilenceWithoutReplicaTest',),
+    ),
+    Mutation(
+        'edge: the losing run of a draft goes on',
+        'nutmegspoke/edge/draft_replacements.py',
+        '            if run is not next_run:\n                self._runs.end(run)\n',
+        '',
+        ('tests.edge.test_silent_engines.SilenceWithReplicaTest',),
+    ),
     Mutation(
         'edge: connections to a target are not limited',
         'nutmegspoke/edge/target_connections.py',
