--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -142,4 +142,32 @@
         'self._keep_alive = False',
         ('tests.edge.test_target_connections',),
     ),
+    Mutation(
+        'edge: the profile of a removed pool is forgotten at once',
+        'nutmegspoke/edge/view.py',
+        '{**kept_profiles, **profiles}',
+        'profiles',
+        ('tests.edge.test_changed_tables.KeptProfileTest',),
+    ),
+    Mutation(
+        'edge: chains are found with the profile of the newest tables',
+        'nutmegspoke/edge/chain_choice.py',
+        'self._view.chain_finder(pool.profile)',
+        'self._view.chain_finder(self._view.tables.pools[pool.name].profile)',
+        ('tests.edge.test_changed_tables.ChangedPoolTest',),
+    ),
+    Mutation(
+        'edge: an error after a request was sent is answered as not run',
+        'nutmegspoke/edge/own_answers.py',
+        'if not context.has_target:',
+        'if True:',
+        ('tests.edge.test_changed_tables.HandlerErrorTest',),
+    ),
+    Mutation(
+        'edge: an unexpected error closes the connection',
+        'nutmegspoke/edge/http_server.py',
+        '        if self.has_begun:\n            self.abort()',
+        '        if True:\n            self.abort()',
+        ('tests.edge.test_changed_tables.HandlerErrorTest',),
+    ),
 )
