Take an event id of very many digits as no number

A caller's stream was cut by an error if an engine sent an event whose id had more than 4300 digits.

Cause: int() refuses such a text with ValueError, in the handler of the stream.

Evidence before the change: test_an_id_of_very_many_digits_is_no_number: ValueError: Exceeds the limit (4300 digits) for integer string conversion.

The id now counts as no number, and the event is passed on like one without an id. Ruled out: digits that are not ASCII, which are no digits in bytes.

--- a/nutmegspoke/pipelines/event_stream.py
+++ b/nutmegspoke/pipelines/event_stream.py
@@ -8,6 +8,8 @@
 _ID_FIELD = b'id:'
 # An event holds a few tokens; longer data is not an event.
 MAX_EVENT_BYTES = 262_144
+# An id with more digits does not count as a number.
+_MAX_ID_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,5 +55,6 @@
     for line in raw.split(b'\n'):
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_ID_DIGITS
+            return int(text) if is_number else None
     return None
--- a/tests/pipelines/test_event_stream.py
+++ b/tests/pipelines/test_event_stream.py
@@ -34,3 +34,8 @@
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b'id: 3\nda'), [])
         self.assertTrue(splitter.has_partial_event)
+
+    def test_an_id_of_very_many_digits_is_no_number(self) -> None:
+        """Guards against an error that cuts the stream of a caller."""
+        (event,) = EventSplitter().feed(b'id: %s\n\n' % (b'9' * 5_000))
+        self.assertIsNone(event.number)
