Let a caller read its last answer before its connection is closed

Callers saw: a refusal of a request that was still being sent, or a complete answer, was lost by a reset of the connection: neither an answer nor a refusal.

Cause: the connection was closed right after the answer. If bytes of the caller are unread or arrive later, the kernel resets it, and the caller's kernel discards what was not read yet.

Evidence, before the change on both loops: "ConnectionResetError: [Errno 104] Connection reset by peer" instead of the 413, and "BrokenPipeError: [Errno 32]" behind an answer with 'Connection: close'.

Why it works: only the sending side is closed at first, and received bytes are dropped until the caller closes or a timeout passes.

Ruled out: reading a refused request to its end; it has no bound.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -31,6 +31,8 @@
 _MAX_PIPELINED = 16
 # The connection of a caller that does not read for this time is aborted.
 _WRITE_TIMEOUT_S = 15.0
+# Time for a caller to read its last answer and to close the connection.
+_LINGER_S = 1.0
 
 
 # Default limit on the open connections of a server.
@@ -199,6 +201,7 @@
         # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
         self._has_announced_close = False
+        self._is_ending = False
         self._pipelined: list[tuple[CallerRequest, bool]] = []
         # Status for invalid bytes behind the requests that were read.
         self._fault: HTTPStatus | None = None
@@ -230,7 +233,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse the received bytes, up to the first invalid ones."""
-        if self._fault is not None:
+        if self._is_ending or self._fault is not None:
             return
         if not self.is_busy:
             self._timer.start(self._owner.limits.header_timeout_s)
@@ -292,6 +295,20 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _end(self, cause: CloseCause) -> None:
+        """Close the connection once the caller has read its last answer.
+
+        Received bytes are dropped until then. A connection that is closed with
+        unread ones is reset, and a reset discards what the caller has not read.
+        """
+        self._close_cause = self._close_cause or cause
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._is_ending = True
+        self._transport.write_eof()
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        self._timer.start(_WRITE_TIMEOUT_S if has_unsent else _LINGER_S)
+
     def _on_request(self, request: CallerRequest) -> None:
         if self._fault is not None:
             return
@@ -335,7 +352,7 @@
         if not answer.has_ended:
             self.abort(CloseCause.ABORTED)
         elif self._has_announced_close:
-            self.close(CloseCause.ANSWERED)
+            self._end(CloseCause.ANSWERED)
         elif self._pipelined:
             self._serve_next()
         else:
@@ -352,7 +369,7 @@
             self._timer.start(self._owner.limits.header_timeout_s)
             self._ask_for_body()
         elif self._owner.is_stopping:
-            self.close(CloseCause.STOPPING)
+            self._end(CloseCause.STOPPING)
         else:
             self._timer.start(self._owner.limits.idle_timeout_s)
 
@@ -362,7 +379,9 @@
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _close_unused(self) -> None:
-        if self._task is None:
+        if self._is_ending:
+            self.abort(CloseCause.NOT_READING)
+        elif self._task is None:
             self.close(CloseCause.IDLE)
 
     def _reject(self, status: HTTPStatus) -> None:
@@ -378,7 +397,7 @@
                 b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
                 b'Connection: close\r\n\r\n' % (status, _phrase(status)),
             )
-            self.close(CloseCause.REJECTED)
+            self._end(CloseCause.REJECTED)
 
 
 def _ignore_close(cause: CloseCause, unanswered: int) -> None:
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -296,3 +296,35 @@
 
 class StreamLoopAwaitedBodiesTest(StreamLoopCase, AwaitedBodiesTest):
     """The tests of callers that ask first on the event loop of the daemon."""
+
+
+class ClosedAnswersTest(CallerCase):
+    """The last answer on a connection reaches its caller."""
+
+    async def test_a_refusal_of_a_request_that_is_still_sent(self) -> None:
+        """Guards against a refusal lost by a reset, as its request goes on.
+
+        A connection that is closed with unread bytes is reset, and the caller
+        discards what it has not read yet.
+        """
+        reader, writer = await self.connect()
+        body = b'x' * 4_000_000
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n')
+        writer.write(body)
+        async with asyncio.timeout(WAIT_S):
+            await writer.drain()
+        self.assertIn(b'HTTP/1.1 413', await self.read_all(reader))
+
+    async def test_an_answer_with_close_to_a_caller_that_sends_on(self) -> None:
+        """Guards against a complete answer lost by a reset."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        await self.until(lambda: self.handler.requests)
+        writer.write(b'x' * 4_000_000)
+        async with asyncio.timeout(WAIT_S):
+            await writer.drain()
+        self.assertIn(b'/a', await self.read_all(reader))
+
+
+class StreamLoopClosedAnswersTest(StreamLoopCase, ClosedAnswersTest):
+    """The tests of last answers on the event loop of the daemon."""
