Take an answer as under way until its last byte is sent

Callers saw: a planned stop cut the end of a complete answer that a caller was still reading.

Cause: a connection counted as unused once its handler had ended, though up to 64 KiB of the answer were in the write buffer. The stop then aborted it. At the limit on connections such a connection was closed once more for each new one, so that the limit did not hold.

Why it works: unsent bytes make a connection busy, so the stop waits for them within its limit. A connection that is closed to make a place no longer counts. A caller that does not read is aborted after a timeout.

Ruled out: an abort that sends the unsent bytes; neither loop has one.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -104,6 +104,7 @@
             return True
         for connection in self.open:
             if not connection.is_busy:
+                self.open.discard(connection)
                 connection.close(CloseCause.CAPACITY)
                 return True
         self.rejected_count += 1
@@ -197,7 +198,6 @@
         super().__init__()
         self._owner = owner
         self._reader = RequestReader(owner.limits, self._on_request)
-        self._transport: asyncio.Transport | None = None
         # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
         self._has_announced_close = False
@@ -212,10 +212,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being read or answered."""
+        """Return whether a request is being read or answered.
+
+        An answer ends with its last byte sent, which may be after its handler.
+        """
         if self._task is not None or self._pipelined:
             return True
-        return self._reader.is_reading
+        return self._has_unsent or (
+            self._reader.is_reading and not self._is_ending
+        )
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport, or abort it at the connection limit.
@@ -235,7 +240,7 @@
         """Parse the received bytes, up to the first invalid ones."""
         if self._is_ending or self._fault is not None:
             return
-        if not self.is_busy:
+        if self._task is None and not self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
         self._reader.limits = self._owner.limits
         fault = self._reader.feed(received)
@@ -306,8 +311,7 @@
             return
         self._is_ending = True
         self._transport.write_eof()
-        has_unsent = self._transport.get_write_buffer_size() > 0
-        self._timer.start(_WRITE_TIMEOUT_S if has_unsent else _LINGER_S)
+        self._timer.start(_WRITE_TIMEOUT_S if self._has_unsent else _LINGER_S)
 
     def _on_request(self, request: CallerRequest) -> None:
         if self._fault is not None:
@@ -379,9 +383,11 @@
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _close_unused(self) -> None:
-        if self._is_ending:
+        if self._task is not None:
+            return
+        if self._is_ending or self._has_unsent:
             self.abort(CloseCause.NOT_READING)
-        elif self._task is None:
+        else:
             self.close(CloseCause.IDLE)
 
     def _reject(self, status: HTTPStatus) -> None:
--- a/nutmegspoke/edge/write_gate.py
+++ b/nutmegspoke/edge/write_gate.py
@@ -48,9 +48,17 @@
     """Protocol whose gate is closed while the write buffer is full."""
 
     def __init__(self) -> None:
-        """Start with an open gate."""
+        """Start without a transport and with an open gate."""
+        self._transport: asyncio.Transport | None = None
         self._gate = WriteGate()
 
+    @property
+    def _has_unsent(self) -> bool:
+        """Return whether written bytes wait in the write buffer."""
+        if self._transport is None:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     def pause_writing(self) -> None:
         """Make writers wait, as the write buffer is full."""
         self._gate.close()
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,9 @@
     from nutmegspoke.forwarded import CallerRequest
 
 _CLOSE = b'Connection: close\r\n'
+# Fits into the write buffer of a connection.
+_LONG_ANSWER_BYTES = 60_000
+_BUFFER_BYTES = 4_096
 _ASKING_HEAD = (
     b'POST /a HTTP/1.1\r\nExpect: 100-Continue\r\n'
     b'Content-Length: 4\r\n%s\r\n' % _CLOSE
@@ -33,14 +37,17 @@
     def __init__(self) -> None:
         self.requests: list[CallerRequest] = []
         self.released = asyncio.Event()
+        self.body = b''
+        self.ended = 0
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         self.requests.append(request)
         await answer.begin(200, [], None)
         if request.url.startswith(b'/held'):
             await self.released.wait()
-        await answer.send(request.body or request.url)
+        await answer.send(request.body or self.body or request.url)
         await answer.end()
+        self.ended += 1
 
 
 class CallerCase(unittest.IsolatedAsyncioTestCase):
@@ -328,3 +335,78 @@
 
 class StreamLoopClosedAnswersTest(StreamLoopCase, ClosedAnswersTest):
     """The tests of last answers on the event loop of the daemon."""
+
+
+class UnsentAnswersTest(CallerCase):
+    """Answers of which a caller has not read all yet."""
+
+    async def test_an_unsent_answer_is_busy(self) -> None:
+        """Guards against a stop that cuts a complete answer.
+
+        The rest of it was in the write buffer, and the stop took the connection
+        for unused and aborted it.
+        """
+        reader, writer = await self._send_unread_request()
+        await self.until(lambda: self._unsent_bytes())
+        self.assertEqual(self.connections.count_busy(), 1)
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b'y'), _LONG_ANSWER_BYTES)
+        writer.close()
+        await self.until(lambda: not self.connections.count_busy())
+
+    async def test_an_unsent_answer_keeps_its_place(self) -> None:
+        """Guards against more open connections than the limit.
+
+        A connection that was closing with unsent bytes was closed once more to
+        make a place, for each new one.
+        """
+        await self._send_unread_request()
+        await self.until(lambda: self._unsent_bytes())
+        self.connections.max_open = 1
+        for rejected_count in (1, 2, 3):
+            await self.connect()
+            await self.until(
+                lambda: (
+                    len(self.connections.open) > 1
+                    or self.connections.rejected_count == rejected_count
+                )
+            )
+            self.assertEqual(len(self.connections.open), 1)
+
+    async def _send_unread_request(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request whose answer fits into no buffer of the kernel."""
+        reader, writer = await self._connect_with_small_buffer()
+        (connection,) = self.connections.open
+        assert connection._transport is not None
+        opened = connection._transport.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
+        self.handler.body = b'y' * _LONG_ANSWER_BYTES
+        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        await self.until(lambda: self.handler.ended)
+        return reader, writer
+
+    async def _connect_with_small_buffer(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        opened = socket.socket()
+        opened.setblocking(False)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(opened, self.address)
+        reader, writer = await asyncio.open_connection(
+            sock=opened, limit=_BUFFER_BYTES
+        )
+        self.addCleanup(writer.close)
+        await self.until(lambda: self.connections.open)
+        return reader, writer
+
+    def _unsent_bytes(self) -> int:
+        (connection,) = self.connections.open
+        assert connection._transport is not None
+        return connection._transport.get_write_buffer_size()
+
+
+class StreamLoopUnsentAnswersTest(StreamLoopCase, UnsentAnswersTest):
+    """The tests of unsent answers on the event loop of the daemon."""
