Answer requests that arrived before a close, and refuse those of a late stop

Callers saw: beside a planned stop, and at the limit on connections, a request on a kept connection met a reset instead of an answer.

Cause: a connection counted as unused while its next request waited in the kernel. It was closed with unread bytes, which resets it. The busier the loop, the longer requests wait there.

Evidence, before the change on both loops: "AssertionError: 0 != 1" connections busy with an unread request, and "AssertionError: True is not false" for a place taken from it.

Why it works: unread bytes make a connection busy. Once the stop has closed the unused connections, requests that still come behind an answer without 'Connection: close' are refused with status 503, so that no new stream is begun that the end of the stop would cut.

Ruled out: serving them; streams taken late in a stop were cut.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -85,6 +85,7 @@
         self.handler = handler
         self.limits = CallerLimits()
         self.is_stopping = False
+        self.is_refusing = False
         self.max_open = _MAX_OPEN
         self.rejected_count = 0
         self.open: set[HttpConnection] = set()
@@ -111,7 +112,12 @@
         return False
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections that have no request in progress.
+
+        From now on requests are refused. They come on connections that were
+        busy, or have crossed the close.
+        """
+        self.is_refusing = True
         for connection in tuple(self.open):
             if not connection.is_busy:
                 connection.close(CloseCause.STOPPING)
@@ -212,15 +218,16 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being read or answered.
+        """Return whether a request has arrived or is being answered.
 
-        An answer ends with its last byte sent, which may be after its handler.
+        A request arrives before the loop reads it, and an answer ends with its
+        last byte sent, which may be after its handler.
         """
-        if self._task is not None or self._pipelined:
+        if self._task is not None or self._pipelined or self._has_unsent:
             return True
-        return self._has_unsent or (
-            self._reader.is_reading and not self._is_ending
-        )
+        if self._is_ending:
+            return False
+        return self._reader.is_reading or self._has_unread
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport, or abort it at the connection limit.
@@ -328,6 +335,11 @@
             self._serve_next()
 
     def _serve_next(self) -> None:
+        if self._owner.is_refusing:
+            self._pipelined.clear()
+            self._unanswered_count -= 1
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         request, keep_alive = self._pipelined.pop(0)
         self._keep_alive = keep_alive
         self._task = asyncio.create_task(self._serve(request))
@@ -372,7 +384,7 @@
         elif self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
             self._ask_for_body()
-        elif self._owner.is_stopping:
+        elif self._owner.is_stopping and not self._has_unread:
             self._end(CloseCause.STOPPING)
         else:
             self._timer.start(self._owner.limits.idle_timeout_s)
@@ -391,7 +403,7 @@
             self.close(CloseCause.IDLE)
 
     def _reject(self, status: HTTPStatus) -> None:
-        """Answer an invalid request with an error status and close.
+        """Answer a request with an error status and close.
 
         The requests before it are answered first.
         """
--- a/nutmegspoke/edge/write_gate.py
+++ b/nutmegspoke/edge/write_gate.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from nutmegspoke.edge.unread_bytes import has_unread_bytes
+
 
 class WriteGate:
     """Gate that is closed while the write buffer of a connection is full."""
@@ -59,6 +61,13 @@
             return False
         return self._transport.get_write_buffer_size() > 0
 
+    @property
+    def _has_unread(self) -> bool:
+        """Return whether received bytes wait in the kernel."""
+        if self._transport is None:
+            return False
+        return has_unread_bytes(self._transport)
+
     def pause_writing(self) -> None:
         """Make writers wait, as the write buffer is full."""
         self._gate.close()
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import unittest
 from typing import TYPE_CHECKING
@@ -410,3 +411,60 @@
 
 class StreamLoopUnsentAnswersTest(StreamLoopCase, UnsentAnswersTest):
     """The tests of unsent answers on the event loop of the daemon."""
+
+
+class UnreadRequestsTest(CallerCase):
+    """Requests that wait in the kernel when their connection is closed."""
+
+    async def asyncSetUp(self) -> None:
+        """Open a connection that has carried one request."""
+        await super().asyncSetUp()
+        self.reader, self.writer = await self.connect()
+        self.writer.write(b'GET /a HTTP/1.1\r\n\r\n')
+        await self.reader.readuntil(b'\r\n0\r\n\r\n')
+        await self.until(lambda: not self.connections.count_busy())
+
+    async def test_a_stop(self) -> None:
+        """Guards against a stop that closes a connection with a request.
+
+        The request had arrived, but the loop had not read it yet.
+        """
+        self._send_unread()
+        self.connections.is_stopping = True
+        self.connections.close_idle()
+        self.assertEqual(self.connections.count_busy(), 1)
+        self.assertIn(b'HTTP/1.1 503', await self.read_all(self.reader))
+
+    async def test_a_stop_behind_an_answer(self) -> None:
+        """Guards against requests that are begun and cut late in a stop.
+
+        They came behind an answer that was begun before the stop and did not
+        announce the close.
+        """
+        self.writer.write(b'GET /held HTTP/1.1\r\n\r\n')
+        await self.reader.readuntil(b'\r\n\r\n')
+        self.connections.is_stopping = True
+        self.connections.close_idle()
+        self.handler.released.set()
+        self._send_unread()
+        received = await self.read_all(self.reader)
+        self.assertLess(
+            received.index(b'/held'), received.index(b'HTTP/1.1 503')
+        )
+        self.assertEqual(len(self.handler.requests), 2)
+
+    async def test_a_new_connection(self) -> None:
+        """Guards against a new connection that takes the place of a request."""
+        self._send_unread()
+        self.connections.max_open = 1
+        self.assertFalse(self.connections.make_capacity())
+        self.assertIn(b'/b', await self.read_all(self.reader))
+
+    def _send_unread(self) -> None:
+        """Send a request without giving the loop a chance to read it."""
+        opened = self.writer.get_extra_info('socket')
+        os.write(opened.fileno(), b'GET /b HTTP/1.1\r\n%s\r\n' % _CLOSE)
+
+
+class StreamLoopUnreadRequestsTest(StreamLoopCase, UnreadRequestsTest):
+    """The tests of unread requests on the event loop of the daemon."""
