Limit the bytes of a target that are no answer

Callers saw: with a target that sends bytes without end, such as empty lines, headers, interim answers, chunk sizes, trailers or answers to other requests, a request waited until its timeout, and the memory of the daemon grew by what was received; above its limit the process is killed, with all its requests.

Cause: the parser takes such bytes without a limit, and headers were kept.

Why it works: received bytes that are not part of a body are limited in a row, and so are the bodies of skipped answers. Chunks that are received together make one event. Trailers are no longer added to the headers.

Ruled out: a limit on the length of streams; long ones are sound (tested).

--- a/nutmegspoke/edge/answer_reader.py
+++ b/nutmegspoke/edge/answer_reader.py
@@ -16,6 +16,11 @@
 logger = logging.getLogger(__name__)
 
 _INTERIM = range(100, 200)
+# Limit on received bytes in a row that are not part of a body: heads, interim
+# answers, trailers and the framing of chunks.
+_MAX_FRAMING_BYTES = 65_536
+# Limit on the bodies that are skipped before the expected answer.
+_MAX_SKIPPED_BYTES = 1_048_576
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +87,9 @@
         self._on_event = on_event
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
+        self._parts: list[bytes] = []
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
         self._in_body = False
         self._is_skipped = False
         self._keep_alive = True
@@ -110,26 +118,36 @@
         self._is_match = is_match
         self.is_expecting = True
         self._in_body = False
+        self._framing_bytes = 0
+        self._skipped_bytes = 0
 
     def feed(self, received: bytes) -> str:
         """Parse received bytes.
 
-        :returns: description of the parse error; empty if there is none.
+        :returns: description of the error if they are no answer, or have no
+            end; otherwise empty.
         """
+        self._framing_bytes += len(received)
+        fault = ''
         try:
             self._parser.feed_data(received)
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
+            fault = f'answer not parsed: {error}'
+        self._emit_part()
+        if self._framing_bytes > _MAX_FRAMING_BYTES:
+            fault = fault or 'answer without end'
+        if fault:
             self.is_in_sync = False
-            return f'answer not parsed: {error}'
-        return ''
+        return fault
 
     def complete(self) -> None:
         """Emit the end of the expected answer, if there is one."""
         if not self.is_expecting:
             return
+        self._emit_part()
         self.is_expecting = False
         self._in_body = False
         self._on_event(AnswerEnd())
@@ -166,15 +184,22 @@
             self._is_skipped = True
             self.is_in_sync = False
             return
-        length, is_chunked = _parse_framing(self._headers)
+        # The parser reports trailers as further headers.
+        headers = self._headers
+        self._headers = []
+        length, is_chunked = _parse_framing(headers)
         self._ends_with_connection = length is None and not is_chunked
         self._in_body = True
-        self._on_event(AnswerHead(status, self._headers, length))
+        self._on_event(AnswerHead(status, headers, length))
 
     def on_body(self, part: bytes) -> None:
-        """Emit a chunk of the body."""
-        if not self._is_skipped:
-            self._on_event(AnswerPart(part))
+        """Keep a chunk of the body, or drop it if the answer is skipped."""
+        if self._is_skipped:
+            self._skipped_bytes += len(part)
+        else:
+            self._parts.append(part)
+        if self._skipped_bytes <= _MAX_SKIPPED_BYTES:
+            self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """Complete the answer and remember whether to keep the connection."""
@@ -183,6 +208,12 @@
         if not self._is_skipped:
             self.complete()
 
+    def _emit_part(self) -> None:
+        """Emit the chunks that were received together as one event."""
+        if self._parts:
+            self._on_event(AnswerPart(b''.join(self._parts)))
+            self._parts = []
+
 
 def _parse_framing(headers: Headers) -> tuple[int | None, bool]:
     length: int | None = None
--- /dev/null
+++ b/tests/edge/test_endless_answers.py
@@ -0,0 +1,71 @@
+"""Tests of targets that send bytes without end that are no answer."""
+
+from __future__ import annotations
+
+import unittest
+
+from nutmegspoke.edge.answer_reader import (
+    AnswerEvent,
+    AnswerHead,
+    AnswerPart,
+    AnswerReader,
+)
+from tests.builders_endless import ENDLESS_ANSWERS, EndlessAnswer
+
+_PIECE_BYTES = 65_536
+# Well above the limits of the reader.
+_MAX_FED_BYTES = 33_554_432
+
+
+def _feed_until_fault(reader: AnswerReader, answer: EndlessAnswer) -> int:
+    """Return how many bytes a reader takes before it reports a fault."""
+    fed_bytes = len(answer.start)
+    fault = reader.feed(answer.start)
+    repeated = answer.repeated * (_PIECE_BYTES // len(answer.repeated))
+    while not fault and fed_bytes < _MAX_FED_BYTES:
+        fed_bytes += len(repeated)
+        fault = reader.feed(repeated)
+    return fed_bytes
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """The reader stops at bytes without end."""
+
+    def setUp(self) -> None:
+        """Expect the answer to a request with an id."""
+        self.events: list[AnswerEvent] = []
+        self.reader = AnswerReader(self.events.append)
+        self.reader.expect(lambda headers: (b'Id', b'1') in headers)
+
+    def test_bytes_without_end(self) -> None:
+        """Guards against memory and time spent on bytes without end."""
+        for name, answer in ENDLESS_ANSWERS.items():
+            with self.subTest(name):
+                self.setUp()
+                fed_bytes = _feed_until_fault(self.reader, answer)
+                self.assertLess(fed_bytes, _MAX_FED_BYTES)
+                self.assertFalse(self.reader.keep_alive)
+
+    def test_a_long_answer(self) -> None:
+        """Guards against a limit on answers instead of on other bytes."""
+        head = b'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        self.assertEqual(self.reader.feed(head), '')
+        chunks = b'4\r\nbody\r\n' * (_PIECE_BYTES // 9)
+        for _ in range(_MAX_FED_BYTES // _PIECE_BYTES):
+            self.assertEqual(self.reader.feed(chunks), '')
+            self.events.clear()
+        self.assertEqual(self.reader.feed(b'0\r\n\r\n'), '')
+        self.assertTrue(self.reader.keep_alive)
+
+    def test_small_chunks_are_joined(self) -> None:
+        """Guards against an event for each of many tiny chunks.
+
+        The cost of an event grows with the part of the body that is buffered.
+        """
+        self.reader.feed(
+            b'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'1\r\nx\r\n' * 1_000
+        )
+        head, part = self.events
+        self.assertIsInstance(head, AnswerHead)
+        self.assertEqual(part, AnswerPart(b'x' * 1_000))
