--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -31,6 +31,8 @@
 _MAX_PIPELINED = 16
 # The connection of a caller that does not read for this time is aborted.
 _WRITE_TIMEOUT_S = 15.0
+# Time for a caller to read its last answer and to close the connection.
+_LINGER_S = 1.0
 
 
 # Default limit on the open connections of a server.
@@ -83,6 +85,7 @@
         self.handler = handler
         self.limits = CallerLimits()
         self.is_stopping = False
+        self.is_refusing = False
         self.max_open = _MAX_OPEN
         self.rejected_count = 0
         self.open: set[HttpConnection] = set()
@@ -102,13 +105,19 @@
             return True
         for connection in self.open:
             if not connection.is_busy:
+                self.open.discard(connection)
                 connection.close(CloseCause.CAPACITY)
                 return True
         self.rejected_count += 1
         return False
 
     def close_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+        """Close the connections that have no request in progress.
+
+        From now on requests are refused. They come on connections that were
+        busy, or have crossed the close.
+        """
+        self.is_refusing = True
         for connection in tuple(self.open):
             if not connection.is_busy:
                 connection.close(CloseCause.STOPPING)
@@ -212,10 +221,10 @@
         super().__init__()
         self._owner = owner
         self._reader = RequestReader(owner.limits, self._on_request)
-        self._transport: asyncio.Transport | None = None
         # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
         self._has_announced_close = False
+        self._is_ending = False
         self._pipelined: list[tuple[CallerRequest, bool]] = []
         # Status for invalid bytes behind the requests that were read.
         self._fault: HTTPStatus | None = None
@@ -226,10 +235,16 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether a request is being read or answered."""
-        if self._task is not None or self._pipelined:
+        """Return whether a request has arrived or is being answered.
+
+        A request arrives before the loop reads it, and an answer ends with its
+        last byte sent, which may be after its handler.
+        """
+        if self._task is not None or self._pipelined or self._has_unsent:
             return True
-        return self._reader.is_reading
+        if self._is_ending:
+            return False
+        return self._reader.is_reading or self._has_unread
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport, or abort it at the connection limit.
@@ -247,9 +262,9 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse the received bytes, up to the first invalid ones."""
-        if self._fault is not None:
+        if self._is_ending or self._fault is not None:
             return
-        if not self.is_busy:
+        if self._task is None and not self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
         self._reader.limits = self._owner.limits
         fault = self._reader.feed(received)
@@ -309,6 +324,19 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _end(self, cause: CloseCause) -> None:
+        """Close the connection once the caller has read its last answer.
+
+        Received bytes are dropped until then. A connection that is closed with
+        unread ones is reset, and a reset discards what the caller has not read.
+        """
+        self._close_cause = self._close_cause or cause
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._is_ending = True
+        self._transport.write_eof()
+        self._timer.start(_WRITE_TIMEOUT_S if self._has_unsent else _LINGER_S)
+
     def _on_request(self, request: CallerRequest) -> None:
         if self._fault is not None:
             return
@@ -324,6 +352,11 @@
             self._serve_next()
 
     def _serve_next(self) -> None:
+        if self._owner.is_refusing:
+            self._pipelined.clear()
+            self._unanswered_count -= 1
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         request, keep_alive = self._pipelined.pop(0)
         self._keep_alive = keep_alive
         self._task = asyncio.create_task(self._serve(request))
@@ -352,7 +385,7 @@
         if not answer.has_ended:
             self.abort(CloseCause.ABORTED)
         elif self._has_announced_close:
-            self.close(CloseCause.ANSWERED)
+            self._end(CloseCause.ANSWERED)
         elif self._pipelined:
             self._serve_next()
         else:
@@ -368,8 +401,8 @@
         elif self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
             self._ask_for_body()
-        elif self._owner.is_stopping:
-            self.close(CloseCause.STOPPING)
+        elif self._owner.is_stopping and not self._has_unread:
+            self._end(CloseCause.STOPPING)
         else:
             self._timer.start(self._owner.limits.idle_timeout_s)
 
@@ -379,11 +412,15 @@
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _close_unused(self) -> None:
-        if self._task is None:
+        if self._task is not None:
+            return
+        if self._is_ending or self._has_unsent:
+            self.abort(CloseCause.NOT_READING)
+        else:
             self.close(CloseCause.IDLE)
 
     def _reject(self, status: HTTPStatus) -> None:
-        """Answer an invalid request with an error status and close.
+        """Answer a request with an error status and close.
 
         The requests before it are answered first.
         """
@@ -395,7 +432,7 @@
                 b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
                 b'Connection: close\r\n\r\n' % (status, _phrase(status)),
             )
-            self.close(CloseCause.REJECTED)
+            self._end(CloseCause.REJECTED)
 
 
 def _ignore_close(cause: CloseCause, unanswered: int) -> None:
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 import unittest
 from typing import TYPE_CHECKING
 
@@ -18,6 +20,9 @@
     from nutmegspoke.forwarded import CallerRequest
 
 _CLOSE = b'Connection: close\r\n'
+# Fits into the write buffer of a connection.
+_LONG_ANSWER_BYTES = 60_000
+_BUFFER_BYTES = 4_096
 _ASKING_HEAD = (
     b'POST /a HTTP/1.1\r\nExpect: 100-Continue\r\n'
     b'Content-Length: 4\r\n%s\r\n' % _CLOSE
@@ -33,14 +38,17 @@
     def __init__(self) -> None:
         self.requests: list[CallerRequest] = []
         self.released = asyncio.Event()
+        self.body = b''
+        self.ended = 0
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         self.requests.append(request)
         await answer.begin(200, [], None)
         if request.url.startswith(b'/held'):
             await self.released.wait()
-        await answer.send(request.body or request.url)
+        await answer.send(request.body or self.body or request.url)
         await answer.end()
+        self.ended += 1
 
 
 class CallerCase(unittest.IsolatedAsyncioTestCase):
@@ -296,3 +304,167 @@
 
 class StreamLoopAwaitedBodiesTest(StreamLoopCase, AwaitedBodiesTest):
     """The tests of callers that ask first on the event loop of the daemon."""
+
+
+class ClosedAnswersTest(CallerCase):
+    """The last answer on a connection reaches its caller."""
+
+    async def test_a_refusal_of_a_request_that_is_still_sent(self) -> None:
+        """Guards against a refusal lost by a reset, as its request goes on.
+
+        A connection that is closed with unread bytes is reset, and the caller
+        discards what it has not read yet.
+        """
+        reader, writer = await self.connect()
+        body = b'x' * 4_000_000
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n')
+        writer.write(body)
+        async with asyncio.timeout(WAIT_S):
+            await writer.drain()
+        self.assertIn(b'HTTP/1.1 413', await self.read_all(reader))
+
+    async def test_an_answer_with_close_to_a_caller_that_sends_on(self) -> None:
+        """Guards against a complete answer lost by a reset."""
+        reader, writer = await self.connect()
+        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        await self.until(lambda: self.handler.requests)
+        writer.write(b'x' * 4_000_000)
+        async with asyncio.timeout(WAIT_S):
+            await writer.drain()
+        self.assertIn(b'/a', await self.read_all(reader))
+
+
+class StreamLoopClosedAnswersTest(StreamLoopCase, ClosedAnswersTest):
+    """The tests of last answers on the event loop of the daemon."""
+
+
+class UnsentAnswersTest(CallerCase):
+    """Answers of which a caller has not read all yet."""
+
+    async def test_an_unsent_answer_is_busy(self) -> None:
+        """Guards against a stop that cuts a complete answer.
+
+        The rest of it was in the write buffer, and the stop took the connection
+        for unused and aborted it.
+        """
+        reader, writer = await self._send_unread_request()
+        await self.until(lambda: self._unsent_bytes())
+        self.assertEqual(self.connections.count_busy(), 1)
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b'y'), _LONG_ANSWER_BYTES)
+        writer.close()
+        await self.until(lambda: not self.connections.count_busy())
+
+    async def test_an_unsent_answer_keeps_its_place(self) -> None:
+        """Guards against more open connections than the limit.
+
+        A connection that was closing with unsent bytes was closed once more to
+        make a place, for each new one.
+        """
+        await self._send_unread_request()
+        await self.until(lambda: self._unsent_bytes())
+        self.connections.max_open = 1
+        for rejected_count in (1, 2, 3):
+            await self.connect()
+            await self.until(
+                lambda: (
+                    len(self.connections.open) > 1
+                    or self.connections.rejected_count == rejected_count
+                )
+            )
+            self.assertEqual(len(self.connections.open), 1)
+
+    async def _send_unread_request(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send a request whose answer fits into no buffer of the kernel."""
+        reader, writer = await self._connect_with_small_buffer()
+        (connection,) = self.connections.open
+        assert connection._transport is not None
+        opened = connection._transport.get_extra_info('socket')
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
+        self.handler.body = b'y' * _LONG_ANSWER_BYTES
+        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        await self.until(lambda: self.handler.ended)
+        return reader, writer
+
+    async def _connect_with_small_buffer(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        opened = socket.socket()
+        opened.setblocking(False)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(opened, self.address)
+        reader, writer = await asyncio.open_connection(
+            sock=opened, limit=_BUFFER_BYTES
+        )
+        self.addCleanup(writer.close)
+        await self.until(lambda: self.connections.open)
+        return reader, writer
+
+    def _unsent_bytes(self) -> int:
+        (connection,) = self.connections.open
+        assert connection._transport is not None
+        return connection._transport.get_write_buffer_size()
+
+
+class StreamLoopUnsentAnswersTest(StreamLoopCase, UnsentAnswersTest):
+    """The tests of unsent answers on the event loop of the daemon."""
+
+
+class UnreadRequestsTest(CallerCase):
+    """Requests that wait in the kernel when their connection is closed."""
+
+    async def asyncSetUp(self) -> None:
+        """Open a connection that has carried one request."""
+        await super().asyncSetUp()
+        self.reader, self.writer = await self.connect()
+        self.writer.write(b'GET /a HTTP/1.1\r\n\r\n')
+        await self.reader.readuntil(b'\r\n0\r\n\r\n')
+        await self.until(lambda: not self.connections.count_busy())
+
+    async def test_a_stop(self) -> None:
+        """Guards against a stop that closes a connection with a request.
+
+        The request had arrived, but the loop had not read it yet.
+        """
+        self._send_unread()
+        self.connections.is_stopping = True
+        self.connections.close_idle()
+        self.assertEqual(self.connections.count_busy(), 1)
+        self.assertIn(b'HTTP/1.1 503', await self.read_all(self.reader))
+
+    async def test_a_stop_behind_an_answer(self) -> None:
+        """Guards against requests that are begun and cut late in a stop.
+
+        They came behind an answer that was begun before the stop and did not
+        announce the close.
+        """
+        self.writer.write(b'GET /held HTTP/1.1\r\n\r\n')
+        await self.reader.readuntil(b'\r\n\r\n')
+        self.connections.is_stopping = True
+        self.connections.close_idle()
+        self.handler.released.set()
+        self._send_unread()
+        received = await self.read_all(self.reader)
+        self.assertLess(
+            received.index(b'/held'), received.index(b'HTTP/1.1 503')
+        )
+        self.assertEqual(len(self.handler.requests), 2)
+
+    async def test_a_new_connection(self) -> None:
+        """Guards against a new connection that takes the place of a request."""
+        self._send_unread()
+        self.connections.max_open = 1
+        self.assertFalse(self.connections.make_capacity())
+        self.assertIn(b'/b', await self.read_all(self.reader))
+
+    def _send_unread(self) -> None:
+        """Send a request without giving the loop a chance to read it."""
+        opened = self.writer.get_extra_info('socket')
+        os.write(opened.fileno(), b'GET /b HTTP/1.1\r\n%s\r\n' % _CLOSE)
+
+
+class StreamLoopUnreadRequestsTest(StreamLoopCase, UnreadRequestsTest):
+    """The tests of unread requests on the event loop of the daemon."""
