Read all tables again when the store enters a new era

Callers saw: after the store came back from an older copy, a daemon could keep old tables or a target that had left for as long as it ran: 404 or 401 for what the newest tables allow, and requests sent to a target that is gone. Targets that the copy lacked were dropped at once if no call had failed, and callers got 503 until they had written their entries again. Daemons that had read less than another one restarted their feeds every 1.5 s.

Cause: a feed continues from the version it has read. If the store's versions have risen above it again, there is no 410, and all that was written at the versions in between is skipped. Versions that other daemons report, and updates they send, were compared across this change too.

Evidence: the new tests failed before with OvertakenFeedTest.test_tables: TimeoutError (version 9 not in force) OvertakenFeedTest.test_a_target_that_left: TimeoutError (target listed) TargetsTest.test_targets_that_the_copy_lacks: AssertionError: 503 != 200 OtherDaemonTest.test_versions_of_an_earlier_era: two `feed_silent` events

Why it works: results of reads name the era of the store. A follower that sees a later era discards its version and reads the whole table. It counts that as a failure of the store, so that targets missing in the copy are kept until they have had time to write their entries again. Updates of another era are ignored, and the versions of feeds are compared by era first. A list of which two pages are of different eras is a failed call.

Ruled out: a feed whose version the store does not have yet; the 410 that it gets led to a list before as well.

Both fields are last in their datagrams and optional, so that daemons with and without them can decode each other's. A daemon without them names era 0: its updates of tables are ignored, and its receivers read the store themselves.

--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke.edge.call_results import CallResults
+from nutmegspoke.membership.feed_versions import FeedVersion
 from nutmegspoke.membership.table_news import RecentChanges, find_new_changes
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
 
@@ -93,6 +94,9 @@
     :param health: state of the store, shared by all followers of this daemon.
     :param reads_table: returns whether this daemon reads the table from the
         store; ``None`` if all daemons do.
+    :ivar is_shared: whether a few daemons read the table for all daemons.
+    :ivar era: era of the store in which the versions hold; 0 before the first
+        answer.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
         self._health = health
         self._count_daemons = count_daemons
         self._reads_table = reads_table
+        self.is_shared = reads_table is not None
         self._recent_changes = RecentChanges()
         self._last_current_s = float('-inf')
         self.table = table
@@ -123,6 +128,7 @@
         # Version of the last answer; unlike the one above, it is kept when the
         # whole table is read again.
         self._last_version = 0
+        self.era = 0
         # Version of the newest change read, insignificant ones included.
         self._newest_change = 0
         self._task: asyncio.Task[None] | None = None
@@ -135,6 +141,17 @@
         """
         return None if self._version is None else self._newest_change
 
+    @property
+    def feed_version(self) -> FeedVersion | None:
+        """Return the version to compare with those of other daemons.
+
+        :returns: ``None`` until the whole table has been read.
+        """
+        newest_change = self.newest_change
+        if newest_change is None:
+            return None
+        return FeedVersion(self.era, newest_change)
+
     async def start(self) -> None:
         """Start the task that follows the table."""
         self._task = asyncio.create_task(self._run())
@@ -151,11 +168,6 @@
         """Return whether this daemon reads the table from the store."""
         return self._reads_table is None or self._reads_table()
 
-    @property
-    def is_shared(self) -> bool:
-        """Return whether a few daemons read the table for all daemons."""
-        return self._reads_table is not None
-
     def new_update(self, host: str) -> TableUpdate | None:
         """Return the update for the daemons that don't read the table.
 
@@ -172,10 +184,13 @@
         """Apply an update from a reader.
 
         An update that starts after the version known here is ignored, as
-        changes in between would be missed.
+        changes in between would be missed. So is one of another era, whose
+        versions are not comparable.
         """
         now_s = self._clock.now_s()
-        if self._version is None or update.since > self._version:
+        if self._version is None or update.era != self.era:
+            return
+        if update.since > self._version:
             return
         self._last_current_s = now_s
         if update.failure_age_s >= 0:
@@ -259,13 +274,16 @@
 
         :param since: version after which changes were requested; ``None`` if
             the whole table was.
-        :returns: whether the store answered.
+        :returns: whether to pause before the next call.
         """
         now_s = self._clock.now_s()
         if isinstance(result, Unavailable):
             self._results.failed(result.reason, now_s)
             return False
+        is_new_era = self._enter_era(result, now_s)
         self._results.answered(now_s)
+        if is_new_era and since is not None:
+            return False
         if isinstance(result, TableChanges):
             if result.version < self._last_version:
                 self._log.decided(
@@ -288,6 +306,33 @@
         self._last_current_s = now_s
         return True
 
+    def _enter_era(
+        self, result: TableChanges | HistoryLost, now_s: float
+    ) -> bool:
+        """Discard all versions if the store came back from an older copy.
+
+        :returns: whether it did; then the whole table must be read.
+        """
+        if isinstance(result, HistoryLost) or result.era <= self.era:
+            return False
+        is_first = self.era == 0
+        self.era = result.era
+        if is_first:
+            return False
+        self._log.decided(
+            'store_went_back',
+            table=self.table,
+            known_version=self._last_version,
+            read_version=result.version,
+            era=self.era,
+        )
+        self._version = None
+        self._last_version = 0
+        self._newest_change = 0
+        # Entries that the copy lacks are written again, as after an outage.
+        self._results.failed_elsewhere('store went back', now_s)
+        return True
+
     def _apply(self, since: int, result: TableChanges, now_s: float) -> None:
         self._version = max(since, result.version)
         self._newest_change = max(self._newest_change, result.newest_change)
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from nutmegspoke.edge.followers import batch_pause_s
-from nutmegspoke.membership.feed_versions import FeedVersions
+from nutmegspoke.membership.feed_versions import FeedVersion, FeedVersions
 from nutmegspoke.membership.load_news import (
     LoadUpdate,
     TargetFault,
@@ -142,7 +142,11 @@
             return
         for fault in update.faults:
             self._view.faults.add_peer_fault(fault.target, fault.left_s, now_s)
-        self._feed_versions.receive(update.feeds, now_s)
+        feeds = {
+            table: FeedVersion(update.era, newest_change)
+            for table, newest_change in update.feeds.items()
+        }
+        self._feed_versions.receive(feeds, now_s)
         self._view.reports.receive(update.reports, now_s)
         self._view.reassignments.receive(update.reassignments, now_s)
         self._view.lost_engines.receive(update.lost, now_s)
@@ -163,7 +167,7 @@
             for follower in self._followers
             if self._feed_versions.must_restart(
                 follower.table,
-                follower.newest_change,
+                follower.feed_version,
                 self._lag_s(follower),
                 now_s,
             )
@@ -202,6 +206,7 @@
     def _new_load_update(self, now_s: float) -> LoadUpdate:
         self._number += 1
         reservations = self._view.own_reservations.total_reservations()
+        era = max(follower.era for follower in self._followers)
         return LoadUpdate(
             host=self._view.host.name,
             started_ms=self._started_ms,
@@ -230,7 +235,9 @@
             feeds={
                 follower.table: follower.newest_change or 0
                 for follower in self._followers
+                if follower.era == era
             },
+            era=era,
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
--- a/nutmegspoke/membership/feed_versions.py
+++ b/nutmegspoke/membership/feed_versions.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    _Reported = collections.deque[tuple[float, 'FeedVersion']]
+
 # Changes reach the feeds of all daemons within a few round trips to the store,
 # plus the pause in which a feed collects changes.
 BEHIND_LIMIT_S = 0.5
@@ -17,6 +19,19 @@
 _RESTART_PAUSE_S = 1.5
 
 
+class FeedVersion(NamedTuple):
+    """Version of the newest change that a feed has read.
+
+    A version of a later era is newer than all versions of earlier ones.
+
+    :ivar era: era of the store.
+    :ivar newest_change: version of the change.
+    """
+
+    era: int
+    newest_change: int
+
+
 class FeedVersions:
     """Versions of each table that other daemons have read, with times.
 
@@ -27,10 +42,12 @@
 
     def __init__(self) -> None:
         """Start without versions."""
-        self._reported: dict[str, collections.deque[tuple[float, int]]] = {}
+        self._reported: dict[str, _Reported] = {}
         self._restarted_s: dict[str, float] = {}
 
-    def receive(self, versions: Mapping[str, int], now_s: float) -> None:
+    def receive(
+        self, versions: Mapping[str, FeedVersion], now_s: float
+    ) -> None:
         """Record the versions that another daemon has read, by table."""
         for table, version in versions.items():
             known = self._reported.setdefault(table, collections.deque())
@@ -44,7 +61,7 @@
     def must_restart(
         self,
         table: str,
-        own: int | None,
+        own: FeedVersion | None,
         batch_pause_s: float,
         now_s: float,
     ) -> bool:
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -75,6 +75,7 @@
     :param lost: engines that it has recently detected as ended.
     :param used: by pool, the number of requests, and of retries borrowed beyond
         its own share, in the last window.
+    :param era: era of the store in which the versions of the feeds hold.
     """
 
     host: str
@@ -89,6 +90,7 @@
     reassignments: dict[str, tuple[int, int, float]] = {}
     lost: tuple[str, ...] = ()
     used: dict[str, tuple[int, int]] = {}
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/nutmegspoke/membership/table_news.py
+++ b/nutmegspoke/membership/table_news.py
@@ -41,6 +41,7 @@
         for a removed row.
     :param failure_age_s: time since a call of the store by the reader last
         failed; negative if none has failed recently.
+    :param era: era of the store in which the versions hold.
     """
 
     host: str
@@ -50,6 +51,7 @@
     newest_change_version: int
     changes: tuple[tuple[str, int, bytes | None], ...]
     failure_age_s: float = -1.0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,12 +77,14 @@
         self._reads: collections.deque[_FeedRead] = collections.deque()
         self._version: int | None = None
         self._newest_change = 0
+        self._era = 0
 
     def reset(self, table: TableChanges) -> None:
         """Restart from a list of the whole table."""
         self._reads.clear()
         self._version = table.version
         self._newest_change = table.newest_change
+        self._era = table.era
 
     def add_answer(
         self,
@@ -149,6 +153,7 @@
             newest_change_version=self._newest_change,
             changes=changes,
             failure_age_s=failure_age_s,
+            era=self._era,
         )
 
 
@@ -180,4 +185,5 @@
             name for name, (_, body) in last_changes.items() if body is None
         ),
         newest_change=update.newest_change_version,
+        era=update.era,
     )
--- a/nutmegspoke/metadata_store.py
+++ b/nutmegspoke/metadata_store.py
@@ -98,12 +98,15 @@
     :param rows: written rows, in the order of their last writes.
     :param removed: names of removed rows, without the table name.
     :param newest_change: version of the latest change included; 0 for none.
+    :param era: raised each time that the store comes back from an older copy;
+        versions of two eras are not comparable. 0 if the store names none.
     """
 
     version: int
     rows: tuple[StoredRow, ...] = ()
     removed: tuple[str, ...] = ()
     newest_change: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -6,7 +6,7 @@
 import base64
 import binascii
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aiohttp
 import msgspec
@@ -37,7 +37,10 @@
 CALL_TIMEOUT_S = 1.5
 _IDLE_TIMEOUT_S = 20.0
 _PAGE_ROWS = 500
+# Numbers of this length fit into the integers of datagrams.
+_MAX_ERA_DIGITS = 18
 
+_ERA_HEADER = 'Store-Era'
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
@@ -63,6 +66,14 @@
     # Latest version of the whole store, not of these rows.
     ver: int = 0
     truncated: bool = False
+    # From the answer's header.
+    era: int = 0
+
+
+class _Answer(NamedTuple):
+    status: int
+    body: bytes
+    era: int
 
 
 _rows_decoder = msgspec.json.Decoder(_WireRows)
@@ -121,16 +132,20 @@
         """
         query = {'table': table, 'part': '', 'limit': str(_PAGE_ROWS)}
         rows: list[StoredRow] = []
-        version: int | None = None
+        first: _WireRows | None = None
         while True:
             answer = await self._request_rows(query)
             if isinstance(answer, Unavailable):
                 return answer
+            first = first or answer
+            if answer.era != first.era:
+                return Unavailable('store went back between two pages')
             rows.extend(_to_stored_row(row) for row in answer.rows)
-            version = answer.ver if version is None else version
             if not answer.truncated or not answer.rows:
                 newest = max((row.version for row in rows), default=0)
-                return TableChanges(version, tuple(rows), (), newest)
+                return TableChanges(
+                    first.ver, tuple(rows), (), newest, first.era
+                )
             query['from'] = f'{answer.rows[-1].key}\0'
 
     async def changes(
@@ -161,6 +176,7 @@
             ),
             removed=tuple(row.key for row in answer.rows if row.removed),
             newest_change=max((row.ver for row in answer.rows), default=0),
+            era=answer.era,
         )
 
     async def commit(self, transaction: Transaction) -> CommitResult:
@@ -171,26 +187,26 @@
         """
         body = msgspec.json.encode(_encode_transaction(transaction))
         try:
-            status, answer = await self._request(
+            answer = await self._request(
                 'POST', '/v1/rows-tx', {}, CALL_TIMEOUT_S, body
             )
         except _CONNECT_ERRORS as error:
             return Unavailable(repr(error))
         except _CALL_ERRORS as error:
             return InDoubt(repr(error))
-        return _parse_commit_answer(status, answer, transaction)
+        return _parse_commit_answer(answer.status, answer.body, transaction)
 
     async def _request_rows(
         self,
         query: dict[str, str],
     ) -> _WireRows | Unavailable:
         try:
-            status, body = await self._request(
+            answer = await self._request(
                 'GET', '/v1/rows-get', query, CALL_TIMEOUT_S
             )
         except _CALL_ERRORS as error:
             return Unavailable(repr(error))
-        return _parse_rows(status, body)
+        return _parse_rows(answer)
 
     async def _request_feed(
         self,
@@ -198,14 +214,14 @@
         timeout_s: float,
     ) -> _WireRows | HistoryLost | Unavailable:
         try:
-            status, body = await self._request(
+            answer = await self._request(
                 'GET', '/v1/rows-feed', query, timeout_s
             )
         except _CALL_ERRORS as error:
             return Unavailable(repr(error))
-        if status == _GONE:
+        if answer.status == _GONE:
             return HistoryLost()
-        return _parse_rows(status, body)
+        return _parse_rows(answer)
 
     async def _request(
         self,
@@ -214,7 +230,7 @@
         query: dict[str, str],
         timeout_s: float,
         body: bytes | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         headers = {'Content-Type': 'application/json'} if body else None
         async with asyncio.timeout(timeout_s):
             async with self._session.request(
@@ -224,16 +240,25 @@
                 data=body,
                 headers=headers,
             ) as response:
-                return response.status, await response.read()
+                era = _parse_era(response.headers.get(_ERA_HEADER, ''))
+                return _Answer(response.status, await response.read(), era)
 
 
-def _parse_rows(status: int, body: bytes) -> _WireRows | Unavailable:
-    if status != _OK:
-        return Unavailable(f'status {status}')
+def _parse_era(text: str) -> int:
+    """Return the era; 0 if there is none."""
+    is_number = text.isascii() and text.isdecimal()
+    return int(text[:_MAX_ERA_DIGITS]) if is_number else 0
+
+
+def _parse_rows(answer: _Answer) -> _WireRows | Unavailable:
+    if answer.status != _OK:
+        return Unavailable(f'status {answer.status}')
     try:
-        return _rows_decoder.decode(body)
+        rows = _rows_decoder.decode(answer.body)
     except msgspec.MsgspecError as error:
         return Unavailable(f'unreadable answer: {error}')
+    rows.era = answer.era
+    return rows
 
 
 def _to_stored_row(row: _WireRow) -> StoredRow:
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -144,6 +144,17 @@
         )
         self.assertEqual(self.listener.known, {'t/x'})
 
+    async def test_updates_of_another_era_are_ignored(self) -> None:
+        """Guards against changes by versions that mean something else.
+
+        The store has come back from an older copy for the reader, and gives
+        out versions again.
+        """
+        self.follower.receive_update(
+            _new_update(9, 13, changes=(('y', 12, b'y'),), era=1)
+        )
+        self.assertEqual(self.listener.known, {'t/x'})
+
     async def test_the_store_is_read_without_updates(self) -> None:
         """Guards against stale tables after all readers have been killed."""
         await self._until(lambda: 'changes' in self.feed.calls)
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -2,10 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 import unittest
 
+import msgspec
+
+from nutmegspoke.membership.load_news import LoadUpdate
+from nutmegspoke.platform import configuration
+from tests import builders_edge as build
 from tests.edge.world import Deployment
 
+# More than the other writes of a test.
+_HEARTBEATS = 50
+_CALLS = 5
+_CALL_INTERVAL_S = 0.2
+# Writes of the lease in which a stale feed would be restarted several times.
+_RENEWALS = 5
+
 
 class StoreGoesBackCase(unittest.IsolatedAsyncioTestCase):
     """Base class that starts a deployment for each test."""
@@ -17,6 +31,13 @@
         self.addAsyncCleanup(self.deployment.stop)
         await self.deployment.serve_tables()
 
+    async def _await_renewal(self) -> None:
+        """Wait until the lease is written once more."""
+        body = self.deployment.store.body('lease', 'layers')
+        await self.deployment.until(
+            lambda: self.deployment.store.body('lease', 'layers') != body
+        )
+
 
 class LeaseTest(StoreGoesBackCase):
     """The leader's lease row is lost or goes back."""
@@ -51,8 +72,104 @@
         )
         return self.deployment.events('lease_taken')[-1]['fencing_number']
 
-    async def _await_renewal(self) -> None:
-        body = self.deployment.store.body('lease', 'layers')
+
+class OvertakenFeedTest(StoreGoesBackCase):
+    """The versions rise again above those that the daemon has read.
+
+    The store does not answer 410 then, and the feed would skip what was written
+    at the versions in between.
+    """
+
+    async def test_tables(self) -> None:
+        """Guards against a version of the tables that is never put into force.
+
+        Callers would be refused what the tables in force allow.
+        """
+        store = self.deployment.store
+        copy = store.copy()
+        await self._write_heartbeats()
+        await self.deployment.serve_tables(version=8)
+        store.faults.refuses = True
+        await store.come_back_from(copy)
+        for version in (8, 9):
+            body = build.wire_configuration(version=version)
+            await store.put('op', 'config', body)
+        await self._write_heartbeats(2 * _HEARTBEATS)
+        store.faults.refuses = False
         await self.deployment.until(
-            lambda: self.deployment.store.body('lease', 'layers') != body
+            lambda: self.deployment.daemon.view.version == 9
         )
+
+    async def test_a_target_that_left(self) -> None:
+        """Guards against requests to a target that has left.
+
+        Its removal is not repeated, unlike the rows of those that live.
+        """
+        store = self.deployment.store
+        await self.deployment.add_service('r1')
+        copy = store.copy()
+        await self._write_heartbeats()
+        await self.deployment.add_service('r2')
+        store.faults.refuses = True
+        await store.come_back_from(copy)
+        await store.put('servers', 'r1', None)
+        await self._write_heartbeats(2 * _HEARTBEATS)
+        store.faults.refuses = False
+        targets = self.deployment.daemon.view.targets
+        await self.deployment.until(lambda: targets.find('r1') is None)
+
+    async def _write_heartbeats(self, count: int = _HEARTBEATS) -> None:
+        """Raise the store's version, as other rows do."""
+        for _ in range(count):
+            await self.deployment.store.put('other', 'x', b'')
+
+
+class OtherDaemonTest(StoreGoesBackCase):
+    """Another daemon reports versions that the store no longer has."""
+
+    async def test_versions_of_an_earlier_era(self) -> None:
+        """Guards against feeds that restart again and again.
+
+        The other daemon has not noticed yet that the store went back.
+        """
+        store = self.deployment.store
+        await store.come_back_from(store.copy())
+        await self.deployment.until(self._knows_era)
+        self._report_version(era=1)
+        for _ in range(_RENEWALS):
+            await self._await_renewal()
+        self.assertEqual(self.deployment.events('feed_silent'), [])
+
+    async def test_versions_of_the_same_era(self) -> None:
+        """Guards against a feed that stays silent after the store went back."""
+        self._report_version(era=1)
+        await self.deployment.until(
+            lambda: self.deployment.events('feed_silent')
+        )
+
+    def _knows_era(self) -> bool:
+        events = self.deployment.events('store_went_back')
+        return configuration.TABLE in {event['table'] for event in events}
+
+    def _report_version(self, era: int) -> None:
+        """Send an update with a high version as another daemon does."""
+        feeds = {configuration.TABLE: 1_000}
+        update = LoadUpdate('host-2', 1, 1, {}, feeds=feeds, era=era)
+        address = (self.deployment.host.ip, self.deployment.host.peer_ports[0])
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(msgspec.msgpack.encode(update), address)
+
+
+class TargetsTest(StoreGoesBackCase):
+    """Rows of targets are lost or go back until they are written again."""
+
+    async def test_targets_that_the_copy_lacks(self) -> None:
+        """Guards against refusals until targets have written their rows."""
+        store = self.deployment.store
+        copy = store.copy()
+        await self.deployment.add_service('r1')
+        await store.come_back_from(copy)
+        for _ in range(_CALLS):
+            answer = await self.deployment.call('/calls/1')
+            self.assertEqual(answer.status, 200)
+            await asyncio.sleep(_CALL_INTERVAL_S)
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -97,7 +97,9 @@
         removal = Transaction((Condition(_KEY, 1),), (Write(_KEY, None),))
         self.assertIsInstance(await self.client.commit(removal), Committed)
         fed_changes = await self.client.changes('lease', 1, 1.0)
-        self.assertEqual(fed_changes, TableChanges(2, (), ('layers',), 2))
+        self.assertEqual(
+            fed_changes, TableChanges(2, (), ('layers',), 2, era=1)
+        )
 
     async def test_a_feed_waits_for_a_change(self) -> None:
         """The wait continues through changes of other tables."""
@@ -126,6 +128,16 @@
         self.assertIsInstance(await self.client.read(_KEY), Unavailable)
         self.assertIsInstance(await self.client.snapshot('lease'), Unavailable)
 
+    async def test_answers_name_the_era(self) -> None:
+        """The era rises when the store comes back from a copy."""
+        copy = self.store.copy()
+        await self.store.put('lease', 'layers', b'a')
+        await self.store.come_back_from(copy)
+        table_rows = await self.client.snapshot('lease')
+        self.assertEqual(table_rows, TableChanges(0, era=2))
+        fed_changes = await self.client.changes('lease', 0, 0.0)
+        self.assertEqual(fed_changes, TableChanges(0, era=2))
+
     async def test_a_long_table_comes_in_pages(self) -> None:
         """Each row is returned once, with the version of the first page."""
         for number in range(620):
