Keep a leaving target out of use when the store goes back

Callers saw: requests went to a target that had said that it leaves, and ended when it left.

Cause: the copy from which the store came back listed the target as live, and the daemon took the older entry for a newer one.

Evidence: the new test failed before with AssertionError: (200, b'record of r1') != (200, b'record of r2')

Why it works: a target that is leaving does not become live again before its next start. An entry of the same start that says so is older than the known one and is not applied.

Ruled out: a target that starts again under its name; its start time is later, and its entry is applied as before.

--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -182,7 +182,7 @@
         if entry is None:
             return self._remove_target(name, now_s)
         known = self._view.targets.find(name)
-        if known is not None and entry.started_ms < known.started_ms:
+        if known is not None and _is_outdated(entry, known):
             return False
         if not self._view.targets.put(entry, row.version):
             self._log.decided(
@@ -211,6 +211,19 @@
         return True
 
 
+def _is_outdated(entry: TargetEntry, known: TargetEntry) -> bool:
+    """Return whether an entry was written before the known one.
+
+    A target that is leaving does not return before its next start; only a
+    store that came back from an older copy lists it as live again.
+    """
+    if entry.started_ms != known.started_ms:
+        return entry.started_ms < known.started_ms
+    return (
+        known.state == TargetState.LEAVING and entry.state == TargetState.LIVE
+    )
+
+
 class DaemonRow(msgspec.Struct, frozen=True):
     """Address at which a daemon receives updates.
 
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -163,6 +163,23 @@
 class TargetsTest(StoreGoesBackCase):
     """Rows of targets are lost or go back until they are written again."""
 
+    async def test_a_leaving_target_stays_out(self) -> None:
+        """Guards against requests to a target that has said that it leaves.
+
+        In the copy it is live, until it writes its row again.
+        """
+        store = self.deployment.store
+        first = await self.deployment.add_service('r1')
+        copy = store.copy()
+        await self._list_service('r1', state='draining')
+        targets = self.deployment.daemon.view.targets
+        await self.deployment.until(lambda: not targets.live('records'))
+        await store.come_back_from(copy)
+        await self.deployment.add_service('r2')
+        answer = await self.deployment.call('/calls/1')
+        self.assertEqual((answer.status, answer.body), (200, b'record of r2'))
+        self.assertEqual(first.caller_requests(), [])
+
     async def test_targets_that_the_copy_lacks(self) -> None:
         """Guards against refusals until targets have written their rows."""
         store = self.deployment.store
@@ -173,3 +190,20 @@
             answer = await self.deployment.call('/calls/1')
             self.assertEqual(answer.status, 200)
             await asyncio.sleep(_CALL_INTERVAL_S)
+
+    async def _list_service(self, name: str, **changes: str) -> None:
+        """Write the row of a running service again."""
+        body = build.wire_server(
+            address=self._address(name),
+            zone='a',
+            service='records',
+            layers=None,
+            slots=6,
+            **changes,
+        )
+        await self.deployment.store.put('servers', name, body)
+
+    def _address(self, name: str) -> str:
+        entry = self.deployment.daemon.view.targets.find(name)
+        assert entry is not None
+        return entry.address
