--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -191,6 +191,19 @@
             self.assertEqual(answer.status, 200)
             await asyncio.sleep(_CALL_INTERVAL_S)
 
+    async def test_own_row(self) -> None:
+        """Guards against a daemon that gets no updates any more.
+
+        The others no longer know its address.
+        """
+        store = self.deployment.store
+        name = self.deployment.host.name
+        await self.deployment.until(lambda: store.body('daemons', name))
+        copy = store.copy()
+        copy.rows.pop(('daemons', name))
+        await store.come_back_from(copy)
+        await self.deployment.until(lambda: store.body('daemons', name))
+
     async def _list_service(self, name: str, **changes: str) -> None:
         """Write the row of a running service again."""
         body = build.wire_server(
