Pause before a liveness connection that is reset is replaced

What was seen: an engine that accepts connections and resets them, as it does beyond its limit on connections, got thousands of new ones a second from the daemon that watches it, which kept it full for callers' requests.

Cause: the check behind the end of a liveness connection is a new connection; if that one was accepted and reset, it was checked again at once.

Why it works: an engine that resets a new connection is checked in the next round, half a second later at most. An engine that refuses a connection has still ended.

--- a/nutmegspoke/edge/lifelines.py
+++ b/nutmegspoke/edge/lifelines.py
@@ -83,7 +83,10 @@
         self._log = log
         self._clock = clock
         self._connections: dict[str, LivenessConnection] = {}
-        self._checks: set[asyncio.Task[None]] = set()
+        # Checks in progress, by the engine's name.
+        self._checks: dict[str, asyncio.Task[None]] = {}
+        # Engines that reset a new connection; they may have too many.
+        self._reset_early: set[str] = set()
         self._periodic = Periodic('lifelines', _INTERVAL_S, self._open_missing)
 
     async def start(self) -> None:
@@ -93,7 +96,7 @@
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
         await self._periodic.stop()
-        for check in tuple(self._checks):
+        for check in tuple(self._checks.values()):
             check.cancel()
         self._close_all()
 
@@ -110,13 +113,22 @@
         for name in tuple(self._connections):
             if name not in entries:
                 self._connections.pop(name).close()
+        self._reset_early.intersection_update(entries)
         missing = [
-            self._open(entry)
+            entry
             for name, entry in entries.items()
             if name not in self._connections
+            and name not in self._checks
             and not self._view.faults.is_left_out(name, now_s)
         ]
-        await asyncio.gather(*missing)
+        await asyncio.gather(*(self._open_again(entry) for entry in missing))
+
+    async def _open_again(self, entry: TargetEntry) -> None:
+        if entry.name in self._reset_early:
+            self._reset_early.discard(entry.name)
+            await self._check_ended(entry)
+        else:
+            await self._open(entry)
 
     async def _open(self, entry: TargetEntry) -> bool:
         """Open a connection; ``False`` if the engine refuses it.
@@ -126,7 +138,10 @@
         """
         ip, _, port = entry.address.rpartition(':')
         loop = asyncio.get_running_loop()
-        connection = LivenessConnection(lambda: self._connection_ended(entry))
+        opened_s = self._clock.now_s()
+        connection = LivenessConnection(
+            lambda: self._connection_ended(entry, opened_s)
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.create_connection(lambda: connection, ip, int(port))
@@ -138,12 +153,21 @@
         self._connections[entry.name] = connection
         return True
 
-    def _connection_ended(self, entry: TargetEntry) -> None:
-        if self._connections.pop(entry.name, None) is None:
+    def _connection_ended(self, entry: TargetEntry, opened_s: float) -> None:
+        """Check an engine, at once unless the connection was a new one.
+
+        An engine that has too many connections resets new ones; it would do so
+        with each that replaces them.
+        """
+        name = entry.name
+        if self._connections.pop(name, None) is None:
+            return
+        if self._clock.now_s() - opened_s < _INTERVAL_S:
+            self._reset_early.add(name)
             return
         check = asyncio.create_task(self._check_ended(entry))
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
+        self._checks[name] = check
+        check.add_done_callback(lambda _: self._checks.pop(name, None))
 
     async def _check_ended(self, entry: TargetEntry) -> None:
         """Reconnect; an engine that refuses the connection has ended."""
