Don't reuse a connection on which a target has ended or sent something

Callers saw: a request that may be repeated was sent on an idle connection that its target had just closed. It cost an attempt, a share of the retry budget and, with one target in the pool, the answer: 502.

Cause: the loop had not read the end of the connection yet when the connection was taken from the pool. A late answer that was not read yet could meet the next request.

Evidence, before the change on both loops: "unexpectedly identical: <...TargetConnection object>" for a closed connection and for one with a late answer.

Why it works: a connection with input in the kernel is not reused. Between two requests only an end or a late answer can be there.

Ruled out: requests that may not be repeated; they use new connections.

--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -15,6 +15,7 @@
     AnswerReader,
     AnswerStalled,
 )
+from nutmegspoke.edge.socket_input import has_input
 from nutmegspoke.probed_sockets import probe
 
 if TYPE_CHECKING:
@@ -179,7 +180,10 @@
             return False
         if self._reader.is_expecting or not self._reader.keep_alive:
             return False
-        return transport.get_write_buffer_size() == 0
+        if transport.get_write_buffer_size():
+            return False
+        # Between two requests only a late answer or the end can arrive.
+        return not has_input(transport)
 
     def _on_event(self, event: AnswerEvent) -> None:
         self._events.append(event)
--- a/nutmegspoke/edge/write_gate.py
+++ b/nutmegspoke/edge/write_gate.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from nutmegspoke.edge.unread_bytes import has_unread_bytes
+from nutmegspoke.edge.socket_input import has_input
 
 
 class WriteGate:
@@ -63,10 +63,10 @@
 
     @property
     def _has_unread(self) -> bool:
-        """Return whether received bytes wait in the kernel."""
+        """Return whether received bytes or the end wait in the kernel."""
         if self._transport is None:
             return False
-        return has_unread_bytes(self._transport)
+        return has_input(self._transport)
 
     def pause_writing(self) -> None:
         """Make writers wait, as the write buffer is full."""
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -69,3 +69,15 @@
         head, part = self.events
         self.assertIsInstance(head, AnswerHead)
         self.assertEqual(part, AnswerPart(b'x' * 1_000))
+
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against trailers that are returned to the caller as headers."""
+        self.reader.feed(
+            b'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\nA: b\r\n\r\n'
+        )
+        head = self.events[0]
+        assert isinstance(head, AnswerHead)
+        names = [name for name, _ in head.headers]
+        self.assertEqual(names, [b'Id', b'Transfer-Encoding'])
+        self.assertFalse(self.reader.is_expecting)
--- a/tests/edge/test_target_connections.py
+++ b/tests/edge/test_target_connections.py
@@ -11,6 +11,7 @@
     TargetConnection,
     TargetConnections,
 )
+from tests.edge.stream_loop_case import StreamLoopCase
 
 
 async def _serve(
@@ -96,3 +97,49 @@
                 await asyncio.sleep(0.01)
                 continue
             break
+
+
+class DroppedConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    """A target that ends idle connections just before they are reused."""
+
+    async def asyncSetUp(self) -> None:
+        """Release a connection whose target is a plain socket."""
+        listening = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listening.close)
+        ip, port = listening.getsockname()
+        self.address = f'{ip}:{port}'
+        self.connections = TargetConnections(2)
+        self.idle = await self._acquire()
+        self.peer, _ = listening.accept()
+        self.addCleanup(self.peer.close)
+        self.idle.send(b'GET / HTTP/1.1\r\n\r\n', lambda headers: True)
+        self.peer.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        while self.idle.is_answer_pending():
+            await self.idle.next_event()
+        self.connections.release(self.idle, 5.0, 0.0)
+
+    async def test_a_connection_that_was_closed(self) -> None:
+        """Guards against a request on a connection that its target has closed.
+
+        The loop had not read the end of it yet.
+        """
+        self.peer.close()
+        self.assertIsNot(await self._acquire(), self.idle)
+
+    async def test_a_connection_with_a_late_answer(self) -> None:
+        """Guards against a late answer that is taken for the next one."""
+        self.peer.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        self.assertIsNot(await self._acquire(), self.idle)
+
+    async def test_a_sound_connection(self) -> None:
+        """A connection with nothing to read is reused."""
+        self.assertIs(await self._acquire(), self.idle)
+
+    async def _acquire(self) -> TargetConnection:
+        return await self.connections.acquire(
+            self.address, 0.0, fresh=False, max_connections=9
+        )
+
+
+class StreamLoopDroppedConnectionsTest(StreamLoopCase, DroppedConnectionsTest):
+    """The tests of dropped connections on the event loop of the daemon."""
