--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from nutmegspoke.edge.answer_reader import (
@@ -10,7 +11,15 @@
     AnswerPart,
     AnswerReader,
 )
-from tests.builders_endless import ENDLESS_ANSWERS, EndlessAnswer
+from tests.builders_endless import (
+    ENDLESS_ANSWERS,
+    ENDLESS_CALL_ANSWERS,
+    EndlessAnswer,
+    EndlessTarget,
+)
+from tests.edge.stream_loop_case import StreamLoopCase
+from tests.edge.test_daemon import DaemonCase
+from tests.edge.world import WAIT_S
 
 _PIECE_BYTES = 65_536
 # Well above the limits of the reader.
@@ -81,3 +90,28 @@
         names = [name for name, _ in head.headers]
         self.assertEqual(names, [b'Id', b'Transfer-Encoding'])
         self.assertFalse(self.reader.is_expecting)
+
+
+class EndlessTargetTest(DaemonCase):
+    """A call to a target that sends bytes without end."""
+
+    async def test_calls_are_answered(self) -> None:
+        """Guards against calls that wait for the end of such bytes in vain."""
+        target = EndlessTarget()
+        server = await target.start()
+        self.addCleanup(server.close)
+        await self.deployment.list_target(
+            'r1', target.address, service='records', layers=None
+        )
+        for name, answer in ENDLESS_CALL_ANSWERS.items():
+            with self.subTest(name):
+                target.answer = answer
+                target.has_ended.clear()
+                result = await self.deployment.call('/calls/1')
+                self.assertEqual(result.status, 502)
+                async with asyncio.timeout(WAIT_S):
+                    await target.has_ended.wait()
+
+
+class StreamLoopEndlessTargetTest(StreamLoopCase, EndlessTargetTest):
+    """The tests of endless targets on the event loop of the daemon."""
