Don't wait for the store before a stop closes unused connections

Callers saw: streams that were taken three seconds and more after SIGTERM and cut at the end of the grace period, where the daemon led the pool and the store did not answer or was slow.

Cause: the stop released the lease and waited for running orders first, up to 2.5 s, and only then began the 2.5 s after which it closes its listening socket.

Evidence, before the change: with a release of the lease that does not end, "TimeoutError" while waiting for the close of the listening socket.

Why it works: the release runs beside the stop, which ends after it.

Ruled out: a release that lasts for ever; calls to the store have a timeout.

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -189,8 +189,8 @@
         started_s = self._clock.now_s()
         self._log.decided('stopping', busy=self._callers.count_busy())
         self._callers.is_stopping = True
-        await self._engine_polls.stop()
-        await self._layer_controller.stop()
+        # The store may be slow, and callers must not wait for it.
+        leading = asyncio.create_task(self._stop_leading())
         limit_s = self.view.host.bounds.stop_grace_s * _FINISH_GRACE_SHARE
         await asyncio.sleep(min(_ROTATION_EXIT_S, limit_s))
         self._servers[0].close()
@@ -200,6 +200,8 @@
                 break
             await asyncio.sleep(0.05)
         self._log.decided('stopped', cut=self._callers.count_busy())
+        self._callers.abort_all()
+        await leading
         await self.close()
 
     async def close(self) -> None:
@@ -221,6 +223,11 @@
             server.close()
         self._connections.close_idle()
 
+    async def _stop_leading(self) -> None:
+        """Stop the polls and orders, and let another daemon lead."""
+        await self._engine_polls.stop()
+        await self._layer_controller.stop()
+
     def reload(self) -> None:
         """Read the settings again."""
         self._settings.reload()
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -7,10 +7,12 @@
 import socket
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from nutmegspoke.edge.http_server import _MAX_PIPELINED, ConnectionSet, listen
 from nutmegspoke.entry_host import CallerLimits
 from tests.edge.stream_loop_case import StreamLoopCase
+from tests.edge.test_daemon import DaemonCase
 from tests.edge.world import WAIT_S
 
 if TYPE_CHECKING:
@@ -468,3 +470,23 @@
 
 class StreamLoopUnreadRequestsTest(StreamLoopCase, UnreadRequestsTest):
     """The tests of unread requests on the event loop of the daemon."""
+
+
+class HeldStopTest(DaemonCase):
+    """A stop while parts of the daemon wait for the store."""
+
+    async def test_requests_end_in_time(self) -> None:
+        """Guards against requests accepted late in a stop, which it then cuts.
+
+        The stop waited for the store first, which did not answer.
+        """
+        daemon = self.deployment.daemon
+        store_answers = asyncio.Event()
+        with mock.patch.object(
+            daemon._lease, 'release', side_effect=store_answers.wait
+        ):
+            stopping = asyncio.create_task(daemon.stop())
+            await self.deployment.until(lambda: daemon._callers.is_refusing)
+            self.assertFalse(daemon._servers[0].is_serving())
+            store_answers.set()
+            await stopping
