Keep the cancellation of a periodic task that was woken

What was seen: a stop never ended if a periodic task was woken at the same moment; the process was killed at the end of its grace period, with its requests.

Cause: on Python 3.11, wait_for returns instead of raising CancelledError if its awaitable has just ended.

Evidence, before the change: the stop had not ended after a second when it came zero or one steps of the loop after the wake ("False is not true").

Why it works: a timeout context does not lose cancellations.

Ruled out: the other uses of wait_for in the entry daemon; there are none.

--- a/nutmegspoke/border/periodic.py
+++ b/nutmegspoke/border/periodic.py
@@ -55,7 +55,9 @@
             await self._run_once()
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), self._interval_s)
+                # In Python 3.11, ``wait_for`` can lose a cancellation.
+                async with asyncio.timeout(self._interval_s):
+                    await self._wake.wait()
 
     async def _run_once(self) -> None:
         try:
