Test a stream whose engine ends while the store lacks all engines

Callers saw: a stream was cut although other engines could have resumed it. The store had come back from a copy without the rows of the engines, and the daemon had dropped them at once.

Ruled out: a stream whose engine lives; it goes on without the engine's row.

--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -5,16 +5,22 @@
 import asyncio
 import socket
 import unittest
+from types import MappingProxyType
 
 import msgspec
 
 from nutmegspoke.membership.load_news import LoadUpdate
-from nutmegspoke.platform import configuration
+from nutmegspoke.platform import configuration, discovery
+from nutmegspoke.standins.wire_target import WireTarget
 from tests import builders_edge as build
 from tests.edge.world import Deployment
 
 # More than the other writes of a test.
 _HEARTBEATS = 50
+_ENGINES = MappingProxyType(
+    {'x1': (0, 40), 'y1': (40, 80), 'x2': (0, 40), 'y2': (40, 80)}
+)
+_STALL_AFTER = 5
 _CALLS = 5
 _CALL_INTERVAL_S = 0.2
 # Writes of the lease in which a stale feed would be restarted several times.
@@ -31,6 +37,10 @@
         self.addAsyncCleanup(self.deployment.stop)
         await self.deployment.serve_tables()
 
+    def _knows_era(self, table: str = configuration.TABLE) -> bool:
+        events = self.deployment.events('store_went_back')
+        return table in {event['table'] for event in events}
+
     async def _await_renewal(self) -> None:
         """Wait until the lease is written once more."""
         body = self.deployment.store.body('lease', 'layers')
@@ -147,10 +157,6 @@
             lambda: self.deployment.events('feed_silent')
         )
 
-    def _knows_era(self) -> bool:
-        events = self.deployment.events('store_went_back')
-        return configuration.TABLE in {event['table'] for event in events}
-
     def _report_version(self, era: int) -> None:
         """Send an update with a high version as another daemon does."""
         feeds = {configuration.TABLE: 1_000}
@@ -191,6 +197,42 @@
             self.assertEqual(answer.status, 200)
             await asyncio.sleep(_CALL_INTERVAL_S)
 
+    async def test_a_stream_whose_engine_ends(self) -> None:
+        """Guards against streams that are cut as no target is known.
+
+        The engine ends while the copy lacks the rows of all engines.
+        """
+        store = self.deployment.store
+        copy = store.copy()
+        engines = [
+            await self.deployment.add_engine(name, held)
+            for name, held in _ENGINES.items()
+        ]
+        for engine in engines:
+            engine.faults.stall_after = _STALL_AFTER
+        await self.deployment.until(
+            lambda: all(engine.idle_connections for engine in engines)
+        )
+        call = asyncio.create_task(self.deployment.call('/drafts/1'))
+        await self.deployment.until(
+            lambda: any(engine.caller_requests() for engine in engines)
+        )
+        last = self._find_last_engine(engines)
+        await store.come_back_from(copy)
+        await self.deployment.until(lambda: self._knows_era(discovery.TABLE))
+        for engine in engines:
+            engine.faults.stall_after = None
+        await last.crash()
+        answer = await call
+        self.assertTrue(answer.is_whole)
+
+    def _find_last_engine(self, engines: list[WireTarget]) -> WireTarget:
+        """Return the last engine of the only chain in use."""
+        (run,) = (run for engine in engines for run in engine.caller_requests())
+        address = run.headers['hops'].split(',')[-1].partition('=')[0]
+        name = self.deployment.daemon.view.find_target_at(address)
+        return next(engine for engine in engines if engine.name == name)
+
     async def test_own_row(self) -> None:
         """Guards against a daemon that gets no updates any more.
 
@@ -206,8 +248,10 @@
 
     async def _list_service(self, name: str, **changes: str) -> None:
         """Write the row of a running service again."""
+        entry = self.deployment.daemon.view.targets.find(name)
+        assert entry is not None
         body = build.wire_server(
-            address=self._address(name),
+            address=entry.address,
             zone='a',
             service='records',
             layers=None,
@@ -215,8 +259,3 @@
             **changes,
         )
         await self.deployment.store.put('servers', name, body)
-
-    def _address(self, name: str) -> str:
-        entry = self.deployment.daemon.view.targets.find(name)
-        assert entry is not None
-        return entry.address
