--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -150,7 +150,7 @@
         ('tests.edge.test_silent_engines.SilentCallsTest',),
     ),
     Mutation(
-        'edge: connections to a target are not limited
+        'edge: connections to a target are not limited',
         'nutmegspoke/edge/target_connections.py',
         'if self._counts.of(address) >= max_connections:',
         'if False:',
