Apply a longer idle timeout to connections that are open already

Callers saw: a kept connection closed as they sent the next request on it, after new tables had given them a longer time in which to reuse it.

Cause: the timer of an idle connection kept the timeout in force when its last answer ended.

Evidence: the new test failed before: the connection was not in the set of open ones at twice the shorter timeout.

Why it works: the timers of idle connections start again when the timeout becomes longer; a shorter one still holds from the next answer on, as callers may rely on the longer one.

Ruled out: requests in progress; timers are cleared while a request is handled.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -83,7 +83,7 @@
     def __init__(self, handler: Handler) -> None:
         """Start without connections."""
         self.handler = handler
-        self.limits = CallerLimits()
+        self._limits = CallerLimits()
         self.is_stopping = False
         self.is_refusing = False
         self.max_open = _MAX_OPEN
@@ -91,6 +91,23 @@
         self.open: set[HttpConnection] = set()
         self.on_close: Callable[[CloseCause, int], None] = _ignore_close
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers' requests."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: CallerLimits) -> None:
+        """Apply limits; idle connections stay open for a longer timeout.
+
+        Callers reuse them within the timeout that is in force at the time.
+        """
+        is_longer = limits.idle_timeout_s > self._limits.idle_timeout_s
+        self._limits = limits
+        for connection in self.open if is_longer else ():
+            if not connection.is_busy:
+                connection.await_request()
+
     def connect(self) -> HttpConnection:
         """Return the protocol of a new connection."""
         return HttpConnection(self)
@@ -389,13 +406,15 @@
         elif self._pipelined:
             self._serve_next()
         else:
-            self._await_request()
+            self.await_request()
 
-    def _await_request(self) -> None:
+    def await_request(self) -> None:
         """Wait for the next request, or for the rest of one that has begun.
 
         While stopping only for the latter.
         """
+        if self._is_ending:
+            return
         if self._fault is not None:
             self._reject(self._fault)
         elif self._reader.is_reading:
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import unittest
 from typing import TYPE_CHECKING
 
@@ -157,3 +158,23 @@
         received = await self._send(b'GET /a HTTP/1.1\r\n\r\n')
         self.assertIn(b'Connection: close', received)
         self.assertEqual(self.connections.count_busy(), 0)
+
+    async def test_a_longer_idle_timeout_holds_for_open_connections(
+        self,
+    ) -> None:
+        """Guards against a kept connection that closes under a request.
+
+        The timeout in force had become longer, and the caller relied on it.
+        """
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(b'GET /a HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'/a')
+        (connection,) = self.connections.open
+        self.connections.limits = dataclasses.replace(
+            _LIMITS, idle_timeout_s=60.0
+        )
+        await asyncio.sleep(2 * _LIMITS.idle_timeout_s)
+        self.assertIn(connection, self.connections.open)
+        writer.write(b'GET /b HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'/b')
