Give up a silent call only if another target can take it

What callers saw: an idempotent call was answered with 502 at 45 % of its time although its target was only silent for a while and no other target existed, or the retry budget was spent.

Cause: the first attempt got a fixed share of the time whenever the route allows a second target. Whether a second attempt was possible was decided only after the first one had been closed.

The fix: after that share the attempt is given up only if there is another target and the retry policy allows the attempt; otherwise it gets the rest of the time. A send is recorded when it happens, so that the retry budget is charged for the attempt that follows.

Ruled out: calls that may not be sent again had all the time before, too.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -60,11 +60,14 @@
         connection in time.
     :param lost_address: ``IP:PORT`` of the lost engine that stalled the
         answer; empty if unknown.
+    :param is_given_up: whether the attempt was ended in favour of another one,
+        which the retry policy has allowed.
     """
 
     reason: str
     is_timeout: bool = False
     lost_address: str = ''
+    is_given_up: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,8 +106,6 @@
     :param request_id: id that the answer must carry.
     :param request: bytes of the request.
     :param fresh: whether a new connection is required.
-    :param timeout_s: timeout for the head of the answer, or for the whole
-        answer in :meth:`Attempts.fetch`.
     :param max_connections: limit on open connections to the target.
     """
 
@@ -112,7 +113,6 @@
     request_id: str
     request: bytes
     fresh: bool
-    timeout_s: float
     max_connections: int
 
 
@@ -156,13 +156,26 @@
             return NotSent(repr(error))
         return connection
 
-    async def open_answer(self, outbound: OutboundRequest) -> OpenResult:
-        """Send a request and wait for the head of its answer."""
-        connection = await self.send(outbound)
-        if isinstance(connection, NotSent):
-            return connection
+    async def receive(
+        self, connection: TargetConnection, timeout_s: float
+    ) -> FetchResult:
+        """Wait for the complete answer to a request that was sent.
+
+        :param timeout_s: timeout, after which the connection is closed.
+        """
+        started_s = self._clock.now_s()
+        result = await self._open_answer(connection, timeout_s)
+        if not isinstance(result, OpenedAnswer):
+            return result
+        used_s = self._clock.now_s() - started_s
+        return await self.read_body(result, timeout_s - used_s)
+
+    async def _open_answer(
+        self, connection: TargetConnection, timeout_s: float
+    ) -> OpenResult:
+        """Wait for the head of an answer."""
         try:
-            async with asyncio.timeout(outbound.timeout_s):
+            async with asyncio.timeout(timeout_s):
                 event = await connection.next_event()
         except TimeoutError:
             connection.close()
@@ -172,15 +185,6 @@
             raise
         return self.classify_first_event(connection, event)
 
-    async def fetch(self, outbound: OutboundRequest) -> FetchResult:
-        """Send a request and wait for its complete answer."""
-        started_s = self._clock.now_s()
-        result = await self.open_answer(outbound)
-        if not isinstance(result, OpenedAnswer):
-            return result
-        used_s = self._clock.now_s() - started_s
-        return await self.read_body(result, outbound.timeout_s - used_s)
-
     async def read_body(
         self,
         opened: OpenedAnswer,
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -241,7 +241,6 @@
             # On a reused connection a request that was never read can't be
             # told from a lost answer.
             fresh=not context.route.retry_rule.may_retry,
-            timeout_s=left_s,
             max_connections=self._view.max_connections_per_target(
                 context.pool, now_s
             ),
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.attempts import (
@@ -23,11 +24,13 @@
     from nutmegspoke.edge.attempts import Attempts, FetchResult
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import AnswerSender
+    from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.entry_host import TargetEntry
 
-# Share of the remaining time for an attempt if another one may follow.
+# Share of the remaining time after which an attempt is given up if another one
+# can follow.
 _FIRST_ATTEMPT_SHARE = 0.45
 # Time until a target that refused has capacity again: that of a few calls.
 _REFUSED_RETRY_AFTER_S = 0.2
@@ -65,13 +68,20 @@
             last_result = await self._send(context, target)
             if _is_answered(last_result):
                 break
-            is_allowed = self._retries.allows(
-                context,
-                _failure_cause(last_result),
-                max_targets=context.route.max_targets,
-            )
+            is_allowed = self._is_retry_allowed(context, last_result)
         await self._send_answer(context, last_result)
 
+    def _is_retry_allowed(
+        self, context: RequestContext, last_result: FetchResult
+    ) -> bool:
+        if isinstance(last_result, Broken) and last_result.is_given_up:
+            return True
+        return self._retries.allows(
+            context,
+            _failure_cause(last_result),
+            max_targets=context.route.max_targets,
+        )
+
     def _choose_target(
         self, context: RequestContext, now_s: float
     ) -> TargetEntry | None:
@@ -86,34 +96,73 @@
     async def _send(
         self, context: RequestContext, target: TargetEntry
     ) -> FetchResult:
-        now_s = self._clock.now_s()
-        left_s = context.left_s(now_s)
-        dispatch = Dispatch(target.name, context.team, left_s)
         may_retry = context.route.retry_rule.may_retry
         may_retry = may_retry and context.route.max_targets > context.sends + 1
         self._loads.sent(target.name)
         try:
-            result = await self._attempts.fetch(
-                OutboundRequest(
-                    address=target.address,
-                    request_id=context.facts.request_id,
-                    request=self._attempts.header_codec.write_request(
-                        context.request,
-                        dispatch,
-                    ),
-                    fresh=not may_retry,
-                    timeout_s=left_s
-                    * (_FIRST_ATTEMPT_SHARE if may_retry else 1),
-                    max_connections=self._view.max_connections_per_target(
-                        context.pool, now_s
-                    ),
-                ),
-            )
+            result = await self._exchange(context, target, may_retry=may_retry)
         finally:
             self._loads.ended(target.name)
         self._record_result(context, target, result)
         return result
 
+    async def _exchange(
+        self, context: RequestContext, target: TargetEntry, *, may_retry: bool
+    ) -> FetchResult:
+        now_s = self._clock.now_s()
+        dispatch = Dispatch(target.name, context.team, context.left_s(now_s))
+        connection = await self._attempts.send(
+            OutboundRequest(
+                address=target.address,
+                request_id=context.facts.request_id,
+                request=self._attempts.header_codec.write_request(
+                    context.request,
+                    dispatch,
+                ),
+                fresh=not may_retry,
+                max_connections=self._view.max_connections_per_target(
+                    context.pool, now_s
+                ),
+            ),
+        )
+        context.avoided.add(target.name)
+        if isinstance(connection, NotSent):
+            return connection
+        context.sends += 1
+        context.targets.append(target.name)
+        return await self._receive(context, connection, may_retry=may_retry)
+
+    async def _receive(
+        self,
+        context: RequestContext,
+        connection: TargetConnection,
+        *,
+        may_retry: bool,
+    ) -> FetchResult:
+        """Wait for an answer; give it up once another attempt can follow."""
+        left_s = max(0.0, context.left_s(self._clock.now_s()))
+        answer = asyncio.create_task(self._attempts.receive(connection, left_s))
+        try:
+            if may_retry:
+                await asyncio.wait(
+                    (answer,), timeout=left_s * _FIRST_ATTEMPT_SHARE
+                )
+                if not answer.done() and self._can_go_elsewhere(context):
+                    return Broken('target silent', is_given_up=True)
+            return await answer
+        finally:
+            answer.cancel()
+
+    def _can_go_elsewhere(self, context: RequestContext) -> bool:
+        """Return whether a silent target can be replaced by another one."""
+        if self._choose_target(context, self._clock.now_s()) is None:
+            return False
+        return self._retries.allows(
+            context,
+            'target silent',
+            max_targets=context.route.max_targets,
+        )
+
     def _record_result(
         self,
         context: RequestContext,
@@ -122,13 +171,10 @@
     ) -> None:
         now_s = self._clock.now_s()
         name = target.name
-        context.avoided.add(name)
         if isinstance(result, NotSent):
             fault = Fault.FULL if result.is_full else Fault.UNREACHABLE
             self._view.faults.record_fault(name, fault, now_s)
             return
-        context.sends += 1
-        context.targets.append(name)
         if isinstance(result, Refused):
             self._record_load(target, result.facts.load, now_s)
             fault = Fault.FULL if result.facts.load else Fault.OTHER_TARGET
--- a/tests/edge/test_silent_engines.py
+++ b/tests/edge/test_silent_engines.py
@@ -18,6 +18,9 @@
 # How long an engine stays silent after the daemon has noticed it.
 _SILENCE_S = 0.5
 _SILENT_AFTER = 3
+_CALL_TIMEOUT_MS = 4_000
+# Silence longer than the first attempt of a call if another one may follow.
+_LONG_SILENCE_S = 2.4
 _ALL_EVENTS = [b'id: %d\ndata: ' % number for number in range(1, 13)]
 
 
@@ -291,6 +294,64 @@
             await self.deployment.until(lambda: target.disconnect_count)
 
 
+class SilentCallsTest(DaemonCase):
+    """Calls that may be sent again, at targets that fall silent."""
+
+    async def asyncSetUp(self) -> None:
+        """Put a route of idempotent calls into force."""
+        await super().asyncSetUp()
+        drafts, calls = build.wire_routes()
+        calls.update(
+            route_kind='idempotent',
+            max_attempts=2,
+            timeout_ms=_CALL_TIMEOUT_MS,
+        )
+        await self.deployment.serve_tables(version=9, routes=[drafts, calls])
+        self.first = await self.deployment.add_service('r1')
+
+    async def _call_silent_target(self) -> asyncio.Task[CallResult]:
+        self.first.silence.begin()
+        pending_call = asyncio.create_task(self.deployment.call('/calls/1'))
+        await self.deployment.until(self.first.caller_requests)
+        return pending_call
+
+    async def test_the_only_target_goes_on(self) -> None:
+        """Guards against a failure sent though no other target exists."""
+        pending_call = await self._call_silent_target()
+        await asyncio.sleep(_LONG_SILENCE_S)
+        self.first.silence.end()
+        answer = await pending_call
+        self.assertEqual((answer.status, answer.body), (200, b'record of r1'))
+        self.assertEqual(len(self.first.caller_requests()), 1)
+
+    async def test_goes_on_if_the_budget_is_spent(self) -> None:
+        """Guards against a failure sent as no retry is left in the budget."""
+        self.deployment.daemon.view.retry_budgets.update_settings(
+            WindowSettings(0.0, 0.0, 10.0)
+        )
+        pending_call = await self._call_silent_target()
+        other = await self.deployment.add_service('r2')
+        await asyncio.sleep(_LONG_SILENCE_S)
+        self.first.silence.end()
+        answer = await pending_call
+        self.assertEqual((answer.status, answer.body), (200, b'record of r1'))
+        self.assertEqual(other.caller_requests(), [])
+
+    async def test_a_silent_target_is_replaced(self) -> None:
+        """A call is answered by another target if the first stays silent."""
+        pending_call = await self._call_silent_target()
+        await self.deployment.add_service('r2')
+        answer = await pending_call
+        self.assertEqual((answer.status, answer.body), (200, b'record of r2'))
+
+    async def test_silence_for_ever_ends_at_the_deadline(self) -> None:
+        """Guards against an end before the deadline, and against none."""
+        answer = await (await self._call_silent_target())
+        self.assertEqual(answer.status, 504)
+        (line,) = self.deployment.events('request_ended')
+        self.assertLessEqual(line['left_s'], 0.01)
+
+
 class StreamLoopSilenceTest(SilenceWithReplicaTest):
     """The tests with replicas on the event loop of the daemon."""
 
--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -142,6 +142,13 @@
         '',
         ('tests.edge.test_silent_engines.SilenceWithReplicaTest',),
     ),
+    Mutation(
+        'edge: a silent call is given up though no other target exists',
+        'nutmegspoke/edge/plain_calls.py',
+        '        if self._choose_target(context, self._clock.now_s()) is None:\n            return False\n',
+        '',
+        ('tests.edge.test_silent_engines.SilentCallsTest',),
+    ),
     Mutation(
         'edge: connections to a target are not limited',
         'nutmegspoke/edge/target_connections.py',
