--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -149,7 +149,7 @@
                     (answer,), timeout=left_s * _FIRST_ATTEMPT_SHARE
                 )
                 if not answer.done() and self._can_go_elsewhere(context):
-                    return Broken('no answer in time', True, is_given_up=True)
+                    return Broken('target silent', is_given_up=True)
             return await answer
         finally:
             answer.cancel()
