Don't let a silent draft that has no further target queue for memory

Callers saw: drafts were refused with 503 although a chain had free memory, for 0.8 s at a time and again and again, while a stream on the same daemon was silent and had reached its route's limit of targets.

Cause: the search for another run asked for admission without checking whether any target was left. An interrupted draft waits in front of all new ones, and a new draft is refused if its expected wait behind it is too long.

Evidence, before the change, ten drafts beside a silent one with max_attempts 1: AssertionError: Items in the first set but not the second: 503 : [503, 503, 503, 503, 503, 503, 503, 200, 200, 200]

Why it works: a draft whose allowed targets are all avoided can't get a chain, so it doesn't ask for admission.

Ruled out: drafts below the limit, or whose silent engine is a later one of the chain; they search as before.

--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -170,6 +170,9 @@
     async def _start_other(self, search: _Search) -> None:
         """Start another run if there is a chain and the policy allows it."""
         context = search.context
+        if not context.has_usable_target():
+            # It would wait for memory in front of other drafts.
+            return
         chain = await self._admission.admit(
             context,
             search.need,
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -80,6 +80,11 @@
         alive = frozenset(self.targets) - self.lost
         return alive if len(alive) >= self.route.max_targets else None
 
+    def has_usable_target(self) -> bool:
+        """Return whether some target is neither avoided nor over the limit."""
+        allowed = self.allowed_targets()
+        return allowed is None or not allowed <= self.avoided
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the deadline in seconds."""
         return self.deadline_s - now_s
