Close the connection of a run that ended with a whole failure

Callers saw: nothing at once. The connections stayed open until the engine closed them, and counted toward the daemon's limits on connections, so that later drafts could be refused.

Cause: an ended run closed its connection only if its answer was not complete. A failure that had been received whole, of a replacement or of a resumed run, was neither closed nor kept for another request.

Evidence, before the change: test_a_failed_replacement_leaves_no_connection waits for the end of the connection: TimeoutError after 20 s.

Why it works: a run with an answer closes its connection when it ends, unless the answer was read to its end and the connection given back (DraftRuns.forget).

Ruled out: connections of refused runs; they are given back or closed as soon as the refusal is read.

--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -142,20 +142,24 @@
 
     def complete(self, run: DraftRun, opened: OpenedAnswer) -> None:
         """End a run whose answer is complete and keep its connection."""
-        self._forget(run)
+        self.forget(run)
         self._attempts.release_connection(opened)
 
     def end(self, run: DraftRun) -> None:
-        """End a run; ignored if it has ended.
-
-        The connection is closed if the engine may still work on the draft.
-        """
+        """End a run and close its connection; ignored if it has ended."""
         if run.has_ended:
             return
-        self._forget(run)
-        if run.connection.is_answer_pending():
+        self.forget(run)
+        # The connection of a refused run may be kept for another request.
+        if run.opened is not None or run.connection.is_answer_pending():
             run.connection.close()
 
+    def forget(self, run: DraftRun) -> None:
+        """End a run whose answer was read and its connection given back."""
+        run.has_ended = True
+        self._watch.unwatch(run.connection)
+        self._view.own_reservations.release(run.reservation_key)
+
     def end_last(self, context: RequestContext, run: DraftRun) -> None:
         """End the last run of a draft.
 
@@ -205,11 +209,6 @@
             self._record_fault(context, target, Fault.SILENT, now_s)
         return target
 
-    def _forget(self, run: DraftRun) -> None:
-        run.has_ended = True
-        self._watch.unwatch(run.connection)
-        self._view.own_reservations.release(run.reservation_key)
-
     def _new_outbound(
         self,
         context: RequestContext,
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -242,7 +242,7 @@
         left_s = context.left_s(self._clock.now_s())
         answer = await self._attempts.read_body(opened, left_s)
         # The connection may carry another request from now on.
-        self._runs.end(run)
+        self._runs.forget(run)
         if isinstance(answer, Broken):
             return answer.reason
         await self._answer_sender.forward(context, answer)
--- a/tests/edge/test_silent_draft_effects.py
+++ b/tests/edge/test_silent_draft_effects.py
@@ -40,3 +40,19 @@
         self.first.silence.end()
         self.assertTrue((await silent_call).is_whole)
         self.assertEqual(set(statuses), {200}, statuses)
+
+    async def test_a_failed_replacement_leaves_no_connection(self) -> None:
+        """Guards against open connections of complete failures.
+
+        A replacement that answered with a failure was neither closed nor used
+        again.
+        """
+        self.first.faults.silent_after = 3
+        silent_call = self._call()
+        await self.deployment.until(lambda: self.first.silence.is_held)
+        replica = await self._add_replica()
+        replica.faults.failures = 9
+        await self.deployment.until(replica.caller_requests)
+        await self._end_silence(self.first)
+        self._assert_whole(await silent_call)
+        await self.deployment.until(lambda: replica.disconnect_count)
