Forward a resume id of very many digits

Callers saw: 503 for each attempt at a draft whose Last-Event-Id had more than 4300 digits, or a digit that is not ASCII.

Cause: int() refuses such a text with ValueError, in the handler of the draft.

Why it works: the id is read by the same function as the ids of events, which takes such a text as no number. It is then forwarded like any other text.

Ruled out: the same fault in the ids of events, which is mended already.

--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -24,6 +24,7 @@
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S, EngineSilent
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind
+from nutmegspoke.pipelines.event_stream import parse_event_number
 from nutmegspoke.routing.engine_loads import DraftNeed
 
 if TYPE_CHECKING:
@@ -76,8 +77,11 @@
         """Answer a draft."""
         stream = DraftStream()
         # A resume id that is not a number is not counted but forwarded.
-        if context.facts.resume_after.isdigit():
-            stream.last_event_id = int(context.facts.resume_after)
+        resume_number = parse_event_number(
+            context.facts.resume_after.encode('latin-1')
+        )
+        if resume_number is not None:
+            stream.last_event_id = resume_number
         try:
             reason = await self._run_until_answered(context, stream, profile)
         finally:
--- a/nutmegspoke/pipelines/event_stream.py
+++ b/nutmegspoke/pipelines/event_stream.py
@@ -54,7 +54,11 @@
 def _event_number(raw: bytes) -> int | None:
     for line in raw.split(b'\n'):
         if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            is_number = text.isdigit() and len(text) <= _MAX_ID_DIGITS
-            return int(text) if is_number else None
+            return parse_event_number(line[len(_ID_FIELD) :].strip())
     return None
+
+
+def parse_event_number(text: bytes) -> int | None:
+    """Return the id of an event as a number; ``None`` if it is none."""
+    is_number = text.isdigit() and len(text) <= _MAX_ID_DIGITS
+    return int(text) if is_number else None
