Answer requests on connections that are new when a stop closes others

Callers saw: 2.5 s after SIGTERM, requests on new connections met a reset. They were whole, but their connections had not been accepted or not been read yet.

Cause: a listening socket that is closed resets the connections that wait to be accepted, and a connection without a request was closed as an idle one.

Evidence, before the change on both loops: "ConnectionResetError: [Errno 104] Connection reset by peer", and "0 != 1" connections busy.

Why it works: the connections that wait are accepted before the socket is closed, and a new connection has half a second for its first request, which is refused with status 503.

Ruled out: accepting while others connect; it does not end under load (tried).

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -16,7 +16,12 @@
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.feeds import Listeners, new_feeds
 from nutmegspoke.edge.held_lease import PlacementLease
-from nutmegspoke.edge.http_server import CloseCause, ConnectionSet, listen
+from nutmegspoke.edge.http_server import (
+    CloseCause,
+    ConnectionSet,
+    listen,
+    stop_listening,
+)
 from nutmegspoke.edge.layer_keeper import LayerController
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
@@ -193,7 +198,7 @@
         leading = asyncio.create_task(self._stop_leading())
         limit_s = self.view.host.bounds.stop_grace_s * _FINISH_GRACE_SHARE
         await asyncio.sleep(min(_ROTATION_EXIT_S, limit_s))
-        self._servers[0].close()
+        await stop_listening(self._servers[0], self._callers.connect)
         self._callers.close_idle()
         while self._callers.count_busy():
             if self._clock.now_s() - started_s > limit_s:
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -10,6 +10,8 @@
 import asyncio
 import enum
 import logging
+import os
+import socket
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -19,7 +21,7 @@
 from nutmegspoke.entry_host import CallerLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from nutmegspoke.forwarded import CallerRequest, Headers
 
@@ -31,6 +33,8 @@
 _MAX_PIPELINED = 16
 # The connection of a caller that does not read for this time is aborted.
 _WRITE_TIMEOUT_S = 15.0
+# Time for the first request on a new connection while stopping.
+_FIRST_REQUEST_S = 0.5
 # Time for a caller to read its last answer and to close the connection.
 _LINGER_S = 1.0
 
@@ -115,12 +119,11 @@
         """Close the connections that have no request in progress.
 
         From now on requests are refused. They come on connections that were
-        busy, or have crossed the close.
+        new or busy, or have crossed the close.
         """
         self.is_refusing = True
         for connection in tuple(self.open):
-            if not connection.is_busy:
-                connection.close(CloseCause.STOPPING)
+            connection.retire()
 
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
@@ -207,6 +210,7 @@
         # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
         self._has_announced_close = False
+        self._is_new = True
         self._is_ending = False
         self._pipelined: list[tuple[CallerRequest, bool]] = []
         # Status for invalid bytes behind the requests that were read.
@@ -227,6 +231,8 @@
             return True
         if self._is_ending:
             return False
+        if self._is_new and self._owner.is_refusing:
+            return True
         return self._reader.is_reading or self._has_unread
 
     def connection_made(self, transport: Any) -> None:
@@ -245,6 +251,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse the received bytes, up to the first invalid ones."""
+        self._is_new = False
         if self._is_ending or self._fault is not None:
             return
         if self._task is None and not self._reader.is_reading:
@@ -254,7 +261,7 @@
         if fault is not None:
             self._reject(fault)
         elif self._task is None:
-            self._ask_for_body()
+            _ask_for_body(self._reader, self._transport)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress."""
@@ -307,6 +314,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def retire(self) -> None:
+        """Close the connection unless it has, or awaits, a request.
+
+        Callers send the first request once a connection is open.
+        """
+        if self._is_new:
+            self._timer.start(_FIRST_REQUEST_S)
+        elif not self.is_busy:
+            self.close(CloseCause.STOPPING)
+
     def _end(self, cause: CloseCause) -> None:
         """Close the connection once the caller has read its last answer.
 
@@ -383,20 +400,16 @@
             self._reject(self._fault)
         elif self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
-            self._ask_for_body()
+            _ask_for_body(self._reader, self._transport)
         elif self._owner.is_stopping and not self._has_unread:
             self._end(CloseCause.STOPPING)
         else:
             self._timer.start(self._owner.limits.idle_timeout_s)
 
-    def _ask_for_body(self) -> None:
-        if self._reader.awaits_continue and self._transport is not None:
-            self._reader.awaits_continue = False
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-
     def _close_unused(self) -> None:
         if self._task is not None:
             return
+        self._is_new = False
         if self._is_ending or self._has_unsent:
             self.abort(CloseCause.NOT_READING)
         else:
@@ -418,6 +431,15 @@
             self._end(CloseCause.REJECTED)
 
 
+def _ask_for_body(
+    reader: RequestReader, transport: asyncio.Transport | None
+) -> None:
+    """Send the interim answer that a caller may wait for."""
+    if reader.awaits_continue and transport is not None:
+        reader.awaits_continue = False
+        transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+
 def _ignore_close(cause: CloseCause, unanswered: int) -> None:
     """Do nothing; default of ``on_close``."""
 
@@ -446,3 +468,42 @@
         backlog=1_024,
         reuse_address=True,
     )
+
+
+async def stop_listening(
+    server: asyncio.Server,
+    connect: Callable[[], asyncio.Protocol],
+) -> None:
+    """Accept the connections that wait for it and stop a server.
+
+    A listening socket that is closed resets them, though their callers may have
+    sent whole requests.
+
+    :param connect: returns the protocol of a new connection.
+    """
+    loop = asyncio.get_running_loop()
+    listening = [
+        socket.socket(fileno=os.dup(opened.fileno()))
+        for opened in server.sockets
+    ]
+    server.close()
+    waiting: list[socket.socket] = []
+    for opened in listening:
+        with opened:
+            waiting.extend(_accept_waiting(opened))
+    for accepted in waiting:
+        await loop.connect_accepted_socket(connect, accepted)
+
+
+def _accept_waiting(listening: socket.socket) -> Iterator[socket.socket]:
+    listening.setblocking(False)
+    while True:
+        try:
+            accepted, _ = listening.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            logger.warning('callers: waiting connection lost: %r', error)
+            return
+        accepted.setblocking(False)
+        yield accepted
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -9,7 +9,12 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
-from nutmegspoke.edge.http_server import _MAX_PIPELINED, ConnectionSet, listen
+from nutmegspoke.edge.http_server import (
+    _MAX_PIPELINED,
+    ConnectionSet,
+    listen,
+    stop_listening,
+)
 from nutmegspoke.entry_host import CallerLimits
 from tests.edge.stream_loop_case import StreamLoopCase
 from tests.edge.test_daemon import DaemonCase
@@ -61,9 +66,9 @@
         self.handler = _HeldAnswers()
         self.connections = ConnectionSet(self.handler)
         self.connections.limits = CallerLimits(max_body_bytes=1_000)
-        server = await listen(self.connections.connect, '127.0.0.1', 0)
-        self.addCleanup(server.close)
-        self.address = server.sockets[0].getsockname()[:2]
+        self.server = await listen(self.connections.connect, '127.0.0.1', 0)
+        self.addCleanup(self.server.close)
+        self.address = self.server.sockets[0].getsockname()[:2]
 
     async def connect(
         self,
@@ -472,6 +477,47 @@
     """The tests of unread requests on the event loop of the daemon."""
 
 
+class NewConnectionsTest(CallerCase):
+    """New connections whose first request has not been read at a stop."""
+
+    async def test_connections_that_wait_to_be_accepted(self) -> None:
+        """Guards against a request that is reset with the listening socket."""
+        # A blocking socket, so that the loop can't accept the connection.
+        opened = socket.create_connection(self.address)
+        opened.sendall(b'GET /a HTTP/1.1\r\n\r\n')
+        self.connections.is_stopping = True
+        await stop_listening(self.server, self.connections.connect)
+        self.connections.close_idle()
+        reader, writer = await asyncio.open_connection(sock=opened)
+        self.addCleanup(writer.close)
+        received = await self.read_all(reader)
+        self.assertRegex(received, b'HTTP/1.1 (200|503) ')
+        with self.assertRaises(ConnectionRefusedError):
+            await self.connect()
+
+    async def test_a_request_that_is_on_its_way(self) -> None:
+        """Guards against a new connection that is closed as an idle one."""
+        reader, writer = await self.connect()
+        await self.until(lambda: self.connections.open)
+        self.connections.is_stopping = True
+        self.connections.close_idle()
+        self.assertEqual(self.connections.count_busy(), 1)
+        writer.write(b'GET /a HTTP/1.1\r\n\r\n')
+        self.assertIn(b'HTTP/1.1 503', await self.read_all(reader))
+
+    async def test_a_connection_without_a_request(self) -> None:
+        """A new connection without a request does not hold up a stop."""
+        reader, _ = await self.connect()
+        await self.until(lambda: self.connections.open)
+        self.connections.close_idle()
+        self.assertEqual(await self.read_all(reader), b'')
+        self.assertEqual(self.connections.count_busy(), 0)
+
+
+class StreamLoopNewConnectionsTest(StreamLoopCase, NewConnectionsTest):
+    """The tests of new connections on the event loop of the daemon."""
+
+
 class HeldStopTest(DaemonCase):
     """A stop while parts of the daemon wait for the store."""
 
