Keep a connection for its next request early in a stop

Callers saw: the next request on a kept connection crossed the end of it, as the connection closed right after an answer that was begun before SIGTERM and had not announced the close.

Cause: every answer that ended after SIGTERM closed its connection.

Evidence, before the change on both loops: "b'/next' not found in b''".

Ruled out: streams taken late in the stop; from then on requests are refused.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -394,14 +394,14 @@
     def _await_request(self) -> None:
         """Wait for the next request, or for the rest of one that has begun.
 
-        While stopping only for the latter.
+        Once requests are refused, only for the latter.
         """
         if self._fault is not None:
             self._reject(self._fault)
         elif self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
             _ask_for_body(self._reader, self._transport)
-        elif self._owner.is_stopping and not self._has_unread:
+        elif self._owner.is_refusing and not self._has_unread:
             self._end(CloseCause.STOPPING)
         else:
             self._timer.start(self._owner.limits.idle_timeout_s)
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -134,6 +134,23 @@
         )
         return list(self.connections.open)
 
+    async def test_a_request_after_an_unannounced_close(self) -> None:
+        """Guards against a kept connection closed without an announcement.
+
+        The caller's next request crossed the end of the connection.
+        """
+        reader, writer = await self.connect()
+        writer.write(b'GET /held HTTP/1.1\r\n\r\n')
+        await reader.readuntil(b'\r\n\r\n')
+        self.connections.is_stopping = True
+        self.handler.released.set()
+        await reader.readuntil(b'0\r\n\r\n')
+        await self.until(lambda: not self.connections.count_busy())
+        writer.write(b'GET /next HTTP/1.1\r\n\r\n')
+        received = await self.read_all(reader)
+        self.assertIn(b'/next', received)
+        self.assertIn(_CLOSE, received)
+
     async def test_requests_read_together_while_stopping(self) -> None:
         """Guards against a close announced before the last request read."""
         self.connections.is_stopping = True
