Test replacements of silent runs that fail or are silent too

A replacement that answers with a failure does not end the stream of the silent run, and a replacement that is silent itself does not end the search.

--- a/tests/edge/test_silent_engines.py
+++ b/tests/edge/test_silent_engines.py
@@ -215,6 +215,35 @@
         self.first.silence.end()
         self._assert_whole(await pending_call)
 
+    async def test_goes_on_after_a_failed_replacement(self) -> None:
+        """Guards against a failure of a replacement that ends the stream."""
+        self.first.faults.silent_after = _SILENT_AFTER
+        pending_call = self._call()
+        await self.deployment.until(lambda: self.first.silence.is_held)
+        replica = await self._add_replica()
+        replica.faults.failures = 9
+        await self.deployment.until(replica.caller_requests)
+        await asyncio.sleep(_SILENCE_S)
+        self.first.silence.end()
+        self._assert_whole(await pending_call)
+
+    async def test_a_silent_replacement_is_replaced(self) -> None:
+        """Guards against a search that ends with the first replacement."""
+        await self.deployment.serve_tables(
+            version=9, routes=build.wire_routes(max_attempts=3)
+        )
+        self.first.faults.silent_after = _SILENT_AFTER
+        # The second engine has memory for three such runs at a time.
+        pending_call = self._call(**{'Token-Counts': '100,50'})
+        await self.deployment.until(lambda: self.first.silence.is_held)
+        replica = await self._add_replica()
+        replica.silence.begin()
+        await self.deployment.until(replica.caller_requests)
+        await self.deployment.add_engine('x3', (0, 40))
+        self._assert_whole(await pending_call)
+        (line,) = self.deployment.events('silence_ended')
+        self.assertEqual((line['target'], line['sends']), ('x3', 3))
+
     async def test_the_replacement_stays_if_the_silent_run_ends(self) -> None:
         """A run that has begun meanwhile is kept when the silent one ends."""
         self.first.faults.silent_after = _SILENT_AFTER
