Let slow callers read an answer beyond the idle timeout

Callers saw: with a short idle timeout in the tables, the end of an answer was cut for a caller that read it slowly on a kept connection.

Cause: the idle timeout begins when the handler ends, and at its end a connection with unsent bytes was aborted. That came with the rule that unsent bytes make a connection busy; before, such a connection was closed and had no timeout at all.

Evidence, before the change: "24523 != 60000" bytes read. Bytes behind a refusal while stopping gave "RuntimeError('Cannot call write() after write_eof()')".

Why it works: the connection ends as behind a last answer, with the timeout for writes. Nothing is written behind that end.

Ruled out: no timeout; a caller that never reads would keep its place.

--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -260,7 +260,7 @@
         fault = self._reader.feed(received)
         if fault is not None:
             self._reject(fault)
-        elif self._task is None:
+        elif self._task is None and not self._is_ending:
             _ask_for_body(self._reader, self._transport)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -410,8 +410,10 @@
         if self._task is not None:
             return
         self._is_new = False
-        if self._is_ending or self._has_unsent:
+        if self._is_ending:
             self.abort(CloseCause.NOT_READING)
+        elif self._has_unsent:
+            self._end(CloseCause.NOT_READING)
         else:
             self.close(CloseCause.IDLE)
 
@@ -423,7 +425,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._fault = status
-        if self._task is None:
+        if self._task is None and not self._is_ending:
             self._transport.write(
                 b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
                 b'Connection: close\r\n\r\n' % (status, _phrase(status)),
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -379,6 +379,18 @@
         writer.close()
         await self.until(lambda: not self.connections.count_busy())
 
+    async def test_an_unsent_answer_outlasts_the_idle_timeout(self) -> None:
+        """Guards against an answer that is cut as its caller reads slowly.
+
+        Its connection was kept, so the idle timeout began behind the answer.
+        """
+        self.connections.limits = CallerLimits(idle_timeout_s=0.05)
+        reader, _ = await self._send_unread_request(b'')
+        (connection,) = self.connections.open
+        await self.until(lambda: connection._close_cause)
+        received = await self.read_all(reader)
+        self.assertEqual(received.count(b'y'), _LONG_ANSWER_BYTES)
+
     async def test_an_unsent_answer_keeps_its_place(self) -> None:
         """Guards against more open connections than the limit.
 
@@ -400,6 +412,7 @@
 
     async def _send_unread_request(
         self,
+        headers: bytes = _CLOSE,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Send a request whose answer fits into no buffer of the kernel."""
         reader, writer = await self._connect_with_small_buffer()
@@ -408,7 +421,7 @@
         opened = connection._transport.get_extra_info('socket')
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
         self.handler.body = b'y' * _LONG_ANSWER_BYTES
-        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % _CLOSE)
+        writer.write(b'GET /a HTTP/1.1\r\n%s\r\n' % headers)
         await self.until(lambda: self.handler.ended)
         return reader, writer
 
@@ -459,6 +472,20 @@
         self.assertEqual(self.connections.count_busy(), 1)
         self.assertIn(b'HTTP/1.1 503', await self.read_all(self.reader))
 
+    async def test_invalid_bytes_behind_a_refusal(self) -> None:
+        """Guards against bytes written behind the end of a connection."""
+        loop = asyncio.get_running_loop()
+        errors: list[object] = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        self.connections.close_idle()
+        for rest in (b'\x00\x01\r\n\r\n', _ASKING_HEAD):
+            reader, writer = await self.connect()
+            writer.write(b'GET /b HTTP/1.1\r\n\r\n' + rest)
+            received = await self.read_all(reader)
+            self.assertTrue(received.startswith(b'HTTP/1.1 503'), received)
+            self.assertEqual(received.count(b'HTTP/1.1'), 1)
+        self.assertEqual(errors, [])
+
     async def test_a_stop_behind_an_answer(self) -> None:
         """Guards against requests that are begun and cut late in a stop.
 
