Keep a stream open whose later engine has ended

Callers saw: a stream was cut, at once if layers were missing and otherwise after 0.8 s, although its first engine still held it open and most of its time was left.

Cause: the end of an engine of the chain, as found by a liveness connection, closed the connection to the first engine before another chain was found. Silent engines were treated so before.

Evidence, before the change: test_ended_engines: AssertionError: 'cut' != 'answered', reason 'stream stalled 127.0.0.1:42977', took_s 0.0587, left_s 14.941; the chain that it lacked came 2.5 s later.

Why it works: a stream of which the caller has a part counts as silent. Other runs are sought while it stays open, until its first engine breaks it off, as for engines that are silent. A later engine that ends during the search is suspected as well.

Ruled out: drafts of which nothing was sent; they are answered with 502 at once (test_a_draft_without_another_chain).

--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -135,6 +135,8 @@
     async def _take_arrivals(self, search: _Search) -> DraftRun | None:
         """Return a run that goes on; remove those that have failed."""
         for run in tuple(search.open_runs):
+            if search.stream.has_head:
+                await self._skip_stalls(search, run)
             if run.connection.peek() is None:
                 continue
             if len(search.open_runs) == 1 or await self._goes_on(search, run):
@@ -143,6 +145,14 @@
             self._runs.end(run)
         return None
 
+    async def _skip_stalls(self, search: _Search, run: DraftRun) -> None:
+        """Suspect the engines that have ended; the run stays open."""
+        event = run.connection.peek()
+        while isinstance(event, AnswerStalled):
+            await run.connection.next_event()
+            self._suspect(search, event.address)
+            event = run.connection.peek()
+
     async def _goes_on(self, search: _Search, run: DraftRun) -> bool:
         """Return whether the event that a run has received is of use."""
         event = run.connection.peek()
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -96,6 +96,10 @@
     ) -> RelayEnd | EngineSilent | None:
         """Relay events until the stream ends or an engine is silent.
 
+        If a later engine has ended, the first one keeps the stream open for
+        some seconds, in which another chain may become free. So the stream
+        counts as silent once its caller has a part of it.
+
         :param opened: answer of the run.
         :returns: ``None`` if the stream is complete.
         """
@@ -108,7 +112,7 @@
             if isinstance(event, EngineSilent):
                 return event
             if not isinstance(event, AnswerPart):
-                end = _relay_end(event, run.splitter)
+                end = _relay_end(event, stream, run.splitter)
                 return await self._finish(context, stream, opened, end)
             await self._relay_events(
                 context, stream, opened, run.splitter, event
@@ -121,8 +125,8 @@
         context: RequestContext,
         stream: DraftStream,
         opened: OpenedAnswer,
-        end: RelayEnd | None,
-    ) -> RelayEnd | None:
+        end: RelayEnd | EngineSilent | None,
+    ) -> RelayEnd | EngineSilent | None:
         """Send the head if a complete answer had no events."""
         if end is None:
             await self._send_head(context, stream, opened)
@@ -192,9 +196,12 @@
 
 def _relay_end(
     event: AnswerEvent,
+    stream: DraftStream,
     splitter: EventSplitter,
-) -> RelayEnd | None:
+) -> RelayEnd | EngineSilent | None:
     if isinstance(event, AnswerStalled):
+        if event.address and stream.has_head:
+            return EngineSilent(event.address)
         reason = 'stream stalled' if event.address else 'no event in time'
         return RelayEnd(f'{reason} {event.address}'.strip(), event.address)
     if isinstance(event, AnswerEnd) and not splitter.has_partial_event:
--- /dev/null
+++ b/tests/edge/test_ended_engines.py
@@ -0,0 +1,29 @@
+"""Tests of drafts that wait for an engine that has ended."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.edge.test_silent_engines import SilentEnginesCase
+
+# Longer than an interrupted stream waits for a chain.
+_ENDED_S = 2.5
+
+
+class EndedLaterEngineTest(SilentEnginesCase):
+    """A later engine ends; the first one keeps the stream open."""
+
+    async def test_a_stream_waits_for_a_chain_while_its_engine_holds_it(
+        self,
+    ) -> None:
+        """Guards against a stream that is cut before its first engine ends it."""
+        await self._hold_next_engine()
+        pending_call = self._call()
+        await self.deployment.until(lambda: self.first.silence.is_held)
+        view = self.deployment.daemon.view
+        now_s = asyncio.get_running_loop().time()
+        view.lost_engines.record_loss('y1', now_s)
+        await asyncio.sleep(_ENDED_S)
+        self.assertEqual(self.first.disconnect_count, 0)
+        await self._start_replicas()
+        self._assert_whole(await pending_call)
