Share the reports of an engine among the streams that wait for it

Callers saw: nothing directly. An engine that falls silent under many streams got a new connection from each of them at growing intervals. Targets accept a limited number of connections and reset the others, so that new requests could fail when the engine goes on.

Cause: each silent stream called for a report of its own, for as long as the silence lasts.

Evidence, before the change, 12 drafts that wait for one engine for 3 s: AssertionError: 25 not less than or equal to 10.

Why it works: a call in progress to an address answers all who ask meanwhile. A caller that leaves does not cancel it.

Ruled out: stale results; a call takes 0.5 s at most, and no result is kept.

--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.target_connections import TargetConnection
-    from nutmegspoke.engine_orders import EngineCalls
+    from nutmegspoke.engine_orders import EngineCalls, EngineReport
     from nutmegspoke.layers import Chain
 
 # Events are some tens of milliseconds apart; on a fully loaded chain up to the
@@ -47,6 +47,8 @@
         """Start without watched streams."""
         self._calls = calls
         self._streams: dict[TargetConnection, Chain] = {}
+        # Calls in progress, by address.
+        self._reports: dict[str, asyncio.Task[EngineReport | None]] = {}
 
     def watch(self, connection: TargetConnection, chain: Chain) -> None:
         """Stall a connection as soon as an engine of its chain has ended.
@@ -110,7 +112,7 @@
 
     async def is_unreachable(self, address: str) -> bool:
         """Return whether an engine fails to return a report."""
-        return await self._calls.report(address) is None
+        return await self._report(address) is None
 
     async def find_silent_engine(
         self,
@@ -121,10 +123,23 @@
 
         :returns: empty if all engines seem to work.
         """
-        report = await self._calls.report(connection.address)
+        report = await self._report(connection.address)
         if report is None:
             return connection.address
         for stalled_id, address in report.stalled:
             if stalled_id == request_id:
                 return address
         return ''
+
+    async def _report(self, address: str) -> EngineReport | None:
+        """Return an engine's report; ``None`` if it can't be fetched.
+
+        Streams that ask at the same time share a call, as an engine that is
+        silent for all of them accepts a limited number of connections.
+        """
+        call = self._reports.get(address)
+        if call is None:
+            call = asyncio.create_task(self._calls.report(address))
+            self._reports[address] = call
+            call.add_done_callback(lambda _: self._reports.pop(address))
+        return await asyncio.shield(call)
