Check a silent engine whose connection is lost

Callers saw: a stream at its route's limit of targets was cut, although its engine had ended after a silence, which does not count, and another chain was free.

Cause: a silent run that is the last one left counted as one that goes on, even if its connection was lost. Its engine was then no longer avoided, and only avoided targets are checked.

Evidence, before the change: test_an_engine_that_ends_does_not_count: AssertionError: 'cut' != 'answered'.

Why it works: suspects are trusted again only if the run has not lost its connection. The engine is then checked, and does not count if it has ended.

Ruled out: runs that go on, or end with a whole answer; their suspects are trusted again as before.

--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -105,7 +105,8 @@
             self._end_others(search, None)
             raise
         is_replaced = next_run is not silent_run
-        if not is_replaced:
+        is_lost = isinstance(next_run.connection.peek(), AnswerLost)
+        if not is_replaced and not is_lost:
             context.avoided -= search.suspects
         self._runs.record_silence_end(
             context, next_run, search.suspects, is_replaced=is_replaced
--- a/tests/edge/test_ended_engines.py
+++ b/tests/edge/test_ended_engines.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from tests import builders_edge as build
 from tests.edge.test_silent_engines import SilentEnginesCase
 
 # Longer than an interrupted stream waits for a chain.
@@ -27,3 +28,24 @@
         self.assertEqual(self.first.disconnect_count, 0)
         await self._start_replicas()
         self._assert_whole(await pending_call)
+
+
+class LostAfterSilenceTest(SilentEnginesCase):
+    """The connection to a silent engine is lost; its route allows one."""
+
+    async def asyncSetUp(self) -> None:
+        """Put tables into force that allow one target."""
+        await super().asyncSetUp()
+        await self.deployment.serve_tables(
+            version=9, routes=build.wire_routes(max_attempts=1)
+        )
+
+    async def test_an_engine_that_ends_does_not_count(self) -> None:
+        """Guards against a cut stream whose silent engine turns out as ended."""
+        self.first.faults.silent_after = 3
+        pending_call = self._call()
+        await self._until_noticed()
+        await self._add_replica()
+        await self.first.stop()
+        self.first.reset_connections()
+        self._assert_whole(await pending_call)
