Take a missing report as no proof that an engine has ended

Callers saw: nothing. A stream could run on more targets than its route's max_attempts, as a silent engine did not count after its connection was lost.

Cause: a target without a report within 0.5 s was recorded as lost.

Why it works: the operating system of a silent engine still accepts connections; that of one that has ended refuses them, and one that is cut off answers nothing.

Ruled out: engines that have crashed; those tests pass unchanged (test_a_lost_target_does_not_count, test_an_engine_that_ends_does_not_count).

--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -54,7 +54,6 @@
     ) -> None:
         """Create the handler and its admission queue."""
         self._relay = StreamRelay(attempts.header_codec, watch, clock)
-        self._watch = watch
         chain_selector = ChainSelector(view, log, clock)
         self._admission = DraftAdmission(
             view, chain_selector.reserve_chain, clock
@@ -221,11 +220,14 @@
         ones are recorded as lost (they no longer count toward the limit); the
         others may be tried again.
         """
+        connections = self._attempts.connections
         for name in (
             context.allowed_targets() or frozenset()
         ) & context.avoided:
             entry = self._view.targets.find(name)
-            if entry is None or await self._watch.is_unreachable(entry.address):
+            if entry is None or not await connections.is_reachable(
+                entry.address
+            ):
                 context.lost.add(name)
             else:
                 context.avoided.discard(name)
--- a/nutmegspoke/edge/stream_watch.py
+++ b/nutmegspoke/edge/stream_watch.py
@@ -110,10 +110,6 @@
             if silent and connection.peek() is None:
                 return EngineSilent(silent)
 
-    async def is_unreachable(self, address: str) -> bool:
-        """Return whether an engine fails to return a report."""
-        return await self._report(address) is None
-
     async def find_silent_engine(
         self,
         connection: TargetConnection,
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -277,6 +277,18 @@
         )
         idle.append((connection, now_s + allowed_s * _KEEP_ALIVE_SHARE))
 
+    async def is_reachable(self, address: str) -> bool:
+        """Return whether a target accepts a connection.
+
+        One that is only silent does, as its operating system answers for it.
+        """
+        try:
+            connection = await self._open(address)
+        except OSError:
+            return False
+        connection.close()
+        return True
+
     def close_idle(self, now_s: float | None = None) -> None:
         """Close idle connections.
 
--- a/tests/edge/test_ended_engines.py
+++ b/tests/edge/test_ended_engines.py
@@ -49,3 +49,14 @@
         await self.first.stop()
         self.first.reset_connections()
         self._assert_whole(await pending_call)
+
+    async def test_an_engine_that_is_reached_counts(self) -> None:
+        """Guards against a target too many, as a missing report is no end."""
+        self.first.faults.silent_after = 3
+        pending_call = self._call()
+        await self._until_noticed()
+        replica = await self._add_replica()
+        self.first.reset_connections()
+        await pending_call
+        self.assertEqual(replica.caller_requests(), [])
+        self._assert_nothing_reserved()
