Tell equal requests and hosts with old tables apart in logs and metrics

A host that is behind with the tables could only be told by the version of the requests it refused.

No decision changes.

--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -9,6 +9,7 @@
 
 from nutmegspoke.edge.http_server import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
+from nutmegspoke.retries.suspects import request_fingerprint
 from nutmegspoke.routing.entry_routes import pick_pool
 
 if TYPE_CHECKING:
@@ -114,12 +115,13 @@
             remaining_s = min(remaining_s, facts.deadline_s)
         tables = self._view.tables
         pool_name = pick_pool(route.pools, random.random())  # noqa: S311
+        team_name = team.name if team else ''
         return RequestContext(
             request=request,
             facts=facts,
             route=route,
             pool=_pool(tables, pool_name),
-            team=team.name if team else '',
+            team=team_name,
             priority=(
                 team.priority if team else _DEFAULT_TEAM_PRIORITY,
                 route.priority,
@@ -127,6 +129,7 @@
             answer=answer,
             received_s=now_s,
             deadline_s=now_s + remaining_s,
+            fingerprint=_fingerprint(request, facts, team_name),
         )
 
     async def _serve(self, context: RequestContext) -> None:
@@ -156,6 +159,14 @@
             await self._answer_sender.send_error(context, error)
 
 
+def _fingerprint(request: CallerRequest, facts: RequestFacts, team: str) -> str:
+    method = request.method.decode('latin-1')
+    url = request.url.decode('latin-1')
+    return request_fingerprint(
+        team, f'{method} {facts.host_name}{url}', request.body
+    )
+
+
 def _pool(tables: EntryTables | None, name: str | None) -> EntryPool | None:
     if tables is None or name is None:
         return None
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -274,6 +274,7 @@
             await self._recover_from_suspend(late_s)
         self._connections.close_idle(now_s)
         self._log_rejections()
+        self._measure_followers(now_s)
         for follower in self._update_exchange.find_stale_followers(now_s):
             self._log.decided(
                 'feed_silent',
@@ -284,6 +285,13 @@
         for name in self.view.targets.drop_lapsed(now_s):
             self._log.decided('target_gone', target=name, may_have_lapsed=False)
 
+    def _measure_followers(self, now_s: float) -> None:
+        self.metrics.observe_tables(self.view.version)
+        for follower in self._followers:
+            self.metrics.observe_feed_age(
+                follower.table, now_s - follower.last_current_s
+            )
+
     def _log_rejections(self) -> None:
         count = self._callers.rejected_count
         if count != self._reported_rejections:
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -29,6 +29,16 @@
             'Connections of callers by cause, and whether all was answered.',
             registry=self.registry,
         )
+        self._tables_version = aioprometheus.Gauge(
+            'nutmegspoke_edge_tables_version',
+            "Version of the operator's tables in force; 0 without.",
+            registry=self.registry,
+        )
+        self._feed_ages = aioprometheus.Gauge(
+            'nutmegspoke_edge_feed_answer_age_seconds',
+            'Time since a followed table was last known to be current.',
+            registry=self.registry,
+        )
         self._events = aioprometheus.Counter(
             'nutmegspoke_edge_events_total',
             'Decisions and changes of belief by kind.',
@@ -52,6 +62,14 @@
         self._requests.inc({'route': route, 'outcome': outcome})
         self._seconds.observe({'route': route}, duration_s)
 
+    def observe_tables(self, version: int) -> None:
+        """Record the version of the tables in force."""
+        self._tables_version.set({}, version)
+
+    def observe_feed_age(self, table: str, age_s: float) -> None:
+        """Record the time since a table was last known to be current."""
+        self._feed_ages.set({'table': table}, age_s)
+
     def count_event(self, kind: str) -> None:
         """Count a decision or a state change."""
         self._events.inc({'kind': kind})
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -95,6 +95,8 @@
     :param reads_table: returns whether this daemon reads the table from the
         store; ``None`` if all daemons do.
     :ivar is_shared: whether a few daemons read the table for all daemons.
+    :ivar last_current_s: time at which the table was last known to be current;
+        minus infinity before the first answer.
     :ivar era: era of the store in which the versions hold; 0 before the first
         answer.
     """
@@ -116,7 +118,7 @@
         self._reads_table = reads_table
         self.is_shared = reads_table is not None
         self._recent_changes = RecentChanges()
-        self._last_current_s = float('-inf')
+        self.last_current_s = float('-inf')
         self.table = table
         self._feed = feed
         self._listener = listener
@@ -192,7 +194,7 @@
             return
         if update.since > self._version:
             return
-        self._last_current_s = now_s
+        self.last_current_s = now_s
         if update.failure_age_s >= 0:
             self._listener.failed_elsewhere(now_s - update.failure_age_s)
         changes = find_new_changes(update, self._version)
@@ -257,7 +259,7 @@
         """Return whether updates from readers keep this daemon current."""
         if self._version is None or self.is_reader():
             return False
-        return self._clock.now_s() - self._last_current_s < _UPDATE_TIMEOUT_S
+        return self._clock.now_s() - self.last_current_s < _UPDATE_TIMEOUT_S
 
     def _pause_s(self) -> float:
         """Return the pause in seconds that batches changes into one call."""
@@ -303,7 +305,7 @@
             self._listener.listed(result, now_s)
         elif self._version is not None:
             self._apply(self._version, result, now_s)
-        self._last_current_s = now_s
+        self.last_current_s = now_s
         return True
 
     def _enter_era(
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -132,6 +132,7 @@
         fields = dict(log_fields or {})
         if outcome != 'answered':
             fields['tables_age_s'] = round(self._view.tables_age_s(now_s), 3)
+            fields['fingerprint'] = context.fingerprint
         self._log.decided(
             'request_ended',
             request=context.facts.request_id,
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -40,6 +40,8 @@
     :param answer: writer of the answer to the caller.
     :param received_s: time at which the request was received.
     :param deadline_s: deadline of the answer.
+    :param fingerprint: digest of team, method, URL and body; the same when the
+        caller sends the request again.
     :param has_target: whether a target was selected; before that, nothing of
         the request was sent.
     :param may_have_run: whether a target may have run the request.
@@ -58,6 +60,7 @@
     answer: Answer
     received_s: float
     deadline_s: float
+    fingerprint: str
     has_target: bool = False
     may_have_run: bool = False
     sends: int = 0
--- a/nutmegspoke/retries/suspects.py
+++ b/nutmegspoke/retries/suspects.py
@@ -169,7 +169,7 @@
     """Return the digest that identifies equal requests.
 
     :param team: team of the caller.
-    :param route: name of the route.
+    :param route: name of the route, or method and URL.
     :param body: body of the request.
     """
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
--- a/tests/edge/test_lost_answers_log.py
+++ b/tests/edge/test_lost_answers_log.py
@@ -56,3 +56,27 @@
         )
         line = self.deployment.events('store_went_back')[0]
         self.assertLess(line['read_version'], line['known_version'])
+
+    async def test_equal_requests_have_one_fingerprint(self) -> None:
+        """The tries of a caller can be found, as their ids differ."""
+        for body in (b'x', b'x', b'y'):
+            await self.deployment.call('/calls/1', body=body)
+        lines = self.deployment.events('request_ended')
+        first, second, other = (line['fingerprint'] for line in lines)
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, other)
+
+    async def test_the_page_of_metrics_tells_how_current_the_tables_are(
+        self,
+    ) -> None:
+        """A host that is behind shows by version and age of its tables."""
+        daemon = self.deployment.daemon
+        await self.deployment.until(lambda: daemon.view.version)
+        await self.deployment.until(
+            lambda: (
+                'nutmegspoke_edge_tables_version'
+                f' {daemon.view.version}' in daemon.metrics.render().decode()
+            )
+        )
+        page = await self.deployment.metrics()
+        self.assertIn('feed_answer_age_seconds{table="op"}', page)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -165,6 +165,7 @@
         self,
         path: str,
         method: str = 'POST',
+        body: bytes = b'',
         **changes: str,
     ) -> CallResult:
         """Send a request as a caller, on a new connection."""
@@ -182,24 +183,24 @@
         async with (
             aiohttp.ClientSession(auto_decompress=False) as session,
             session.request(
-                method, url, headers=request_headers, data=b''
+                method, url, headers=request_headers, data=body
             ) as response,
         ):
-            body = b''
+            received = b''
             try:
                 async for part in response.content.iter_any():
-                    body += part
+                    received += part
             except aiohttp.ClientError:
                 return CallResult(
                     response.status,
                     dict(response.headers),
-                    body,
+                    received,
                     is_whole=False,
                 )
             return CallResult(
                 response.status,
                 dict(response.headers),
-                body,
+                received,
                 is_whole=True,
             )
 
