--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -15,6 +15,7 @@
 
 _EVENTS = 12
 _EVENT_PAUSE_S = 0.01
+_RUN_BEFORE_CRASH_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +45,8 @@
     :param wait_after: number of events after which a stream waits for another
         engine, once; ``None`` for never.
     :param awaited_address: address of the engine that such a stream waits for.
+    :param fatal_body: body of requests under which the target crashes; ``None``
+        for none.
     """
 
     refusals: int = 0
@@ -61,6 +64,7 @@
     silent_after: int | None = None
     wait_after: int | None = None
     awaited_address: str = ''
+    fatal_body: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,6 +173,13 @@
         for writer in tuple(self._open_connections):
             writer.transport.abort()
 
+    async def _crash_under_run(self) -> bool:
+        """Simulate a crash a moment after a request began to run."""
+        await asyncio.sleep(_RUN_BEFORE_CRASH_S)
+        await self.stop()
+        self.reset_connections()
+        return False
+
     def caller_requests(self) -> list[ReceivedRequest]:
         """Return the received requests, except those for reports and orders."""
         return [
@@ -226,6 +237,16 @@
         if self.faults.failures:
             self.faults.failures -= 1
             return await _write_answer(writer, 500, own_headers, b'failed')
+        return await self._run(request, own_headers, writer)
+
+    async def _run(
+        self,
+        request: ReceivedRequest,
+        own_headers: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        if request.body == self.faults.fatal_body:
+            return await self._crash_under_run()
         if 'hops' in request.headers:
             return await self._send_stream(request, own_headers, writer)
         return await self._answer_plainly(own_headers, writer)
--- /dev/null
+++ b/tests/edge/test_crashing_requests.py
@@ -0,0 +1,160 @@
+"""Tests of requests under which the targets that run them crash."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests import builders_edge as build
+from tests.edge.test_daemon import DaemonCase
+from tests.edge.world import Deployment
+
+_FATAL = b'a body under which targets crash'
+# Targets that may crash under one request before it is refused.
+_MAX_CRASHES = 3
+_TRIES = 6
+# Longer than the updates between daemons need.
+_NEWS_S = 1.0
+
+
+class CrashingRequestsCase(DaemonCase):
+    """Base class with targets that crash under one body."""
+
+    async def asyncSetUp(self) -> None:
+        """Put tables into force whose calls may be repeated."""
+        await super().asyncSetUp()
+        drafts, calls = build.wire_routes()
+        calls |= {'route_kind': 'idempotent', 'max_attempts': 2}
+        await self.deployment.serve_tables(version=8, routes=[drafts, calls])
+
+    async def _add_services(self, *names: str) -> None:
+        for name in names:
+            target = await self.deployment.add_service(name)
+            target.faults.fatal_body = _FATAL
+
+    async def _add_engines(self, *names: str) -> None:
+        """Start first engines of chains; they crash under the body."""
+        for name in names:
+            target = await self.deployment.add_engine(name, (0, 40))
+            target.faults.fatal_body = _FATAL
+
+    def _count_fatal_runs(self) -> int:
+        """Return the number of targets that got the fatal request."""
+        return sum(
+            any(run.body == _FATAL for run in target.caller_requests())
+            for target in self.deployment.targets.values()
+        )
+
+    async def _try_often(self, deployment: Deployment, path: str) -> int:
+        """Send the fatal request again and again, on new targets each time.
+
+        :returns: status of the last answer.
+        """
+        status = 0
+        for number in range(_TRIES):
+            name = f'{deployment.host.name}-{number}'
+            if path.startswith('/drafts/'):
+                await self._add_engines(name)
+            else:
+                await self._add_services(name)
+            answer = await deployment.call(path, body=_FATAL)
+            status = answer.status
+        return status
+
+
+class CrashingCallsTest(CrashingRequestsCase):
+    """A call crashes the targets of a plain service."""
+
+    async def test_a_call_that_crashes_targets_is_refused(self) -> None:
+        """Guards against a caller's retries that crash one target each."""
+        await self._add_services('r1', 'r2')
+        self.assertEqual(
+            await self._try_often(self.deployment, '/calls/1'), 503
+        )
+        self.assertLessEqual(self._count_fatal_runs(), _MAX_CRASHES)
+        answer = await self.deployment.call('/calls/1', body=_FATAL)
+        self.assertGreater(float(answer.headers['Retry-After']), _NEWS_S)
+
+    async def test_other_calls_are_served(self) -> None:
+        """Guards against refusals of what ran on the same targets only."""
+        await self._add_services('r1', 'r2')
+        await self._try_often(self.deployment, '/calls/1')
+        answer = await self.deployment.call('/calls/1', body=b'other')
+        self.assertEqual(answer.status, 200)
+
+    async def test_a_call_that_has_completed_is_served(self) -> None:
+        """Guards against refusals of a read that many callers send.
+
+        It is in flight on each target that crashes.
+        """
+        await self._add_services('r1', 'r2')
+        answer = await self.deployment.call('/calls/1', body=b'read')
+        self.assertEqual(answer.status, 200)
+        for number in range(_TRIES):
+            target = await self.deployment.add_service(f'r3-{number}')
+            for each in self.deployment.targets.values():
+                each.silence.begin()
+            reads = [
+                asyncio.create_task(
+                    self.deployment.call('/calls/1', body=b'read')
+                )
+                for _ in range(_TRIES)
+            ]
+            await self.deployment.until(target.caller_requests)
+            await target.stop()
+            target.reset_connections()
+            for each in self.deployment.targets.values():
+                each.silence.end()
+            await asyncio.gather(*reads)
+        answer = await self.deployment.call('/calls/1', body=b'read')
+        self.assertEqual(answer.status, 200)
+
+
+class CrashingDraftsTest(CrashingRequestsCase):
+    """A draft crashes the engines that run it."""
+
+    async def test_a_draft_that_crashes_engines_is_refused(self) -> None:
+        """Guards against a caller's retries that crash one engine each."""
+        await self.deployment.add_engine('y1', (40, 80))
+        await self._add_engines('x1', 'x2')
+        self.assertEqual(
+            await self._try_often(self.deployment, '/drafts/1'), 503
+        )
+        self.assertLessEqual(self._count_fatal_runs(), _MAX_CRASHES)
+        answer = await self.deployment.call('/drafts/1', body=b'other')
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+
+
+class OtherHostTest(CrashingRequestsCase):
+    """The caller's retries reach another daemon."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a second daemon on the same store and targets."""
+        await super().asyncSetUp()
+        self.other = Deployment(shared=self.deployment)
+        await self.other.start()
+        self.addAsyncCleanup(self.other.stop)
+        await self.other.until(lambda: self.other.daemon.view.version)
+        await self.deployment.until(
+            lambda: self.deployment.daemon.view.load_updates.count_known_hosts(
+                asyncio.get_running_loop().time()
+            )
+        )
+
+    async def test_a_call_that_crashed_targets_of_another_host(self) -> None:
+        """Guards against a host that learns by crashes of its own only."""
+        await self._add_services('r1', 'r2')
+        await self._try_often(self.deployment, '/calls/1')
+        await asyncio.sleep(_NEWS_S)
+        before = self._count_fatal_runs()
+        self.assertEqual(await self._try_often(self.other, '/calls/1'), 503)
+        self.assertEqual(self._count_fatal_runs(), before)
+
+    async def test_one_crash_at_each_host(self) -> None:
+        """Guards against crashes that no host counts together."""
+        for number, deployment in enumerate(
+            (self.deployment, self.other) * _MAX_CRASHES
+        ):
+            await self._add_services(f'r{number}')
+            await deployment.call('/calls/1', body=_FATAL)
+            await asyncio.sleep(_NEWS_S)
+        self.assertLessEqual(self._count_fatal_runs(), _MAX_CRASHES)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -47,10 +47,17 @@
 class Deployment:
     """A store, targets, a daemon and callers, on loopback addresses."""
 
-    def __init__(self) -> None:
-        """Create a deployment that is not started yet."""
-        self.store = RowStore()
-        self.targets: dict[str, WireTarget] = {}
+    def __init__(self, shared: Deployment | None = None) -> None:
+        """Create a deployment that is not started yet.
+
+        :param shared: deployment whose store and targets this one uses, for a
+            second daemon; ``None`` for own ones.
+        """
+        self._shared = shared
+        self.store = RowStore() if shared is None else shared.store
+        self.targets: dict[str, WireTarget] = (
+            {} if shared is None else shared.targets
+        )
         self.daemon: EdgeDaemon
         self.log_lines: list[dict[str, Any]] = []
         self._request_number = 0
@@ -58,19 +65,18 @@
     async def start(self) -> None:
         """Start the store and the daemon; targets are added later."""
         ports = find_free_ports(_PORTS)
-        self._store_runner = web.AppRunner(
-            self.store.app(),
-            access_log=None,
-            shutdown_timeout=0.1,
-        )
-        await self._store_runner.setup()
-        await web.TCPSite(self._store_runner, '127.0.0.1', ports[0]).start()
+        store_address = f'127.0.0.1:{ports[0]}'
+        if self._shared is None:
+            await self._start_store(ports[0])
+        else:
+            store_address = self._shared.host.store_address
         self._session = new_session()
         host = build.host(
+            name='host-1' if self._shared is None else 'host-2',
             callers_port=ports[1],
             ready_port=ports[2],
             peer_ports=(ports[3], ports[3]),
-            store_address=f'127.0.0.1:{ports[0]}',
+            store_address=store_address,
         )
         self.host = host
         self.described_host: EntryHost | SettingsError = host
@@ -94,6 +100,15 @@
         self.metrics_port = ports[4]
         await self.daemon.start()
 
+    async def _start_store(self, port: int) -> None:
+        self._store_runner = web.AppRunner(
+            self.store.app(),
+            access_log=None,
+            shutdown_timeout=0.1,
+        )
+        await self._store_runner.setup()
+        await web.TCPSite(self._store_runner, '127.0.0.1', port).start()
+
     def read_host(self) -> EntryHost:
         """Return the current description of the host.
 
@@ -106,10 +121,11 @@
     async def stop(self) -> None:
         """Stop the daemon, the targets and the store."""
         await self.daemon.close()
-        for target in self.targets.values():
-            await target.stop()
         await self._session.close()
-        await self._store_runner.cleanup()
+        if self._shared is None:
+            for target in self.targets.values():
+                await target.stop()
+            await self._store_runner.cleanup()
         os.close(self._null_descriptor)
 
     async def serve_tables(self, **changes: Any) -> None:
