Quarantine requests under which targets crash, on all daemons

What callers saw: one caller's request ended all three targets of a service within 0.25 s, again each time that new ones had started, and engines with the drafts of others on them; calls and drafts of all teams were refused for seconds.

Cause: the daemon on the users' platform counted targets within one attempt only. A caller's next attempt has another id, so that nothing told it from a new request, on this host or another. The quarantine of the own interface was never loaded there.

Why this works: the fingerprint (team, method, host, URL, body) is the same for each try. A target whose connection ends under a run and whose host then refuses connections has crashed; what was in flight there is a suspect. The only request that was at two crashes is refused, and any that was at three, so that the number of ended targets is bounded whatever else ran on them. Notices travel in the updates between daemons and are repeated as updates may be lost. A request that completes is cleared on all daemons.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -37,10 +37,12 @@
 
     :param reason: description of the error.
     :param is_full: whether a connection limit of this daemon was reached.
+    :param retry_after_s: time after which it may be sent, if known.
     """
 
     reason: str
     is_full: bool = False
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/nutmegspoke/edge/crash_watch.py
@@ -0,0 +1,158 @@
+"""Finds out which requests run on targets that crash, and refuses them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from nutmegspoke import outcomes
+from nutmegspoke.targets import TargetState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.target_connections import TargetConnections
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.edge.work import RequestContext
+    from nutmegspoke.entry_host import TargetEntry
+
+# A process that ends may reset its connections some milliseconds before it
+# closes its port.
+_PORT_CLOSE_S = 0.05
+# A request that may be sent again waits at most this long for the check whether
+# its last target has crashed.
+_CHECK_TIMEOUT_S = 0.1
+
+
+@dataclasses.dataclass(eq=False, frozen=True, slots=True)
+class WatchedRun:
+    """A request in flight on targets.
+
+    :param fingerprint: digest of the request.
+    :param first: target to which it was sent.
+    :param targets: starts of all targets that run it.
+    """
+
+    fingerprint: str
+    first: TargetEntry | None
+    targets: tuple[str, ...]
+
+
+class CrashWatch:
+    """Watch over the targets that run requests, for calls and drafts."""
+
+    def __init__(
+        self,
+        view: View,
+        connections: TargetConnections,
+        log: DecisionLog,
+        clock: Clock,
+    ) -> None:
+        """Start without requests in flight."""
+        self._view = view
+        self._connections = connections
+        self._log = log
+        self._clock = clock
+        # Checks in progress by the fingerprint of the request.
+        self._checks: dict[str, set[asyncio.Task[None]]] = {}
+        self._later_checks: set[asyncio.Task[None]] = set()
+
+    async def find_refusal(
+        self, context: RequestContext, *, has_answer: bool = False
+    ) -> outcomes.NotRun | None:
+        """Return why a request must not be sent to a target now.
+
+        :param has_answer: whether the caller has a part of the answer.
+        :returns: ``None`` if it may be sent.
+        """
+        checks = self._checks.get(context.fingerprint)
+        if checks:
+            await asyncio.wait(checks, timeout=_CHECK_TIMEOUT_S)
+        now_s = self._clock.now_s()
+        quarantine = self._view.crashes.quarantine
+        decision = quarantine.check(context.fingerprint, now_s)
+        if not isinstance(decision, outcomes.NotRun):
+            return None
+        if has_answer and not quarantine.must_stop(context.fingerprint, now_s):
+            return None
+        return decision
+
+    def started(
+        self, context: RequestContext, targets: Iterable[str]
+    ) -> WatchedRun:
+        """Record that a request was sent to the first of some targets."""
+        entries = [self._view.targets.find(name) for name in targets]
+        run = WatchedRun(
+            context.fingerprint,
+            entries[0],
+            tuple(_start_name(entry) for entry in entries if entry),
+        )
+        self._view.crashes.quarantine.started(run.fingerprint, run.targets)
+        return run
+
+    def ended(self, run: WatchedRun, *, is_broken_off: bool) -> None:
+        """Record that a request is no longer in flight.
+
+        :param is_broken_off: whether the first target ended the connection
+            without a complete answer; then it is checked for a crash.
+        """
+        if not is_broken_off or run.first is None:
+            self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+            return
+        checks = self._checks.setdefault(run.fingerprint, set())
+        check = asyncio.create_task(self._check(run, run.first))
+        checks.add(check)
+        check.add_done_callback(lambda _: self._check_done(run, check))
+
+    def completed(self, run: WatchedRun) -> None:
+        """Record that targets completed a request."""
+        now_s = self._clock.now_s()
+        self._view.crashes.quarantine.completed(
+            run.fingerprint, run.targets, now_s
+        )
+        self._view.crashes.collect(now_s)
+
+    def engine_ended(self, name: str) -> None:
+        """Record that an engine was found to have ended."""
+        entry = self._view.targets.find(name)
+        if entry is not None:
+            self._crashed(entry)
+
+    async def _check(self, run: WatchedRun, target: TargetEntry) -> None:
+        """Check whether a target accepts connections; if not, it crashed."""
+        if await self._connections.is_refused(target.address):
+            self._crashed(target)
+            self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+            return
+        later = asyncio.create_task(self._check_later(run, target))
+        self._later_checks.add(later)
+        later.add_done_callback(self._later_checks.discard)
+
+    async def _check_later(self, run: WatchedRun, target: TargetEntry) -> None:
+        await asyncio.sleep(_PORT_CLOSE_S)
+        if await self._connections.is_refused(target.address):
+            self._crashed(target)
+        self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+
+    def _check_done(self, run: WatchedRun, check: asyncio.Task[None]) -> None:
+        checks = self._checks[run.fingerprint]
+        checks.discard(check)
+        if not checks:
+            self._checks.pop(run.fingerprint)
+
+    def _crashed(self, target: TargetEntry) -> None:
+        """Record a crash; a target that is leaving ends as announced."""
+        listed = self._view.targets.find(target.name)
+        if listed is not None and listed.state == TargetState.LEAVING:
+            return
+        now_s = self._clock.now_s()
+        self._view.crashes.quarantine.crashed(_start_name(target), now_s)
+        self._view.crashes.collect(now_s)
+
+
+def _start_name(entry: TargetEntry) -> str:
+    """Return a name that differs between two starts with the same id."""
+    return f'{entry.name}@{entry.started_ms}'
--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -184,6 +184,11 @@
         if not context.has_usable_target():
             # It would wait for memory in front of other drafts.
             return
+        refusal = await self._runs.find_refusal(
+            context, has_answer=search.stream.has_head
+        )
+        if refusal is not None:
+            return
         chain = await self._admission.admit(
             context,
             search.need,
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -20,6 +20,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.attempts import Attempts, OpenedAnswer, OpenResult
+    from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.stream_relay import DraftStream
     from nutmegspoke.edge.stream_watch import StreamWatch
@@ -27,6 +28,7 @@
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.layers import Chain
+    from nutmegspoke.outcomes import NotRun
 
 # An engine that refuses above this utilization lacks memory; it is not faulty.
 _FULL_UTILIZATION = 0.6
@@ -42,14 +44,18 @@
     :param opened: the answer; ``None`` until its head was received.
     :param splitter: splits the answer into events.
     :param has_ended: whether connection and memory were given back.
+    :param is_broken_off: whether its first engine ended the connection without
+        a complete answer.
     """
 
     chain: Chain
     connection: TargetConnection
     reservation_key: str
+    watched: WatchedRun
     opened: OpenedAnswer | None = None
     splitter: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     has_ended: bool = False
+    is_broken_off: bool = False
 
 
 class DraftRuns:
@@ -64,16 +70,27 @@
         view: View,
         attempts: Attempts,
         watch: StreamWatch,
+        crashes: CrashWatch,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Store the parts that runs use."""
+        self._crashes = crashes
         self._view = view
         self._attempts = attempts
         self._watch = watch
         self._log = log
         self._clock = clock
 
+    async def find_refusal(
+        self, context: RequestContext, *, has_answer: bool = False
+    ) -> NotRun | None:
+        """Return why a draft must not be sent now; ``None`` if it may.
+
+        :param has_answer: whether the caller has a part of the answer.
+        """
+        return await self._crashes.find_refusal(context, has_answer=has_answer)
+
     async def start(
         self,
         context: RequestContext,
@@ -96,7 +113,10 @@
         if first_engine not in context.targets:
             context.targets.append(first_engine)
         run = DraftRun(
-            chain, connection, f'{context.reservation_key}/{context.sends}'
+            chain,
+            connection,
+            f'{context.reservation_key}/{context.sends}',
+            self._crashes.started(context, (stage.target for stage in chain)),
         )
         self._view.own_reservations.move(
             context.reservation_key, run.reservation_key
@@ -134,6 +154,7 @@
             return result
         context.may_have_run = True
         if isinstance(result, Broken):
+            run.is_broken_off = not result.is_timeout
             self._record_broken(context, first_engine, result, now_s)
         elif not isinstance(result, NotSent):
             run.opened = result
@@ -142,6 +163,7 @@
 
     def complete(self, run: DraftRun, opened: OpenedAnswer) -> None:
         """End a run whose answer is complete and keep its connection."""
+        self._crashes.completed(run.watched)
         self.forget(run)
         self._attempts.release_connection(opened)
 
@@ -157,6 +179,7 @@
     def forget(self, run: DraftRun) -> None:
         """End a run whose answer was read and its connection given back."""
         run.has_ended = True
+        self._crashes.ended(run.watched, is_broken_off=run.is_broken_off)
         self._watch.unwatch(run.connection)
         self._view.own_reservations.release(run.reservation_key)
 
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -18,7 +18,6 @@
 from nutmegspoke.edge.chain_choice import ChainSelector
 from nutmegspoke.edge.draft_admission import DraftAdmission
 from nutmegspoke.edge.draft_replacements import DraftReplacements
-from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.repeats import RetryPolicy
 from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S, EngineSilent
@@ -31,7 +30,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.decision_log import DecisionLog
-    from nutmegspoke.edge.draft_runs import DraftRun
+    from nutmegspoke.edge.draft_runs import DraftRun, DraftRuns
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.view import View
@@ -49,6 +48,7 @@
         attempts: Attempts,
         answer_sender: AnswerSender,
         watch: StreamWatch,
+        runs: DraftRuns,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
@@ -59,9 +59,9 @@
             view, chain_selector.reserve_chain, clock
         )
         self._retries = RetryPolicy(view, log, clock)
-        self._runs = DraftRuns(view, attempts, watch, log, clock)
+        self._runs = runs
         self._replacements = DraftReplacements(
-            self._runs, self._admission, self._retries, watch, clock
+            runs, self._admission, self._retries, watch, clock
         )
         self._view = view
         self._attempts = attempts
@@ -100,6 +100,11 @@
         """
         reason = 'no chain'
         while True:
+            refusal = await self._runs.find_refusal(
+                context, has_answer=stream.has_head
+            )
+            if refusal is not None:
+                return refusal.reason.value
             chain = await self._admission.admit(
                 context,
                 self._estimate_need(context, profile, stream),
@@ -192,6 +197,7 @@
             return await self._forward_failure(context, stream, run, opened)
         end = await self._relay.run(context, stream, run, opened)
         if isinstance(end, RelayEnd):
+            run.is_broken_off = end.is_broken_off
             self._runs.avoid_stalled_engine(
                 context, end.lost_address, self._clock.now_s()
             )
@@ -293,11 +299,15 @@
             return
         need = self._estimate_need(context, profile, stream)
         refusal = self._admission.new_refusal(context, need)
+        retry_after_s = refusal.retry_after_s
+        quarantine = await self._runs.find_refusal(context)
+        if quarantine is not None and quarantine.retry_after_s is not None:
+            retry_after_s = quarantine.retry_after_s
         await self._answer_sender.send(
             context,
             OwnAnswer.NOT_RUN,
             reason=reason,
-            retry_after_s=refusal.retry_after_s,
+            retry_after_s=retry_after_s,
             log_fields=refusal.log_fields,
         )
 
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -32,6 +32,8 @@
 # An unchanged update is sent at this interval, as a heartbeat. It is well below
 # ``load_news.SILENCE_LIMIT_S``, from which a daemon is ignored.
 _HEARTBEAT_INTERVAL_S = 0.5
+# Updates that contain the same notice.
+_NOTICE_REPEATS = 3
 
 
 class LeaderLease(Protocol):
@@ -101,6 +103,7 @@
         self._send_load_update()
         self._send_table_updates()
         self._view.lost_engines.subscribe(self._send_loss)
+        self._view.crashes.subscribe(self._send_now)
 
     async def stop(self) -> None:
         """Stop the timers and close the endpoint."""
@@ -150,6 +153,7 @@
         self._view.reports.receive(update.reports, now_s)
         self._view.reassignments.receive(update.reassignments, now_s)
         self._view.lost_engines.receive(update.lost, now_s)
+        self._view.crashes.receive(update.notices, now_s)
         if update.lease is not None:
             self._leader.receive_row(*update.lease)
 
@@ -186,7 +190,11 @@
         """Send an update at once if this daemon found that an engine ended."""
         now_s = self._clock.now_s()
         if target in self._view.lost_engines.recent_losses(now_s):
-            self._send(self._encoder.encode(self._new_load_update(now_s)))
+            self._send_now()
+
+    def _send_now(self) -> None:
+        update = self._new_load_update(self._clock.now_s())
+        self._send(self._encoder.encode(update))
 
     def _send_load_update(self) -> None:
         pause_s = update_interval_s(len(self._daemons.addresses))
@@ -238,6 +246,9 @@
                 if follower.era == era
             },
             era=era,
+            notices=self._view.crashes.outgoing(
+                _notice_repeat_s(len(self._daemons.addresses)), now_s
+            ),
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
@@ -268,3 +279,9 @@
             return
         for address in self._daemons.addresses.values():
             self._transport.sendto(datagram, address)
+
+
+def _notice_repeat_s(receiver_count: int) -> float:
+    """Return for how long a notice is repeated, as updates may be lost."""
+    interval_s = update_interval_s(receiver_count)
+    return _NOTICE_REPEATS * max(interval_s, _HEARTBEAT_INTERVAL_S)
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, FetchResult
+    from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.target_connections import TargetConnection
@@ -46,10 +47,12 @@
         view: View,
         attempts: Attempts,
         answer_sender: AnswerSender,
+        crashes: CrashWatch,
         log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Create a handler."""
+        self._crashes = crashes
         self._retries = RetryPolicy(view, log, clock)
         self._view = view
         self._attempts = attempts
@@ -62,6 +65,12 @@
         last_result: FetchResult = NotSent('no target')
         is_allowed = context.left_s(self._clock.now_s()) > 0
         while is_allowed:
+            refusal = await self._crashes.find_refusal(context)
+            if refusal is not None:
+                last_result = NotSent(
+                    refusal.reason.value, retry_after_s=refusal.retry_after_s
+                )
+                break
             target = self._choose_target(context, self._clock.now_s())
             if target is None:
                 break
@@ -131,7 +140,24 @@
             return connection
         context.sends += 1
         context.targets.append(target.name)
-        return await self._receive(context, connection, may_retry=may_retry)
+        run = self._crashes.started(context, (target.name,))
+        result: FetchResult | None = None
+        try:
+            result = await self._receive(
+                context, connection, may_retry=may_retry
+            )
+        finally:
+            self._end_run(run, result)
+        return result
+
+    def _end_run(self, run: WatchedRun, result: FetchResult | None) -> None:
+        if isinstance(result, CompleteAnswer):
+            self._crashes.completed(run)
+        else:
+            is_broken_off = isinstance(result, Broken) and not (
+                result.is_timeout or result.is_given_up
+            )
+            self._crashes.ended(run, is_broken_off=is_broken_off)
 
     async def _receive(
         self,
@@ -210,9 +236,7 @@
                 context, status, reason=failure_reason(last_result)
             )
         else:
-            retry_after_s = _NO_TARGET_RETRY_AFTER_S
-            if isinstance(last_result, Refused):
-                retry_after_s = _REFUSED_RETRY_AFTER_S
+            retry_after_s = _retry_after_s(last_result)
             await self._answer_sender.send(
                 context,
                 OwnAnswer.NOT_RUN,
@@ -236,6 +260,15 @@
         }
 
 
+def _retry_after_s(result: FetchResult) -> float:
+    """Return when a request that has not run may be sent again."""
+    if isinstance(result, Refused):
+        return _REFUSED_RETRY_AFTER_S
+    if isinstance(result, NotSent) and result.retry_after_s is not None:
+        return result.retry_after_s
+    return _NO_TARGET_RETRY_AFTER_S
+
+
 def _is_answered(result: FetchResult) -> bool:
     return isinstance(result, CompleteAnswer) and not _is_error(result)
 
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -6,6 +6,8 @@
 
 from nutmegspoke.edge.attempts import Attempts
 from nutmegspoke.edge.callers import CallerHandler
+from nutmegspoke.edge.crash_watch import CrashWatch
+from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.drafts import DraftHandler
 from nutmegspoke.edge.own_answers import AnswerSender
 from nutmegspoke.edge.plain_calls import PlainCalls
@@ -32,12 +34,15 @@
     attempts = Attempts(connections, parts.header_codec, clock)
     answer_sender = AnswerSender(parts.header_codec, log, metrics, view, clock)
     watch = StreamWatch(parts.engines)
+    crashes = CrashWatch(view, connections, log, clock)
     view.lost_engines.subscribe(watch.engine_ended)
+    view.lost_engines.subscribe(crashes.engine_ended)
+    runs = DraftRuns(view, attempts, watch, crashes, log, clock)
     return CallerHandler(
         view,
         parts.header_codec,
-        PlainCalls(view, attempts, answer_sender, log, clock),
-        DraftHandler(view, attempts, answer_sender, watch, log, clock),
+        PlainCalls(view, attempts, answer_sender, crashes, log, clock),
+        DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
         answer_sender,
         clock,
     )
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -62,10 +62,12 @@
     :param reason: cause of the interruption.
     :param lost_address: ``IP:PORT`` of the lost engine that stalled the
         stream; empty if unknown.
+    :param is_broken_off: whether the first engine ended the connection.
     """
 
     reason: str
     lost_address: str = ''
+    is_broken_off: bool = False
 
 
 class StreamRelay:
@@ -206,4 +208,4 @@
         return RelayEnd(f'{reason} {event.address}'.strip(), event.address)
     if isinstance(event, AnswerEnd) and not splitter.has_partial_event:
         return None
-    return RelayEnd('stream broke off')
+    return RelayEnd('stream broke off', is_broken_off=True)
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -293,6 +293,19 @@
         connection.close()
         return True
 
+    async def is_refused(self, address: str) -> bool:
+        """Return whether a target's host refuses connections to it.
+
+        A target that can't be reached in time is not refused: its host or the
+        network may be at fault.
+        """
+        try:
+            connection = await self._open(address)
+        except OSError as error:
+            return isinstance(error, ConnectionRefusedError)
+        connection.close()
+        return False
+
     def close_idle(self, now_s: float | None = None) -> None:
         """Close idle connections.
 
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -20,6 +20,7 @@
 from nutmegspoke.membership.lost_engines import LostEngines
 from nutmegspoke.membership.target_entries import TargetEntries
 from nutmegspoke.retries.pool_budgets import PoolBudgets
+from nutmegspoke.retries.shared_quarantine import SharedQuarantine
 from nutmegspoke.retries.target_faults import TargetFaults
 from nutmegspoke.retries.window_budget import WindowSettings
 from nutmegspoke.routing.crossing_budget import CrossingBudget
@@ -64,6 +65,7 @@
     :ivar reassignments: engines that change their layers.
     :ivar lost_engines: engines that were found to have ended.
     :ivar retry_budgets: retry budget of each pool.
+    :ivar crashes: requests under which targets have crashed.
     """
 
     def __init__(self, host: EntryHost) -> None:
@@ -82,6 +84,7 @@
         self.reassignments = LayerReassignments()
         self.lost_engines = LostEngines()
         self.retry_budgets = PoolBudgets(_window_settings(host.bounds))
+        self.crashes = SharedQuarantine()
         self._answer_lengths: dict[str, AnswerLengths] = {}
         self._profiles: dict[str, ModelProfile] = {}
         self._crossing_budgets: dict[str, CrossingBudget] = {}
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from nutmegspoke.admission.draft_room import Reservation, sum_reservations
+from nutmegspoke.retries.notices import Notice  # noqa: TC001 -- a field's type
 from nutmegspoke.retries.window_budget import PoolUsage
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
     :param used: by pool, the number of requests, and of retries borrowed beyond
         its own share, in the last window.
     :param era: era of the store in which the versions of the feeds hold.
+    :param notices: crashes of targets, and requests quarantined for them.
     """
 
     host: str
@@ -91,6 +93,7 @@
     lost: tuple[str, ...] = ()
     used: dict[str, tuple[int, int]] = {}
     era: int = 0
+    notices: tuple[Notice, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/nutmegspoke/retries/notices.py
+++ b/nutmegspoke/retries/notices.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+_MAX_QUEUED_NOTICES = 1024
+
 
 class CrashNotice(msgspec.Struct, frozen=True, tag='crash'):
     """A target crashed while requests were in flight on it.
@@ -25,14 +27,44 @@
     :param fingerprint: digest of team, route and body.
     :param target: name of the target whose crash is the cause.
     :param remaining_s: remaining duration of the quarantine in seconds.
+    :param targets: names of all targets that crashed while it was in flight.
     """
 
     fingerprint: str
     target: str
     remaining_s: float
+    targets: tuple[str, ...] = ()
+
+
+class ClearNotice(msgspec.Struct, frozen=True, tag='clear'):
+    """A request that was a suspect has completed.
+
+    :param fingerprint: digest of team, route and body.
+    """
+
+    fingerprint: str
+
+
+Notice = CrashNotice | QuarantineNotice | ClearNotice
+
+
+class NoticeQueue:
+    """Notices that were not yet sent; beyond a limit, new ones are dropped."""
+
+    def __init__(self) -> None:
+        """Create an empty queue."""
+        self._notices: list[Notice] = []
 
+    def add(self, *notices: Notice) -> None:
+        """Add notices to be sent."""
+        free_slots = _MAX_QUEUED_NOTICES - len(self._notices)
+        self._notices.extend(notices[:free_slots])
 
-Notice = CrashNotice | QuarantineNotice
+    def drain(self) -> tuple[Notice, ...]:
+        """Remove and return all notices."""
+        drained = tuple(self._notices)
+        self._notices.clear()
+        return drained
 
 
 def encode_notice(notice: Notice) -> str:
@@ -43,6 +75,6 @@
 def decode_notice(text: str) -> Notice | None:
     """Return a decoded notice; ``None`` if the text is invalid."""
     try:
-        return msgspec.json.decode(text, type=CrashNotice | QuarantineNotice)
+        return msgspec.json.decode(text, type=Notice)
     except msgspec.MsgspecError:
         return None
--- a/nutmegspoke/retries/quarantine.py
+++ b/nutmegspoke/retries/quarantine.py
@@ -12,9 +12,15 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
-from nutmegspoke.retries.notices import CrashNotice, QuarantineNotice
+from nutmegspoke.retries.crash_records import CrashRecords
+from nutmegspoke.retries.notices import (
+    ClearNotice,
+    CrashNotice,
+    NoticeQueue,
+    QuarantineNotice,
+)
 from nutmegspoke.retries.suspects import (
-    Crash,
+    CompletedRequests,
     RunningRequests,
     SuspectRegistry,
 )
@@ -23,12 +29,12 @@
     from collections.abc import Collection, Sequence
 
     from nutmegspoke.retries.notices import Notice
+    from nutmegspoke.retries.crash_records import Crash
     from nutmegspoke.retries.suspects import QuarantineSettings
 
 logger = logging.getLogger(__name__)
 
 _MAX_DOUBLINGS = 12
-_MAX_QUEUED_NOTICES = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +64,10 @@
     suspects are never sent to the same target at once. If a crash has exactly
     one candidate, that request is quarantined. If it has several, all of them
     stay suspects until another crash has a single candidate, or all but one of
-    them complete.
+    them complete. A request that was in flight at ``max_crashes`` crashes is
+    quarantined in any case, and one that has completed lately is no suspect.
+
+    :ivar suspects: requests that were in flight at a crash.
     """
 
     def __init__(self, settings: QuarantineSettings) -> None:
@@ -68,9 +77,12 @@
         """
         self._settings = settings
         self._running = RunningRequests()
-        self._suspects = SuspectRegistry(settings.max_suspects)
-        self._crashes: dict[str, Crash] = {}
-        self._notices: list[Notice] = []
+        self.suspects = SuspectRegistry(settings.max_suspects)
+        self._completed = CompletedRequests(
+            settings.innocence_s, settings.max_completed
+        )
+        self._crashes = CrashRecords(self.suspects, settings.crash_window_s)
+        self._notices = NoticeQueue()
 
     def check(self, fingerprint: str, now_s: float) -> QuarantineDecision:
         """Decide whether a request may be sent, and to which targets.
@@ -78,7 +90,7 @@
         :param fingerprint: digest of team, route and body.
         :param now_s: current time, in seconds.
         """
-        suspect = self._suspects.find(fingerprint)
+        suspect = self.suspects.find(fingerprint)
         if suspect is None:
             return Clear()
         if suspect.is_quarantined(now_s):
@@ -88,10 +100,21 @@
                 'targets crashed while they ran this request',
             )
         if now_s - suspect.since_s > self._settings.suspicion_s:
-            self._suspects.clear(fingerprint)
+            self.suspects.clear(fingerprint)
             return Clear()
         return SendAlone(frozenset(suspect.targets))
 
+    def must_stop(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether a request in progress must not be sent again.
+
+        It may be while it is quarantined because of two crashes, as its caller
+        already has a part of the answer.
+        """
+        suspect = self.suspects.find(fingerprint)
+        if suspect is None or not suspect.is_quarantined(now_s):
+            return False
+        return suspect.has_crashed(self._settings.max_crashes)
+
     def allowed_targets(
         self,
         fingerprint: str,
@@ -112,7 +135,7 @@
         limit = max(1, int(len(targets) * share))
         if len(targets) - len(free) >= limit:
             return ()
-        suspect = self._suspects.find(fingerprint)
+        suspect = self.suspects.find(fingerprint)
         crashed = suspect.targets if suspect else frozenset()
         if crashed.issuperset(targets):
             return tuple(free)
@@ -151,13 +174,16 @@
         without it.
         """
         self.ended(fingerprint, targets)
-        if not self._suspects.clear(fingerprint):
+        self._completed.add(fingerprint, now_s)
+        if not self.suspects.clear(fingerprint):
             return
         logger.info('retries: suspicion lapsed fingerprint=%s', fingerprint)
-        for target, crash in self._crashes.items():
-            if fingerprint in crash.candidates:
-                crash.candidates.discard(fingerprint)
-                self._queue_notices(self._evaluate_crash(target, crash, now_s))
+        self._notices.add(ClearNotice(fingerprint))
+        self._withdraw_candidate(fingerprint, now_s)
+
+    def _withdraw_candidate(self, fingerprint: str, now_s: float) -> None:
+        for target, crash in self._crashes.withdraw(fingerprint):
+            self._notices.add(*self._evaluate_crash(target, crash, now_s))
 
     def crashed(self, target: str, now_s: float) -> None:
         """Record that a target crashed.
@@ -171,14 +197,23 @@
         in_flight = self._running.pop_target(target)
         if not in_flight:
             return
-        crash = self._record_crash(target, in_flight, now_s)
+        suspects, _ = self._completed.split(in_flight, now_s)
+        crash = self._crashes.record(target, suspects, now_s)
+        logger.info(
+            'retries: target crashed target=%s passengers=%d candidates=%d',
+            target,
+            len(in_flight),
+            len(crash.candidates),
+        )
         notice = CrashNotice(
             target,
-            tuple(sorted(in_flight)),
+            tuple(sorted(suspects)),
             tuple(sorted(crash.candidates)),
         )
-        self._queue_notices(
-            (notice, *self._evaluate_crash(target, crash, now_s))
+        self._notices.add(
+            notice,
+            *self._evaluate_crash(target, crash, now_s),
+            *self._quarantine_repeated(target, suspects, now_s),
         )
 
     def receive_notice(
@@ -197,55 +232,28 @@
             case CrashNotice():
                 if age_s > self._settings.crash_window_s:
                     return
-                in_flight = set(notice.passengers)
-                crash = self._record_crash(notice.target, in_flight, now_s)
-                crash.candidates.update(notice.candidates)
-                self._evaluate_crash(notice.target, crash, now_s)
+                self._apply_crash(notice, now_s)
             case QuarantineNotice():
                 self._apply_quarantine(notice, age_s, now_s)
+            case ClearNotice():
+                self._completed.add(notice.fingerprint, now_s)
+                if self.suspects.clear(notice.fingerprint):
+                    self._withdraw_candidate(notice.fingerprint, now_s)
 
     def drain_notices(self) -> tuple[Notice, ...]:
         """Return the notices that were not yet sent to peers, and clear them."""
-        notices = tuple(self._notices)
-        self._notices.clear()
-        return notices
-
-    @property
-    def _max_quarantine_s(self) -> float:
-        return self._settings.max_quarantine_s
+        return self._notices.drain()
 
     def _has_suspect(self, target: str) -> bool:
-        return not self._suspects.is_disjoint(self._running.requests_on(target))
-
-    def _record_crash(
-        self,
-        target: str,
-        in_flight: set[str],
-        now_s: float,
-    ) -> Crash:
-        crash = self._find_or_add_crash(target, now_s)
-        for fingerprint in in_flight:
-            suspect = self._suspects.add(fingerprint, now_s)
-            if suspect.targets - {target}:
-                crash.candidates.add(fingerprint)
-            suspect.targets.add(target)
-            suspect.since_s = now_s
-        logger.info(
-            'retries: target crashed target=%s passengers=%d candidates=%d',
-            target,
-            len(in_flight),
-            len(crash.candidates),
-        )
-        return crash
+        return not self.suspects.is_disjoint(self._running.requests_on(target))
 
-    def _find_or_add_crash(self, target: str, now_s: float) -> Crash:
-        window_s = self._settings.crash_window_s
-        self._crashes = {
-            name: crash
-            for name, crash in self._crashes.items()
-            if now_s - crash.at_s <= window_s
-        }
-        return self._crashes.setdefault(target, Crash(now_s))
+    def _apply_crash(self, notice: CrashNotice, now_s: float) -> None:
+        suspects, innocent = self._completed.split(notice.passengers, now_s)
+        self._notices.add(*(ClearNotice(each) for each in sorted(innocent)))
+        crash = self._crashes.record(notice.target, suspects, now_s)
+        crash.candidates.update(set(notice.candidates) - innocent)
+        self._evaluate_crash(notice.target, crash, now_s)
+        self._quarantine_repeated(notice.target, suspects, now_s)
 
     def _apply_quarantine(
         self,
@@ -255,14 +263,20 @@
     ) -> None:
         if age_s >= notice.remaining_s:
             return
-        crash = self._find_or_add_crash(notice.target, now_s)
+        if self._completed.has(notice.fingerprint, now_s):
+            self._notices.add(ClearNotice(notice.fingerprint))
+            return
+        crash = self._crashes.find_or_add(notice.target, now_s)
         crash.candidates.add(notice.fingerprint)
-        suspect = self._suspects.add(notice.fingerprint, now_s)
-        suspect.targets.add(notice.target)
-        if len(crash.candidates) > 1:
+        suspect = self.suspects.add(notice.fingerprint, now_s)
+        suspect.targets.update((notice.target, *notice.targets))
+        is_repeated = suspect.has_crashed(self._settings.max_crashes)
+        if len(crash.candidates) > 1 and not is_repeated:
             self._lift_quarantines(notice.target, crash, now_s)
             return
-        quarantine_s = min(notice.remaining_s - age_s, self._max_quarantine_s)
+        quarantine_s = min(
+            notice.remaining_s - age_s, self._settings.max_quarantine_s
+        )
         suspect.quarantine(notice.target, quarantine_s, now_s)
 
     def _evaluate_crash(
@@ -291,7 +305,25 @@
     ) -> None:
         """End the quarantines of candidates whose cause is this crash."""
         for fingerprint in crash.candidates:
-            self._suspects.add(fingerprint, now_s).lift(target, now_s)
+            suspect = self.suspects.add(fingerprint, now_s)
+            if not suspect.has_crashed(self._settings.max_crashes):
+                suspect.lift(target, now_s)
+
+    def _quarantine_repeated(
+        self, target: str, in_flight: set[str], now_s: float
+    ) -> tuple[QuarantineNotice, ...]:
+        """Quarantine the requests that were in flight at too many crashes.
+
+        :returns: notices of new quarantines, to be sent to peers.
+        """
+        return tuple(
+            notice
+            for fingerprint in sorted(in_flight)
+            if self.suspects.add(fingerprint, now_s).has_crashed(
+                self._settings.max_crashes
+            )
+            for notice in self._quarantine(fingerprint, target, now_s)
+        )
 
     def _quarantine(
         self,
@@ -299,13 +331,13 @@
         target: str,
         now_s: float,
     ) -> tuple[QuarantineNotice, ...]:
-        suspect = self._suspects.add(fingerprint, now_s)
+        suspect = self.suspects.add(fingerprint, now_s)
         if suspect.is_quarantined(now_s):
             return ()
         doublings = min(suspect.quarantine_count, _MAX_DOUBLINGS)
         quarantine_s = min(
             self._settings.quarantine_s * 2**doublings,
-            self._max_quarantine_s,
+            self._settings.max_quarantine_s,
         )
         suspect.quarantine(target, quarantine_s, now_s)
         logger.warning(
@@ -314,8 +346,5 @@
             target,
             quarantine_s,
         )
-        return (QuarantineNotice(fingerprint, target, quarantine_s),)
-
-    def _queue_notices(self, notices: Sequence[Notice]) -> None:
-        free_slots = _MAX_QUEUED_NOTICES - len(self._notices)
-        self._notices.extend(notices[:free_slots])
+        targets = tuple(sorted(suspect.targets))
+        return (QuarantineNotice(fingerprint, target, quarantine_s, targets),)
--- a/nutmegspoke/retries/suspects.py
+++ b/nutmegspoke/retries/suspects.py
@@ -28,6 +28,12 @@
     :param max_suspect_share: largest share of a pool's targets that may run
         suspects at the same time.
     :param max_suspects: largest number of suspects; the oldest is dropped.
+    :param max_crashes: number of crashed targets from which a request is
+        quarantined whatever else was in flight on them.
+    :param innocence_s: seconds for which a request that has completed does not
+        become a suspect.
+    :param max_completed: largest number of such requests; the oldest is
+        dropped.
     """
 
     quarantine_s: float = 60.0
@@ -36,6 +42,9 @@
     crash_window_s: float = 10.0
     max_suspect_share: float = 0.25
     max_suspects: int = 4096
+    max_crashes: int = 3
+    innocence_s: float = 300.0
+    max_completed: int = 8192
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +69,10 @@
         """Return whether the request is quarantined and must not run."""
         return now_s < self.quarantined_until_s
 
+    def has_crashed(self, count: int) -> bool:
+        """Return whether at least that many targets crashed."""
+        return len(self.targets) >= count
+
     def quarantine(self, target: str, for_s: float, now_s: float) -> None:
         """Quarantine the request.
 
@@ -85,19 +98,6 @@
         self.since_s = now_s
 
 
-@dataclasses.dataclass(slots=True)
-class Crash:
-    """The last crash of a target.
-
-    :param at_s: time of the first report.
-    :param candidates: fingerprints of the requests in flight on it that were
-        also in flight on another target that crashed earlier.
-    """
-
-    at_s: float
-    candidates: set[str] = dataclasses.field(default_factory=set)
-
-
 class SuspectRegistry:
     """Suspects by fingerprint, oldest first."""
 
@@ -109,6 +109,14 @@
         self._max_suspects = max_suspects
         self._suspects: dict[str, Suspect] = {}
 
+    def quarantined(self, now_s: float) -> tuple[tuple[str, Suspect], ...]:
+        """Return the quarantined suspects with their fingerprints."""
+        return tuple(
+            (fingerprint, suspect)
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.is_quarantined(now_s)
+        )
+
     def find(self, fingerprint: str) -> Suspect | None:
         """Return the suspect of a fingerprint; ``None`` if there is none."""
         return self._suspects.get(fingerprint)
@@ -133,6 +141,41 @@
         return self._suspects.keys().isdisjoint(fingerprints)
 
 
+class CompletedRequests:
+    """Requests that have completed lately, oldest first.
+
+    :param innocence_s: seconds for which a request is kept.
+    :param max_completed: largest number; beyond it the oldest is dropped.
+    """
+
+    def __init__(self, innocence_s: float, max_completed: int) -> None:
+        """Create without requests."""
+        self._innocence_s = innocence_s
+        self._max_completed = max_completed
+        self._completed_s: dict[str, float] = {}
+
+    def add(self, fingerprint: str, now_s: float) -> None:
+        """Add a request that has completed now."""
+        self._completed_s.pop(fingerprint, None)
+        if len(self._completed_s) >= self._max_completed:
+            self._completed_s.pop(next(iter(self._completed_s)))
+        self._completed_s[fingerprint] = now_s
+
+    def has(self, fingerprint: str, now_s: float) -> bool:
+        """Return whether a request has completed lately."""
+        completed_s = self._completed_s.get(fingerprint)
+        if completed_s is None:
+            return False
+        return now_s - completed_s <= self._innocence_s
+
+    def split(
+        self, fingerprints: Collection[str], now_s: float
+    ) -> tuple[set[str], set[str]]:
+        """Return the requests that have not completed lately, and the others."""
+        completed = {each for each in fingerprints if self.has(each, now_s)}
+        return set(fingerprints) - completed, completed
+
+
 class RunningRequests:
     """Counts the requests in flight on each target by fingerprint."""
 
--- a/tests/mutation_list_claims.py
+++ b/tests/mutation_list_claims.py
@@ -177,7 +177,7 @@
     ),
     Mutation(
         'poison second crash quarantines no request',
-        f'{_RETRIES}/quarantine.py',
+        f'{_RETRIES}/crash_records.py',
         '            if suspect.targets - {target}:\n',
         '            if False:\n',
         _QUARANTINE,
@@ -199,7 +199,7 @@
     Mutation(
         'poison completion does not clear the suspicion',
         f'{_RETRIES}/quarantine.py',
-        'if not self._suspects.clear(fingerprint):',
+        'if not self.suspects.clear(fingerprint):',
         'if True:',
         _QUARANTINE,
     ),
