Reproduce tables that come into force only when a lost poll ends

The stand-in of the store now also loses the calls that wait when its silence begins, as a store that was restarted behind a balancer does. The daemon then waits for the end of its poll, 11.5 s after it was sent.

The store was silent until 21.4; the log shows all polls of all hosts ending at 26.35 with TimeoutError, and four versions coming into force within 10 ms then.

--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -21,7 +21,8 @@
 
     :param refuses: calls are answered with status 503 and not run.
     :param loses_answers: writes are applied, then their connection is reset.
-    :param is_silent: calls get no answer.
+    :param is_silent: calls get no answer, not even those that wait for a change
+        when the silence begins.
     :param has_no_rows: reads of rows are answered with status 410.
     """
 
@@ -43,6 +44,7 @@
 class RowStore:
     """Table rows versioned by one counter, with transactions and feeds.
 
+    :ivar lost_calls: number of calls that never get an answer.
     :ivar era: raised each time that the store comes back from a copy.
     """
 
@@ -50,6 +52,7 @@
         """Start without rows and faults."""
         self.faults = StoreFaults()
         self.calls = 0
+        self.lost_calls = 0
         self.era = 1
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[int, str]] = {}
@@ -111,15 +114,21 @@
     ) -> web.StreamResponse:
         self.calls += 1
         if self.faults.is_silent:
-            await asyncio.Event().wait()
+            await self._keep_silent()
         if self.faults.refuses:
             return web.Response(status=503)
         response = await handler(request)
+        if self.faults.is_silent:
+            await self._keep_silent()
         if self.faults.loses_answers and request.method == 'POST':
             assert request.transport is not None
             request.transport.abort()
         return response
 
+    async def _keep_silent(self) -> None:
+        self.lost_calls += 1
+        await asyncio.Event().wait()
+
     async def _handle_get(self, request: web.Request) -> web.Response:
         table = request.query['table']
         first = request.query.get('from', '')
