Repeat the polls that a silent store has lost

Cause: a poll of the tables waits up to 10 s for a change, and 1.5 s more for its answer. A store that is silent for a moment may never answer the polls that waited then, though it keeps their connections. Nothing showed it: the table of targets, which changes all the time, was waited for as long, and the comparison with the versions of other daemons is blind if all have lost their polls.

Why this works: the poll of the table that always changes waits half a second only, which costs no more calls as it is answered sooner anyway, so that a silence is found about 2 s after a lost poll was sent. When the store answers again, polls made before are repeated, in this daemon and, told by an update, in all others. The time of a call that got no answer counts as its pause.

--- a/nutmegspoke/edge/call_results.py
+++ b/nutmegspoke/edge/call_results.py
@@ -8,6 +8,7 @@
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.followers import TableListener
     from nutmegspoke.membership.store_health import StoreHealth
+    from nutmegspoke.metadata_store import Unavailable
 
 # A failure of the store is reported to other daemons for this time, as an entry
 # that disappears shortly after a failure may only have expired.
@@ -46,13 +47,20 @@
         age_s = now_s - self._last_failure_s
         return age_s if age_s <= _FAILURE_REPORTED_S else -1.0
 
-    def failed(self, reason: str, now_s: float) -> None:
-        """Record that a call failed."""
-        self._health.failed(self._table, now_s)
+    def failed(self, failure: Unavailable, took_s: float, now_s: float) -> None:
+        """Record that a call failed.
+
+        :param took_s: time from the call to its failure.
+        """
+        self._health.failed(
+            self._table, now_s, took_s=took_s, is_silent=failure.is_silent
+        )
         self._failures += 1
         if self._failures == 1:
-            self._log.decided('store_lost', table=self._table, reason=reason)
-        self.failed_elsewhere(reason, now_s)
+            self._log.decided(
+                'store_lost', table=self._table, reason=failure.reason
+            )
+        self.failed_elsewhere(failure.reason, now_s)
 
     def failed_elsewhere(self, reason: str, now_s: float) -> None:
         """Record that a call of another follower failed."""
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -123,7 +123,7 @@
             log,
             clock,
         )
-        self._followers = new_feeds(
+        feeds = new_feeds(
             parts,
             self.view,
             Listeners(tables, self._targets, self._daemons),
@@ -131,12 +131,13 @@
             log,
             clock,
         )
+        self._followers = feeds.followers
         self._update_exchange = UpdateExchange(
             self.view,
             self._daemons,
             self._lease,
             self._engine_polls,
-            self._followers,
+            feeds,
             clock,
         )
         self._servers: list[asyncio.Server] = []
--- a/nutmegspoke/edge/feeds.py
+++ b/nutmegspoke/edge/feeds.py
@@ -33,6 +33,18 @@
     daemons: DaemonsListener
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Feeds:
+    """The followers of a daemon.
+
+    :param followers: a follower for each table.
+    :param health: state of the store, which they share.
+    """
+
+    followers: list[TableFollower]
+    health: StoreHealth
+
+
 def new_feeds(
     parts: PlatformParts,
     view: View,
@@ -40,7 +52,7 @@
     is_leader: Callable[[], bool],
     log: DecisionLog,
     clock: Clock,
-) -> list[TableFollower]:
+) -> Feeds:
     """Return the feeds of the operator's tables, the targets and the daemons.
 
     The table of targets changes often. Where there are many daemons, only a
@@ -64,7 +76,7 @@
         (parts.targets_table, listeners.targets, reads_targets),
         (DAEMONS_TABLE, listeners.daemons, None),
     )
-    return [
+    followers = [
         TableFollower(
             table,
             parts.store,
@@ -77,3 +89,4 @@
         )
         for table, listener, reads in follows
     ]
+    return Feeds(followers, health)
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke.edge.call_results import CallResults
+from nutmegspoke.edge.table_polls import TablePolls
 from nutmegspoke.membership.feed_versions import FeedVersion
 from nutmegspoke.membership.table_news import RecentChanges, find_new_changes
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
@@ -30,6 +31,9 @@
 # Timeout of a long poll, which waits for a change. A stale feed is noticed
 # sooner, from the updates of daemons whose feeds are current.
 FEED_WAIT_S = 10.0
+# The same for a table that always changes. Its silence is that of the store,
+# which may have lost the polls of the other tables, too.
+_BUSY_FEED_WAIT_S = 0.5
 # A daemon that relies on updates reads the store itself after this time without
 # any. Readers send several updates per second, and a target that leaves must
 # be out of use two seconds later.
@@ -94,7 +98,8 @@
     :param health: state of the store, shared by all followers of this daemon.
     :param reads_table: returns whether this daemon reads the table from the
         store; ``None`` if all daemons do.
-    :ivar is_shared: whether a few daemons read the table for all daemons.
+    :ivar is_shared: whether the table always changes, so that a few daemons
+        read it for all daemons.
     :ivar last_current_s: time at which the table was last known to be current;
         minus infinity before the first answer.
     :ivar era: era of the store in which the versions hold; 0 before the first
@@ -120,7 +125,6 @@
         self._recent_changes = RecentChanges()
         self.last_current_s = float('-inf')
         self.table = table
-        self._feed = feed
         self._listener = listener
         self._log = log
         self._results = CallResults(table, listener, log, health)
@@ -134,6 +138,8 @@
         # Version of the newest change read, insignificant ones included.
         self._newest_change = 0
         self._task: asyncio.Task[None] | None = None
+        self._polls = TablePolls(table, feed, clock)
+        health.subscribe(self._polls.repeat)
 
     @property
     def newest_change(self) -> int | None:
@@ -232,7 +238,8 @@
             await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
             return
         since = self._version
-        if self._handle_read(since, await self._read(since)):
+        result = await self._polls.read(since, self._wait_s())
+        if result is not None and self._handle_read(since, result):
             await asyncio.sleep(self._pause_s())
 
     def _discard_table(self, error: Exception) -> None:
@@ -246,14 +253,11 @@
         )
         self._version = None
 
-    async def _read(
-        self, since: int | None
-    ) -> TableChanges | HistoryLost | Unavailable:
-        if since is None:
-            return await self._feed.snapshot(self.table)
-        is_immediate = self._health.is_failing or not self.is_reader()
-        wait_s = 0.0 if is_immediate else FEED_WAIT_S
-        return await self._feed.changes(self.table, since, wait_s)
+    def _wait_s(self) -> float:
+        """Return how long a call waits if there is no change yet."""
+        if self._health.is_failing or not self.is_reader():
+            return 0.0
+        return _BUSY_FEED_WAIT_S if self.is_shared else FEED_WAIT_S
 
     def _is_kept_current(self) -> bool:
         """Return whether updates from readers keep this daemon current."""
@@ -280,7 +284,8 @@
         """
         now_s = self._clock.now_s()
         if isinstance(result, Unavailable):
-            self._results.failed(result.reason, now_s)
+            took_s = now_s - self._polls.called_s
+            self._results.failed(result, took_s, now_s)
             return False
         is_new_era = self._enter_era(result, now_s)
         self._results.answered(now_s)
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -18,9 +18,8 @@
 from nutmegspoke.membership.table_news import TableUpdate
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.feeds import Feeds
     from nutmegspoke.edge.followers import TableFollower
     from nutmegspoke.edge.listeners import DaemonsListener
     from nutmegspoke.edge.view import View
@@ -62,7 +61,7 @@
     :param daemons: addresses of the other daemons.
     :param leader: provides and receives the lease row.
     :param report_reader: provides whether this daemon reads the reports.
-    :param followers: followers of the tables of the store.
+    :param feeds: followers of the tables of the store.
     """
 
     def __init__(
@@ -71,7 +70,7 @@
         daemons: DaemonsListener,
         leader: LeaderLease,
         report_reader: ReportReader,
-        followers: Sequence[TableFollower],
+        feeds: Feeds,
         clock: Clock,
     ) -> None:
         """Create an endpoint that is not started yet."""
@@ -79,7 +78,8 @@
         self._daemons = daemons
         self._leader = leader
         self._report_reader = report_reader
-        self._followers = followers
+        self._followers = feeds.followers
+        self._health = feeds.health
         self._feed_versions = FeedVersions()
         self._clock = clock
         self._started_ms = int(clock.wall_s() * 1_000)
@@ -154,6 +154,8 @@
         self._view.reassignments.receive(update.reassignments, now_s)
         self._view.lost_engines.receive(update.lost, now_s)
         self._view.crashes.receive(update.notices, now_s)
+        if update.silence_age_s >= 0:
+            self._health.silence_ended_elsewhere(now_s - update.silence_age_s)
         if update.lease is not None:
             self._leader.receive_row(*update.lease)
 
@@ -249,6 +251,7 @@
             notices=self._view.crashes.outgoing(
                 _notice_repeat_s(len(self._daemons.addresses)), now_s
             ),
+            silence_age_s=round(self._health.silence_age_s(now_s), 2),
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
--- /dev/null
+++ b/nutmegspoke/edge/table_polls.py
@@ -0,0 +1,63 @@
+"""Calls for the changes of a table that can be repeated while they wait."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.metadata_store import (
+        ChangeFeed,
+        HistoryLost,
+        TableChanges,
+        Unavailable,
+    )
+
+
+class TablePolls:
+    """Calls of one follower, one at a time.
+
+    :param table: name of the table.
+    :param feed: feed of the store.
+    :param clock: clock of the process.
+    :ivar called_s: time of the last call.
+    """
+
+    def __init__(self, table: str, feed: ChangeFeed, clock: Clock) -> None:
+        """Create without a call."""
+        self._table = table
+        self._feed = feed
+        self._clock = clock
+        self._call: asyncio.Future[object] | None = None
+        self.called_s = clock.now_s()
+
+    async def read(
+        self, since: int | None, wait_s: float
+    ) -> TableChanges | HistoryLost | Unavailable | None:
+        """Return the changes after a version, or the whole table.
+
+        :param since: the version; ``None`` for the whole table.
+        :param wait_s: time to wait if there is no change yet.
+        :returns: ``None`` if the call must be repeated.
+        """
+        self.called_s = self._clock.now_s()
+        if since is None:
+            return await self._feed.snapshot(self._table)
+        call = asyncio.create_task(
+            self._feed.changes(self._table, since, wait_s)
+        )
+        self._call = call
+        try:
+            await asyncio.wait((call,))
+        finally:
+            call.cancel()
+        return None if call.cancelled() else call.result()
+
+    def repeat(self, lost_s: float) -> None:
+        """End the call in progress if it was made before a time.
+
+        :param lost_s: time at which the store was found to lose calls.
+        """
+        if self._call is not None and self.called_s < lost_s:
+            self._call.cancel()
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -78,6 +78,8 @@
         its own share, in the last window.
     :param era: era of the store in which the versions of the feeds hold.
     :param notices: crashes of targets, and requests quarantined for them.
+    :param silence_age_s: time since this daemon found the store silent, if it
+        answers again; negative otherwise, or if that is long ago.
     """
 
     host: str
@@ -94,6 +96,7 @@
     used: dict[str, tuple[int, int]] = {}
     era: int = 0
     notices: tuple[Notice, ...] = ()
+    silence_age_s: float = -1.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/nutmegspoke/metadata_store.py
+++ b/nutmegspoke/metadata_store.py
@@ -82,9 +82,11 @@
     """The service did not answer the call, and nothing was written.
 
     :param reason: description of the failure.
+    :param is_silent: whether there was no answer in time.
     """
 
     reason: str
+    is_silent: bool = False
 
 
 CommitResult = Committed | Conflict | InDoubt | Unavailable
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -205,7 +205,7 @@
                 'GET', '/v1/rows-get', query, CALL_TIMEOUT_S
             )
         except _CALL_ERRORS as error:
-            return Unavailable(repr(error))
+            return _call_failure(error)
         return _parse_rows(answer)
 
     async def _request_feed(
@@ -218,7 +218,7 @@
                 'GET', '/v1/rows-feed', query, timeout_s
             )
         except _CALL_ERRORS as error:
-            return Unavailable(repr(error))
+            return _call_failure(error)
         if answer.status == _GONE:
             return HistoryLost()
         return _parse_rows(answer)
@@ -244,6 +244,10 @@
                 return _Answer(response.status, await response.read(), era)
 
 
+def _call_failure(error: Exception) -> Unavailable:
+    return Unavailable(repr(error), is_silent=isinstance(error, TimeoutError))
+
+
 def _parse_era(text: str) -> int:
     """Return the era; 0 if there is none."""
     is_number = text.isascii() and text.isdecimal()
--- a/tests/membership/test_store_health.py
+++ b/tests/membership/test_store_health.py
@@ -56,3 +56,37 @@
         """Any answer shows that the store has recovered."""
         self.health.answered('daemons')
         self.assertFalse(self.health.is_failing)
+
+
+class SilenceTest(unittest.TestCase):
+    """The store gives no answer for a while and may have lost calls."""
+
+    def setUp(self) -> None:
+        """Record the ends of silences."""
+        self.health = StoreHealth()
+        self.silences_s: list[float] = []
+        self.health.subscribe(self.silences_s.append)
+
+    def test_calls_are_repeated_once_it_answers(self) -> None:
+        """Guards against calls that are repeated to a silent store."""
+        self.health.failed('servers', 10.0, is_silent=True)
+        self.health.failed('servers', 12.0, is_silent=True)
+        self.assertEqual(self.silences_s, [])
+        self.assertEqual(self.health.silence_age_s(12.5), -1.0)
+        self.health.answered('servers')
+        self.health.answered('servers')
+        self.assertEqual(self.silences_s, [12.0])
+        self.assertEqual(self.health.silence_age_s(12.5), 0.5)
+        self.assertEqual(self.health.silence_age_s(60.0), -1.0)
+
+    def test_a_refusal_loses_no_call(self) -> None:
+        """Guards against more calls to a store that rejects them."""
+        self.health.failed('servers', 10.0)
+        self.health.answered('servers')
+        self.assertEqual(self.silences_s, [])
+
+    def test_the_time_of_a_call_counts_as_pause(self) -> None:
+        """Guards against tables that stay old after a long silence."""
+        for _ in range(5):
+            self.health.failed('op', 10.0, took_s=1.5, is_silent=True)
+        self.assertEqual(self.health.wait_s('op', 10.0), 0.0)
