Read all tables again as soon as any feed or daemon sees a new era

Cause: each feed found the new era by its own answers only. The HTTP library sends a poll again without notice if its connection is cut, and a store that has given out versions up to the poll's again then waits for later ones: neither 410 nor the rows in between.

Evidence: tests/edge/test_store_goes_back.py, UnnoticedReturnTest, before:

TimeoutError (both tests, polls that may wait longer)

Why this works: the era is part of the state that all feeds of a daemon share, and of the updates between daemons, which carried it already. A higher one ends the polls made before and lets each feed read its whole table.

--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -237,6 +237,8 @@
             self._results.failed_elsewhere('another call failed', now_s)
             await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
             return
+        if 0 < self.era < self._health.era:
+            self._version = None
         since = self._version
         result = await self._polls.read(since, self._wait_s())
         if result is not None and self._handle_read(since, result):
@@ -324,6 +326,7 @@
             return False
         is_first = self.era == 0
         self.era = result.era
+        self._health.enter_era(result.era, now_s)
         if is_first:
             return False
         self._log.decided(
--- a/nutmegspoke/edge/table_polls.py
+++ b/nutmegspoke/edge/table_polls.py
@@ -57,7 +57,7 @@
     def repeat(self, lost_s: float) -> None:
         """End the call in progress if it was made before a time.
 
-        :param lost_s: time at which the store was found to lose calls.
+        :param lost_s: time before which calls may be lost or of an earlier era.
         """
         if self._call is not None and self.called_s < lost_s:
             self._call.cancel()
--- a/nutmegspoke/membership/store_health.py
+++ b/nutmegspoke/membership/store_health.py
@@ -21,7 +21,12 @@
     first. The other feeds wait for its result.
 
     A store that was silent may have lost the calls that waited for changes. Once
-    it answers again, subscribers are told to repeat them.
+    it answers again, subscribers are told to repeat them. So they are when the
+    store is known to have entered a new era, as the calls wait for changes after
+    versions of an earlier one.
+
+    :ivar era: newest era of the store that any feed or daemon has seen; 0
+        before the first.
     """
 
     def __init__(self) -> None:
@@ -29,15 +34,15 @@
         self._failures = 0
         self._next_s = float('-inf')
         self._probing_caller: str | None = None
+        self.era = 0
         self._silent_s: float | None = None
         self._ended_silence_s = float('-inf')
         self._subscribers: list[Callable[[float], None]] = []
 
     def subscribe(self, subscriber: Callable[[float], None]) -> None:
-        """Call a function when a silence has ended.
+        """Call a function when calls in progress must be repeated.
 
-        Its argument is the time at which the silence was found; calls made
-        before may be lost.
+        Its argument is a time; only calls made before must be.
         """
         self._subscribers.append(subscriber)
 
@@ -49,6 +54,14 @@
         for subscriber in self._subscribers:
             subscriber(silent_s)
 
+    def enter_era(self, era: int, now_s: float) -> None:
+        """Record an era that a feed or another daemon has seen."""
+        if era <= self.era:
+            return
+        self.era = era
+        for subscriber in self._subscribers:
+            subscriber(now_s)
+
     def silence_age_s(self, now_s: float) -> float:
         """Return the age of the last silence in seconds, for other daemons.
 
--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -5,10 +5,13 @@
 import asyncio
 import base64
 import dataclasses
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 _OK = 200
 _CONFLICT = 412
 _GONE = 410
@@ -45,6 +48,8 @@
     """Table rows versioned by one counter, with transactions and feeds.
 
     :ivar lost_calls: number of calls that never get an answer.
+    :ivar polled_after: by table, the version after which changes were last
+        asked for.
     :ivar era: raised each time that the store comes back from a copy.
     """
 
@@ -53,6 +58,7 @@
         self.faults = StoreFaults()
         self.calls = 0
         self.lost_calls = 0
+        self.polled_after: dict[str, int] = {}
         self.era = 1
         self._version = 0
         self._rows: dict[tuple[str, str], tuple[int, str]] = {}
@@ -81,15 +87,25 @@
         """Return a copy of the present state."""
         return StoreCopy(self._version, dict(self._rows), list(self._history))
 
-    async def come_back_from(self, copy: StoreCopy) -> None:
+    async def come_back_from(
+        self,
+        copy: StoreCopy,
+        rewritten: Sequence[tuple[str, str, bytes]] = (),
+    ) -> None:
         """Continue from a copy; what was written since is lost.
 
         Versions are given out again, and feeds that wait are cut.
+
+        :param rewritten: table, key and body of rows that are written again
+            before any call is answered.
         """
         self.era += 1
         self._version = copy.version
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
+        for table, key, body in rewritten:
+            self._version += 1
+            self._apply(table, key, base64.b64encode(body).decode())
         await self._notify_feeds()
 
     def app(self) -> web.Application:
@@ -147,6 +163,7 @@
         wait_s = int(request.query.get('wait_ms', '0')) / 1_000
         if not self._dropped_version <= after <= self._version:
             return web.Response(status=_GONE)
+        self.polled_after[table] = after
         era = self.era
         async with self._changed:
             try:
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -6,9 +6,11 @@
 import socket
 import unittest
 from types import MappingProxyType
+from unittest import mock
 
 import msgspec
 
+from nutmegspoke.edge import followers
 from nutmegspoke.membership.load_news import LoadUpdate
 from nutmegspoke.platform import configuration, discovery
 from nutmegspoke.standins.wire_target import WireTarget
@@ -25,6 +27,8 @@
 _CALL_INTERVAL_S = 0.2
 # Writes of the lease in which a stale feed would be restarted several times.
 _RENEWALS = 5
+# Longer than a test.
+_LONG_WAIT_S = 1000.0
 
 
 class StoreGoesBackCase(unittest.IsolatedAsyncioTestCase):
@@ -134,6 +138,64 @@
             await self.deployment.store.put('other', 'x', b'')
 
 
+class UnnoticedReturnTest(StoreGoesBackCase):
+    """A poll is sent again before the daemon hears that the store went back.
+
+    The HTTP library does so if an idle connection is cut. The store waits for
+    changes after a version that it has given out again by then.
+    """
+
+    async def asyncSetUp(self) -> None:
+        """Let polls without a change take longer than the test."""
+        patch = mock.patch.object(followers, 'FEED_WAIT_S', _LONG_WAIT_S)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    async def test_another_feed_notices(self) -> None:
+        """Guards against tables that come into force when a poll ends."""
+        await self._return_with_new_tables()
+        await self.deployment.until(
+            lambda: self.deployment.daemon.view.version == 8
+        )
+
+    async def test_another_daemon_notices(self) -> None:
+        """Guards against a daemon that learns of the return too late.
+
+        None of its own calls is answered.
+        """
+        patch = mock.patch.object(followers, '_BUSY_FEED_WAIT_S', _LONG_WAIT_S)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await self.deployment.store.put('servers', 'other', b'')
+        await asyncio.sleep(_CALL_INTERVAL_S)
+        await self._return_with_new_tables()
+        update = LoadUpdate('host-2', 1, 1, {}, era=2)
+        address = (self.deployment.host.ip, self.deployment.host.peer_ports[0])
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(msgspec.msgpack.encode(update), address)
+        await self.deployment.until(
+            lambda: self.deployment.daemon.view.version == 8
+        )
+
+    async def _return_with_new_tables(self) -> None:
+        store = self.deployment.store
+        copy = store.copy()
+        await store.put('op', 'other', b'')
+        await self.deployment.until(
+            lambda: (
+                store.polled_after.get(configuration.TABLE, 0) > copy.version
+            )
+        )
+        polls = store.calls
+        tables = build.wire_configuration(version=8, weights=(1, 0))
+        heartbeats = [('other', 'x', b'')] * _HEARTBEATS
+        await store.come_back_from(
+            copy, [('op', 'config', tables), *heartbeats]
+        )
+        await self.deployment.until(lambda: store.calls > polls)
+
+
 class OtherDaemonTest(StoreGoesBackCase):
     """Another daemon reports versions that the store no longer has."""
 
