Ignore rows of other keys and parts of the tables that are followed

What callers may have seen: a draft of the operator's tables in force, and all of the operator's next versions ignored as lower (CONFIG); a live target taken for gone.

Cause: a feed returns the rows of all parts of a table, and the part was not read; the row of the tables was known by the end of its key.

Why this works: rows with a part are dropped where answers of the store are decoded, and the key is compared as a whole.

--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -55,7 +55,7 @@
         :returns: no names, as every daemon reads this table itself.
         """
         for row in changes.rows:
-            if row.key.endswith(f'/{self._row_name}'):
+            if row.key.partition('/')[2] == self._row_name:
                 self._apply_row(row, now_s)
         return frozenset()
 
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -55,6 +55,8 @@
 class _WireRow(msgspec.Struct):
     table: str
     key: str
+    # Feeds return the rows of all parts; those used here have none.
+    part: str = ''
     ver: int = ABSENT_VERSION
     # Base64; absent for a removed row.
     value: str | None = None
@@ -262,6 +264,7 @@
     except msgspec.MsgspecError as error:
         return Unavailable(f'unreadable answer: {error}')
     rows.era = answer.era
+    rows.rows = [row for row in rows.rows if not row.part]
     return rows
 
 
--- a/nutmegspoke/standins/row_store.py
+++ b/nutmegspoke/standins/row_store.py
@@ -66,11 +66,17 @@
         self._dropped_version = 0
         self._changed = asyncio.Condition()
 
-    async def put(self, table: str, key: str, body: bytes | None) -> None:
-        """Write a row as an operator or target does; ``None`` removes it."""
+    async def put(
+        self, table: str, key: str, body: bytes | None, part: str = ''
+    ) -> None:
+        """Write a row as an operator or target does; ``None`` removes it.
+
+        :param part: part of the table; only feeds return rows of others than
+            the empty one.
+        """
         self._version += 1
         encoded = None if body is None else base64.b64encode(body).decode()
-        self._apply(table, key, encoded)
+        self._apply(table, key, encoded, part)
         await self._notify_feeds()
 
     def body(self, table: str, key: str) -> bytes | None:
@@ -201,20 +207,26 @@
         await self._notify_feeds()
         return web.json_response({'ver': self._version, 'now_ms': 0})
 
-    def _apply(self, table: str, key: str, encoded: str | None) -> None:
+    def _apply(
+        self, table: str, key: str, encoded: str | None, part: str = ''
+    ) -> None:
         change: dict[str, Any] = {
             'table': table,
-            'part': '',
+            'part': part,
             'key': key,
             'ver': self._version,
         }
         if encoded is None:
-            self._rows.pop((table, key), None)
             change['removed'] = True
         else:
-            self._rows[table, key] = (self._version, encoded)
             change['value'] = encoded
         self._history.append(change)
+        if part:
+            return
+        if encoded is None:
+            self._rows.pop((table, key), None)
+        else:
+            self._rows[table, key] = (self._version, encoded)
 
     async def _notify_feeds(self) -> None:
         async with self._changed:
