Keep quarantines in the store beyond the end of all daemons

What callers may see: after a loss of power of all hosts, or a kill of all daemons, the request that had been refused crashes two or three targets again, each time anew.

Cause: the quarantine was known to daemons only, which keep nothing.

Evidence: tests/edge/test_crashing_requests.py, AllDaemonsEndTest; without the rows, it waits for them in vain (TimeoutError).

Why this works: a daemon that decides on a quarantine writes a row, and a daemon that starts reads the rows once. That costs a call per start and one per quarantine. Rows that are over or unreadable are removed then.

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -132,6 +132,7 @@
             clock,
         )
         self._followers = feeds.followers
+        self._quarantine_rows = feeds.quarantine_rows
         self._update_exchange = UpdateExchange(
             self.view,
             self._daemons,
@@ -171,6 +172,7 @@
         for follower in self._followers:
             await follower.start()
         await self._update_exchange.start()
+        await self._quarantine_rows.start()
         await self._layer_controller.start()
         await self._engine_polls.start()
         self._announcing_task = asyncio.create_task(
@@ -220,6 +222,7 @@
             self._engine_polls,
             self._layer_controller,
             self._update_exchange,
+            self._quarantine_rows,
         )
         for part in parts:
             await part.stop()
--- a/nutmegspoke/edge/feeds.py
+++ b/nutmegspoke/edge/feeds.py
@@ -7,6 +7,7 @@
 
 from nutmegspoke.edge.announcing import DAEMONS_TABLE
 from nutmegspoke.edge.followers import TableFollower
+from nutmegspoke.edge.quarantine_rows import QuarantineRows
 from nutmegspoke.membership.common_work import reads_store
 from nutmegspoke.membership.store_health import StoreHealth
 
@@ -35,14 +36,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Feeds:
-    """The followers of a daemon.
+    """The parts of a daemon that read tables of the store.
 
-    :param followers: a follower for each table.
+    :param followers: a follower for each table with changes.
     :param health: state of the store, which they share.
+    :param quarantine_rows: reads its table at the start only.
     """
 
     followers: list[TableFollower]
     health: StoreHealth
+    quarantine_rows: QuarantineRows
 
 
 def new_feeds(
@@ -89,4 +92,4 @@
         )
         for table, listener, reads in follows
     ]
-    return Feeds(followers, health)
+    return Feeds(followers, health, QuarantineRows(view, parts.store, clock))
--- a/nutmegspoke/retries/shared_quarantine.py
+++ b/nutmegspoke/retries/shared_quarantine.py
@@ -45,15 +45,28 @@
         self._recent: list[tuple[float, Notice]] = []
         self._received_s: dict[Notice, float] = {}
         self._subscribers: list[Callable[[], None]] = []
+        self._decision_subscribers: list[
+            Callable[[QuarantineNotice], None]
+        ] = []
 
     def subscribe(self, subscriber: Callable[[], None]) -> None:
         """Call a function when a notice should be sent at once."""
         self._subscribers.append(subscriber)
 
+    def subscribe_decisions(
+        self, subscriber: Callable[[QuarantineNotice], None]
+    ) -> None:
+        """Call a function with each quarantine that this daemon decides."""
+        self._decision_subscribers.append(subscriber)
+
     def collect(self, now_s: float) -> None:
         """Take the new notices of the quarantine for the next updates."""
         notices = self.quarantine.drain_notices()
         self._recent.extend((now_s, notice) for notice in notices)
+        for notice in notices:
+            if isinstance(notice, QuarantineNotice):
+                for keep in self._decision_subscribers:
+                    keep(notice)
         if any(_is_urgent(notice) for notice in notices):
             for subscriber in self._subscribers:
                 subscriber()
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from nutmegspoke.standins.row_store import RowStore
 from tests import builders_edge as build
 from tests.edge.test_daemon import DaemonCase
 from tests.edge.world import Deployment
@@ -16,6 +17,10 @@
 _NEWS_S = 1.0
 
 
+def _quarantine_keys(store: RowStore) -> list[str]:
+    return [key for table, key in store.copy().rows if table == 'quarantine']
+
+
 class CrashingRequestsCase(DaemonCase):
     """Base class with targets that crash under one body."""
 
@@ -124,6 +129,50 @@
         self.assertEqual((answer.status, answer.is_whole), (200, True))
 
 
+class AllDaemonsEndTest(CrashingRequestsCase):
+    """No daemon is left that could tell of a quarantine."""
+
+    async def asyncSetUp(self) -> None:
+        """Quarantine a request, and end the only daemon."""
+        await super().asyncSetUp()
+        await self._add_services('r1', 'r2')
+        await self._try_often(self.deployment, '/calls/1')
+        store = self.deployment.store
+        await self.deployment.until(lambda: _quarantine_keys(store))
+        await self.deployment.daemon.close()
+        self.runs = self._count_fatal_runs()
+
+    async def test_a_daemon_that_starts_then(self) -> None:
+        """Guards against a request that crashes targets after each restart."""
+        other = Deployment(shared=self.deployment)
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        await other.until(lambda: other.daemon.view.version)
+        await other.until(
+            lambda: other.daemon.view.crashes.quarantine.suspects.quarantined(
+                asyncio.get_running_loop().time()
+            )
+        )
+        answer = await other.call('/calls/1', body=_FATAL)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self._count_fatal_runs(), self.runs)
+
+    async def test_rows_that_are_over_are_removed(self) -> None:
+        """Guards against rows that are kept for ever."""
+        store = self.deployment.store
+        for key in _quarantine_keys(store):
+            await store.put(
+                'quarantine',
+                key,
+                b'{"target":"r1","targets":["r1"],"until_s":1.0}',
+            )
+        await store.put('quarantine', 'odd', b'no row')
+        other = Deployment(shared=self.deployment)
+        await other.start()
+        self.addAsyncCleanup(other.stop)
+        await other.until(lambda: not _quarantine_keys(store))
+
+
 class OtherHostTest(CrashingRequestsCase):
     """The caller's retries reach another daemon."""
 
