Remove the rows of quarantines that have ended

The row is now removed by whoever wrote or read it. Test: LiftedQuarantineTest, which waits in vain without the removal. An unused parameter of CrashWatch is gone.

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -13,7 +13,6 @@
     from collections.abc import Iterable
 
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.target_connections import TargetConnections
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
@@ -48,15 +47,13 @@
         self,
         view: View,
         connections: TargetConnections,
-        log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Start without requests in flight."""
         self._view = view
         self._connections = connections
-        self._log = log
         self._clock = clock
-        # Checks in progress by the fingerprint of the request.
+        # First checks in progress, by the fingerprint of the request.
         self._checks: dict[str, set[asyncio.Task[None]]] = {}
         self._later_checks: set[asyncio.Task[None]] = set()
 
@@ -122,7 +119,7 @@
             self._crashed(entry)
 
     async def _check(self, run: WatchedRun, target: TargetEntry) -> None:
-        """Check whether a target accepts connections; if not, it crashed."""
+        """Check whether a target has crashed; if not, check it once more."""
         if await self._connections.is_refused(target.address):
             self._crashed(target)
             self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
--- a/nutmegspoke/edge/quarantine_rows.py
+++ b/nutmegspoke/edge/quarantine_rows.py
@@ -33,6 +33,9 @@
 _INTERVAL_S = 1.0
 # Rows that one transaction writes or removes.
 _MAX_WRITES = 50
+# Raised for bytes that are no JSON of the expected types; nested too deeply,
+# they raise RecursionError.
+_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class QuarantineRow(msgspec.Struct, frozen=True):
@@ -49,7 +52,10 @@
 
 
 class QuarantineRows:
-    """Writes the quarantines that this daemon decides, and reads all at start."""
+    """Writes the quarantines that this daemon decides, and reads all at start.
+
+    Rows are removed when their quarantine is over, lifted or cleared.
+    """
 
     def __init__(self, view: View, store: Store, clock: Clock) -> None:
         """Create without rows to write."""
@@ -58,6 +64,8 @@
         self._clock = clock
         self._is_loaded = False
         self._writes: dict[str, Write] = {}
+        # Fingerprints of the quarantines that were written or read here.
+        self._kept: set[str] = set()
         self._periodic = Periodic('quarantine', _INTERVAL_S, self._synchronize)
         self._crashes.subscribe_decisions(self._keep)
 
@@ -70,15 +78,29 @@
         await self._periodic.stop()
 
     def _keep(self, notice: QuarantineNotice) -> None:
+        self._kept.add(notice.fingerprint)
         until_s = self._clock.wall_s() + notice.remaining_s
         row = QuarantineRow(notice.target, notice.targets, until_s)
-        key = f'{QUARANTINE_TABLE}/{notice.fingerprint}'
-        self._writes[key] = Write(key, msgspec.json.encode(row))
+        self._write(notice.fingerprint, msgspec.json.encode(row))
         self._periodic.wake()
 
+    def _write(self, fingerprint: str, body: bytes | None) -> None:
+        key = f'{QUARANTINE_TABLE}/{fingerprint}'
+        self._writes[key] = Write(key, body)
+
+    def _remove_ended(self) -> None:
+        quarantined = self._crashes.quarantine.suspects.quarantined(
+            self._clock.now_s()
+        )
+        ended = self._kept.difference(name for name, _ in quarantined)
+        for fingerprint in ended:
+            self._write(fingerprint, None)
+        self._kept -= ended
+
     async def _synchronize(self) -> None:
         if not self._is_loaded:
             await self._load()
+        self._remove_ended()
         writes = tuple(self._writes.values())[:_MAX_WRITES]
         if not writes:
             return
@@ -97,17 +119,16 @@
             return
         self._is_loaded = True
         for row in table.rows:
+            self._kept.add(row.key.partition('/')[2])
             notice = self._to_notice(row)
-            if notice is None:
-                self._writes[row.key] = Write(row.key, None)
-            else:
+            if notice is not None:
                 self._crashes.receive((notice,), self._clock.now_s())
 
     def _to_notice(self, row: StoredRow) -> QuarantineNotice | None:
         """Return the notice of a row; ``None`` if it is over or unreadable."""
         try:
             kept = msgspec.json.decode(row.body, type=QuarantineRow)
-        except msgspec.MsgspecError as error:
+        except _DECODE_ERRORS as error:
             logger.warning('quarantine: row %s removed: %s', row.key, error)
             return None
         remaining_s = kept.until_s - self._clock.wall_s()
--- a/nutmegspoke/retries/shared_quarantine.py
+++ b/nutmegspoke/retries/shared_quarantine.py
@@ -14,7 +14,7 @@
 from nutmegspoke.retries.suspects import QuarantineSettings
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Sequence
 
     from nutmegspoke.retries.notices import Notice
 
@@ -84,7 +84,7 @@
         recent = (notice for _, notice in self._recent[-_MAX_RECENT:])
         return (*recent, *self._active(now_s))
 
-    def receive(self, notices: Iterable[Notice], now_s: float) -> None:
+    def receive(self, notices: Sequence[Notice], now_s: float) -> None:
         """Apply the notices of an update of another daemon."""
         for notice in notices:
             received_s = self._received_s.get(notice, float('-inf'))
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from nutmegspoke.retries.notices import ClearNotice
 from nutmegspoke.standins.row_store import RowStore
 from tests import builders_edge as build
 from tests.edge.test_daemon import DaemonCase
@@ -173,6 +174,23 @@
         await other.until(lambda: not _quarantine_keys(store))
 
 
+class LiftedQuarantineTest(CrashingRequestsCase):
+    """A quarantine ends before its time."""
+
+    async def test_its_row_is_removed(self) -> None:
+        """Guards against a lifted quarantine that a new daemon brings back."""
+        await self._add_services('r1', 'r2')
+        await self._try_often(self.deployment, '/calls/1')
+        store = self.deployment.store
+        await self.deployment.until(lambda: _quarantine_keys(store))
+        (fingerprint,) = _quarantine_keys(store)
+        now_s = asyncio.get_running_loop().time()
+        self.deployment.daemon.view.crashes.receive(
+            (ClearNotice(fingerprint),), now_s
+        )
+        await self.deployment.until(lambda: not _quarantine_keys(store))
+
+
 class OtherHostTest(CrashingRequestsCase):
     """The caller's retries reach another daemon."""
 
