Log a crash at each daemon that hears of it, once

The first report of each crash is logged now, at the daemon that finds it and at those that are told.

--- a/nutmegspoke/retries/crash_records.py
+++ b/nutmegspoke/retries/crash_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import logging
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -10,6 +11,8 @@
 
     from nutmegspoke.retries.suspects import SuspectRegistry
 
+logger = logging.getLogger(__name__)
+
 
 @dataclasses.dataclass(slots=True)
 class Crash:
@@ -18,10 +21,12 @@
     :param at_s: time of the first report.
     :param candidates: fingerprints of the requests in flight on it that were
         also in flight on another target that crashed earlier.
+    :param is_logged: whether the crash was logged.
     """
 
     at_s: float
     candidates: set[str] = dataclasses.field(default_factory=set)
+    is_logged: bool = False
 
 
 class CrashRecords:
@@ -41,7 +46,10 @@
     def record(
         self, target: str, in_flight: Collection[str], now_s: float
     ) -> Crash:
-        """Record a crash, and its requests in flight as suspects."""
+        """Record a crash, and its requests in flight as suspects.
+
+        The first report of a crash is logged.
+        """
         crash = self.find_or_add(target, now_s)
         for fingerprint in in_flight:
             suspect = self._suspects.add(fingerprint, now_s)
@@ -49,6 +57,14 @@
                 crash.candidates.add(fingerprint)
             suspect.targets.add(target)
             suspect.since_s = now_s
+        if not crash.is_logged:
+            crash.is_logged = True
+            logger.info(
+                'retries: target crashed target=%s passengers=%d candidates=%d',
+                target,
+                len(in_flight),
+                len(crash.candidates),
+            )
         return crash
 
     def find_or_add(self, target: str, now_s: float) -> Crash:
--- a/nutmegspoke/retries/quarantine.py
+++ b/nutmegspoke/retries/quarantine.py
@@ -199,12 +199,6 @@
             return
         suspects, _ = self._completed.split(in_flight, now_s)
         crash = self._crashes.record(target, suspects, now_s)
-        logger.info(
-            'retries: target crashed target=%s passengers=%d candidates=%d',
-            target,
-            len(in_flight),
-            len(crash.candidates),
-        )
         notice = CrashNotice(
             target,
             tuple(sorted(suspects)),
