Log the shared parts of prompts, and the runs in flight at a crash

request_ended has the ids of the parts that other requests may share, and target_crashed lists the runs in flight on a target at that host with these ids and the time since their first event. No decision changes.

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.target_connections import TargetConnections
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
@@ -24,20 +25,26 @@
 # A request that may be sent again waits at most this long for the check whether
 # its last target has crashed.
 _CHECK_TIMEOUT_S = 0.1
+# Runs that the log line of a crash contains.
+_MAX_LOGGED_RUNS = 16
 
 
-@dataclasses.dataclass(eq=False, frozen=True, slots=True)
+@dataclasses.dataclass(eq=False, slots=True)
 class WatchedRun:
     """A request in flight on targets.
 
     :param fingerprint: digest of the request.
     :param first: target to which it was sent.
     :param targets: starts of all targets that run it.
+    :param shared_parts: ids of the parts of its prompt that others may share.
+    :param first_event_s: time of its first event; ``None`` before it.
     """
 
     fingerprint: str
     first: TargetEntry | None
     targets: tuple[str, ...]
+    shared_parts: tuple[str, ...] = ()
+    first_event_s: float | None = None
 
 
 class CrashWatch:
@@ -47,12 +54,16 @@
         self,
         view: View,
         connections: TargetConnections,
+        log: DecisionLog,
         clock: Clock,
     ) -> None:
         """Start without requests in flight."""
         self._view = view
         self._connections = connections
+        self._log = log
         self._clock = clock
+        # Runs in flight, by the start of each target that runs them.
+        self._runs: dict[str, set[WatchedRun]] = {}
         # First checks in progress, by the fingerprint of the request.
         self._checks: dict[str, set[asyncio.Task[None]]] = {}
         self._later_checks: set[asyncio.Task[None]] = set()
@@ -86,10 +97,18 @@
             context.fingerprint,
             entries[0],
             tuple(_start_name(entry) for entry in entries if entry),
+            context.facts.shared_parts,
         )
+        for target in run.targets:
+            self._runs.setdefault(target, set()).add(run)
         self._view.crashes.quarantine.started(run.fingerprint, run.targets)
         return run
 
+    def wrote(self, run: WatchedRun) -> None:
+        """Record that events of a run were received."""
+        if run.first_event_s is None:
+            run.first_event_s = self._clock.now_s()
+
     def ended(self, run: WatchedRun, *, is_broken_off: bool) -> None:
         """Record that a request is no longer in flight.
 
@@ -97,7 +116,7 @@
             without a complete answer; then it is checked for a crash.
         """
         if not is_broken_off or run.first is None:
-            self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+            self._forget(run)
             return
         checks = self._checks.setdefault(run.fingerprint, set())
         check = asyncio.create_task(self._check(run, run.first))
@@ -107,6 +126,7 @@
     def completed(self, run: WatchedRun) -> None:
         """Record that targets completed a request."""
         now_s = self._clock.now_s()
+        self._drop(run)
         self._view.crashes.quarantine.completed(
             run.fingerprint, run.targets, now_s
         )
@@ -122,7 +142,7 @@
         """Check whether a target has crashed; if not, check it once more."""
         if await self._connections.is_refused(target.address):
             self._crashed(target)
-            self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+            self._forget(run)
             return
         later = asyncio.create_task(self._check_later(run, target))
         self._later_checks.add(later)
@@ -132,8 +152,19 @@
         await asyncio.sleep(_PORT_CLOSE_S)
         if await self._connections.is_refused(target.address):
             self._crashed(target)
+        self._forget(run)
+
+    def _forget(self, run: WatchedRun) -> None:
+        self._drop(run)
         self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
 
+    def _drop(self, run: WatchedRun) -> None:
+        for target in run.targets:
+            runs = self._runs.get(target, set())
+            runs.discard(run)
+            if not runs:
+                self._runs.pop(target, None)
+
     def _check_done(self, run: WatchedRun, check: asyncio.Task[None]) -> None:
         checks = self._checks[run.fingerprint]
         checks.discard(check)
@@ -146,9 +177,36 @@
         if listed is not None and listed.state == TargetState.LEAVING:
             return
         now_s = self._clock.now_s()
-        self._view.crashes.quarantine.crashed(_start_name(target), now_s)
+        start = _start_name(target)
+        self._log_crash(start, now_s)
+        self._view.crashes.quarantine.crashed(start, now_s)
         self._view.crashes.collect(now_s)
 
+    def _log_crash(self, start: str, now_s: float) -> None:
+        """Log the runs in flight at a crash, those without events first."""
+        runs = self._runs.pop(start, None)
+        if runs is None:
+            return
+        by_progress = sorted(runs, key=lambda run: _wrote_for_s(run, now_s))
+        self._log.decided(
+            'target_crashed',
+            target=start,
+            runs=len(runs),
+            runs_in_flight=[
+                {
+                    'fingerprint': run.fingerprint,
+                    'shared_parts': run.shared_parts,
+                    'wrote_for_s': round(_wrote_for_s(run, now_s), 3),
+                }
+                for run in by_progress[:_MAX_LOGGED_RUNS]
+            ],
+        )
+
+
+def _wrote_for_s(run: WatchedRun, now_s: float) -> float:
+    """Return the time since the first event of a run; -1 before it."""
+    return -1.0 if run.first_event_s is None else now_s - run.first_event_s
+
 
 def _start_name(entry: TargetEntry) -> str:
     """Return a name that differs between two starts with the same id."""
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -161,6 +161,10 @@
             self._view.faults.succeeded(first_engine, now_s)
         return result
 
+    def record_events(self, run: DraftRun) -> None:
+        """Record that events of a run were received."""
+        self._crashes.wrote(run.watched)
+
     def complete(self, run: DraftRun, opened: OpenedAnswer) -> None:
         """End a run whose answer is complete and keep its connection."""
         self._crashes.completed(run.watched)
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -53,7 +53,7 @@
         clock: Clock,
     ) -> None:
         """Create the handler and its admission queue."""
-        self._relay = StreamRelay(attempts.header_codec, watch, clock)
+        self._relay = StreamRelay(attempts.header_codec, watch, runs, clock)
         chain_selector = ChainSelector(view, log, clock)
         self._admission = DraftAdmission(
             view, chain_selector.reserve_chain, clock
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -130,6 +130,8 @@
         now_s = self._clock.now_s()
         took_s = now_s - context.received_s
         fields = dict(log_fields or {})
+        if context.facts.shared_parts:
+            fields['shared_parts'] = context.facts.shared_parts
         if outcome != 'answered':
             fields['tables_age_s'] = round(self._view.tables_age_s(now_s), 3)
             fields['fingerprint'] = context.fingerprint
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -34,7 +34,7 @@
     attempts = Attempts(connections, parts.header_codec, clock)
     answer_sender = AnswerSender(parts.header_codec, log, metrics, view, clock)
     watch = StreamWatch(parts.engines)
-    crashes = CrashWatch(view, connections, clock)
+    crashes = CrashWatch(view, connections, log, clock)
     view.lost_engines.subscribe(watch.engine_ended)
     view.lost_engines.subscribe(crashes.engine_ended)
     runs = DraftRuns(view, attempts, watch, crashes, log, clock)
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -17,7 +17,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.attempts import OpenedAnswer
-    from nutmegspoke.edge.draft_runs import DraftRun
+    from nutmegspoke.edge.draft_runs import DraftRun, DraftRuns
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.work import RequestContext
@@ -77,16 +77,19 @@
         self,
         header_codec: HeaderCodec,
         watch: StreamWatch,
+        runs: DraftRuns,
         clock: Clock,
     ) -> None:
         """Create a relay.
 
         :param header_codec: writes the headers of answers.
         :param watch: detects lost engines for resumable streams.
+        :param runs: receives the progress of runs.
         :param clock: clock of the process.
         """
         self._header_codec = header_codec
         self._watch = watch
+        self._runs = runs
         self._clock = clock
 
     async def run(
@@ -116,9 +119,7 @@
             if not isinstance(event, AnswerPart):
                 end = _relay_end(event, stream, run.splitter)
                 return await self._finish(context, stream, opened, end)
-            await self._relay_events(
-                context, stream, opened, run.splitter, event
-            )
+            await self._relay_events(context, stream, run, opened, event)
             if run.splitter.is_too_long:
                 return RelayEnd('event without end')
 
@@ -166,13 +167,16 @@
         self,
         context: RequestContext,
         stream: DraftStream,
+        run: DraftRun,
         opened: OpenedAnswer,
-        splitter: EventSplitter,
         part: AnswerPart,
     ) -> None:
+        received = run.splitter.feed(part.body)
+        if received:
+            self._runs.record_events(run)
         events = [
             event
-            for event in splitter.feed(part.body)
+            for event in received
             if event.number is None or event.number > stream.last_event_id
         ]
         if not events:
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -40,6 +40,8 @@
         ``None`` if not given.
     :param resume_after: id of the last event that the caller has received;
         empty if the request does not resume a stream.
+    :param shared_parts: ids of the parts of the prompt that other requests may
+        share: all but the last.
     """
 
     request_id: str
@@ -51,6 +53,7 @@
     max_answer_tokens: int
     hinted_answer_tokens: float | None
     resume_after: str
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -7,6 +7,7 @@
 
 import logging
 import math
+import re
 from typing import TYPE_CHECKING
 
 from nutmegspoke.forwarded import (
@@ -28,6 +29,8 @@
 _TEAM = b'tenant'
 # Prompt tokens and maximum answer tokens, in this order.
 _TOKEN_COUNTS = b'token-counts'
+# ID:TOKENS of each part of the prompt, in order.
+_PROMPT_PARTS = b'prompt-prefix'
 _ANSWER_HINT = b'length-hint'
 _RESUME_AFTER = b'last-event-id'
 _EXPECTED_TARGET = b'expect-instance'
@@ -74,6 +77,8 @@
 _CRLF = b'\r\n'
 # Longer numbers count as invalid; arithmetic with them could overflow.
 _MAX_COUNT_DIGITS = 15
+_PART_ID = re.compile(rb'[0-9a-f]{1,64}')
+_MAX_SHARED_PARTS = 64
 
 
 def read_request(request: CallerRequest) -> RequestFacts:
@@ -93,6 +98,7 @@
         max_answer_tokens=max_answer,
         hinted_answer_tokens=_parse_number(fields.get(_ANSWER_HINT)),
         resume_after=_decode_text(fields.get(_RESUME_AFTER)),
+        shared_parts=_parse_shared_parts(fields.get(_PROMPT_PARTS, b'')),
     )
 
 
@@ -223,6 +229,13 @@
     return prompt_count, max_answer
 
 
+def _parse_shared_parts(raw: bytes) -> tuple[str, ...]:
+    *shared, _ = raw.lower().split(b',')
+    ids = [entry.partition(b':')[0].strip() for entry in shared]
+    valid_ids = dict.fromkeys(each for each in ids if _PART_ID.fullmatch(each))
+    return tuple(each.decode() for each in valid_ids)[:_MAX_SHARED_PARTS]
+
+
 def _parse_load(raw: bytes | None) -> tuple[int, int, int] | None:
     counts = [_parse_count(part) for part in (raw or b'').split(b',')]
     match counts:
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -80,6 +80,23 @@
         answer = await self.deployment.call('/calls/1', body=_FATAL)
         self.assertGreater(float(answer.headers['Retry-After']), _NEWS_S)
 
+    async def test_a_crash_is_logged_with_its_runs(self) -> None:
+        """Guards against crashes whose requests nobody can name."""
+        await self._add_services('r1', 'r2')
+        await self.deployment.call('/calls/1', body=_FATAL)
+        crash = self.deployment.events('target_crashed')[0]
+        ended = self.deployment.events('request_ended')[0]
+        self.assertEqual(
+            crash['runs_in_flight'],
+            [
+                {
+                    'fingerprint': ended['fingerprint'],
+                    'shared_parts': (),
+                    'wrote_for_s': -1.0,
+                }
+            ],
+        )
+
     async def test_other_calls_are_served(self) -> None:
         """Guards against refusals of what ran on the same targets only."""
         await self._add_services('r1', 'r2')
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -68,6 +68,29 @@
         self.assertIsNone(facts.hinted_answer_tokens)
         self.assertEqual((facts.prompt_tokens, facts.max_answer_tokens), (0, 0))
 
+    def test_the_last_part_of_a_prompt_is_not_shared(self) -> None:
+        """The parts before it are known by their ids, once and in order."""
+        for prompt, shared in (
+            (
+                b'5C1E07A2:800, 91bd3f06:410,e4402b7d:250',
+                ('5c1e07a2', '91bd3f06'),
+            ),
+            (b'5c1e07a2:800,5c1e07a2:1,e4402b7d:250', ('5c1e07a2',)),
+            (b'e4402b7d:250', ()),
+            (b'', ()),
+        ):
+            request = CallerRequest(
+                b'GET', b'/', [(b'Prompt-Prefix', prompt)], b''
+            )
+            facts = headers.read_request(request)
+            self.assertEqual(facts.shared_parts, shared)
+
+    def test_ids_that_are_no_numbers_name_no_part(self) -> None:
+        """Guards against logs and updates with any bytes of a caller."""
+        prompt = b',x:1,,"5c":2,\xff:3,%s:4,5c:9,e4' % (b'a' * 99)
+        request = CallerRequest(b'GET', b'/', [(b'Prompt-Prefix', prompt)], b'')
+        self.assertEqual(headers.read_request(request).shared_parts, ('5c',))
+
     def test_a_load_that_overflows_counts_as_absent(self) -> None:
         """Guards against a whole answer that is lost for its load."""
         for load in (b'9' * 400 + b',0,1', b'9' * 5_000 + b',0,1', b'1,2,x'):
