Reproduce engines that crash under a part of the prompts

Three daemons in one process, engines that crash as they begin to answer a prompt with a certain part, and drafts that share nothing but parts of their prompts.

--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -47,6 +47,8 @@
     :param awaited_address: address of the engine that such a stream waits for.
     :param fatal_body: body of requests under which the target crashes; ``None``
         for none.
+    :param fatal_part: id of a part of the prompt, other than the last, under
+        which the target crashes as it begins to answer; empty for none.
     """
 
     refusals: int = 0
@@ -65,6 +67,7 @@
     wait_after: int | None = None
     awaited_address: str = ''
     fatal_body: bytes | None = None
+    fatal_part: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,11 @@
     headers: dict[str, str]
     body: bytes
 
+    def shared_parts(self) -> list[str]:
+        """Return the ids of the parts of its prompt, without the last."""
+        *shared, _ = self.headers.get('prompt-prefix', '').split(',')
+        return [entry.partition(':')[0] for entry in shared]
+
 
 class Silence:
     """Silence of a target, which goes on later where it stopped."""
@@ -143,6 +151,7 @@
         self.received: list[ReceivedRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.disconnect_count = 0
+        self.has_crashed = False
         self.idle_connections: set[asyncio.StreamWriter] = set()
         self._open_connections: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -176,6 +185,7 @@
     async def _crash_under_run(self) -> bool:
         """Simulate a crash a moment after a request began to run."""
         await asyncio.sleep(_RUN_BEFORE_CRASH_S)
+        self.has_crashed = True
         await self.stop()
         self.reset_connections()
         return False
@@ -245,7 +255,8 @@
         own_headers: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> bool:
-        if request.body == self.faults.fatal_body:
+        is_fatal = self.faults.fatal_part in request.shared_parts()
+        if is_fatal or request.body == self.faults.fatal_body:
             return await self._crash_under_run()
         if 'hops' in request.headers:
             return await self._send_stream(request, own_headers, writer)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -53,13 +53,17 @@
 class Deployment:
     """A store, targets, a daemon and callers, on loopback addresses."""
 
-    def __init__(self, shared: Deployment | None = None) -> None:
+    def __init__(
+        self, shared: Deployment | None = None, name: str = 'host-2'
+    ) -> None:
         """Create a deployment that is not started yet.
 
         :param shared: deployment whose store and targets this one uses, for a
-            second daemon; ``None`` for own ones.
+            further daemon; ``None`` for own ones.
+        :param name: name of the host of such a daemon.
         """
         self._shared = shared
+        self._name = 'host-1' if shared is None else name
         self.store = RowStore() if shared is None else shared.store
         self.targets: dict[str, WireTarget] = (
             {} if shared is None else shared.targets
@@ -80,7 +84,7 @@
             store_address = self._shared.host.store_address
         self._http = HttpCalls()
         host = build.host(
-            name='host-1' if self._shared is None else 'host-2',
+            name=self._name,
             callers_port=ports[1],
             ready_port=ports[2],
             peer_ports=(ports[3], ports[3]),
