Don't count engines that ended under a stream for the limit on targets

Callers saw a stream cut as 'stream broke off' after two engines had ended under it, although others were free. Cause: once a route's limit on targets is reached, only targets on which the draft had failed before its first event were checked whether they are gone; one that ended in the middle of the stream still counted.

--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -124,7 +124,7 @@
     ) -> bool:
         if context.is_out_of_time(self._clock.now_s()):
             return False
-        await self._recheck_avoided(context)
+        await self._recheck_targets(context)
         return self._retries.allows(context, reason)
 
     def _estimate_need(
@@ -219,17 +219,14 @@
             return event
         return self._runs.record_head(context, run, event)
 
-    async def _recheck_avoided(self, context: RequestContext) -> None:
-        """Check avoided targets once the route's limit on targets is reached.
+    async def _recheck_targets(self, context: RequestContext) -> None:
+        """Check the targets once the route's limit on targets is reached.
 
-        Those of the route's targets that are avoided are checked. Unreachable
-        ones are recorded as lost (they no longer count toward the limit); the
-        others may be tried again.
+        Unreachable ones are recorded as lost (they no longer count toward the
+        limit); the others may be tried again.
         """
         connections = self._attempts.connections
-        for name in (
-            context.allowed_targets() or frozenset()
-        ) & context.avoided:
+        for name in context.allowed_targets() or ():
             entry = self._view.targets.find(name)
             if entry is None or not await connections.is_reachable(
                 entry.address
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -141,6 +141,8 @@
     :param name: id of the target.
     :param layers: first layer and layer after the last one that it reports;
         ``None`` for no layers.
+    :ivar events: number of events of a stream.
+    :ivar event_pause_s: pause between them, in seconds.
     """
 
     def __init__(self, name: str, layers: tuple[int, int] | None) -> None:
@@ -148,6 +150,8 @@
         self.name = name
         self.layers = layers
         self.faults = TargetFaults()
+        self.events = _EVENTS
+        self.event_pause_s = _EVENT_PAUSE_S
         self.received: list[ReceivedRequest] = []
         self.orders: list[dict[str, Any]] = []
         self.disconnect_count = 0
@@ -307,7 +311,7 @@
                 f'HTTP/1.1 200 OK\r\n{head}'
                 'Transfer-Encoding: chunked\r\n\r\n'.encode(),
             )
-        for sent, number in enumerate(range(first, _EVENTS + 1)):
+        for sent, number in enumerate(range(first, self.events + 1)):
             if self.faults.lost_engine_address:
                 await asyncio.sleep(60.0)
             if sent == self.faults.stall_after:
@@ -324,7 +328,7 @@
             event = f'id: {number}\ndata: {self.name}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(_EVENT_PAUSE_S)
+            await asyncio.sleep(self.event_pause_s)
         writer.write(b'0\r\n\r\n')
         await writer.drain()
         return True
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -14,6 +14,10 @@
 # Targets that may crash under one request before it is refused.
 _MAX_CRASHES = 3
 _TRIES = 6
+# A stream that writes on each of several engines for a while.
+_LONG_EVENTS = 45
+_LONG_EVENT_PAUSE_S = 0.1
+_WRITING_S = 1.0
 # Longer than the updates between daemons need.
 _NEWS_S = 1.0
 
@@ -147,6 +151,44 @@
         self.assertEqual((answer.status, answer.is_whole), (200, True))
 
 
+class WritingDraftsTest(CrashingRequestsCase):
+    """Engines end for other reasons while a draft writes on them."""
+
+    async def test_a_draft_goes_on_after_its_engines_have_ended(self) -> None:
+        """Guards against streams cut as ended engines count for the limit."""
+        await self._write_while_engines_end(_MAX_CRASHES - 1)
+
+    async def test_a_draft_that_writes_is_not_the_cause(self) -> None:
+        """Guards against sound drafts that are cut after three crashes."""
+        await self._write_while_engines_end(_MAX_CRASHES)
+
+    async def _write_while_engines_end(self, count: int) -> None:
+        """Let a draft write on an engine, end it, and so on; check the answer.
+
+        :param count: number of engines that end.
+        """
+        await self.deployment.add_engine('y1', (40, 80))
+        engines = []
+        for number in range(count + 1):
+            engine = await self.deployment.add_engine(f'x{number}', (0, 40))
+            engine.events = _LONG_EVENTS
+            engine.event_pause_s = _LONG_EVENT_PAUSE_S
+            engines.append(engine)
+        draft = asyncio.create_task(self.deployment.call('/drafts/1'))
+        for _ in range(count):
+            await self.deployment.until(
+                lambda: any(each.caller_requests() for each in engines)
+            )
+            (engine,) = (each for each in engines if each.caller_requests())
+            engines.remove(engine)
+            await asyncio.sleep(_WRITING_S)
+            await engine.stop()
+            engine.reset_connections()
+        answer = await draft
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+        self.assertEqual(answer.body.count(b'id:'), _LONG_EVENTS)
+
+
 class AllDaemonsEndTest(CrashingRequestsCase):
     """No daemon is left that could tell of a quarantine."""
 
