Don't blame crashes on drafts that have written for a while

Cause: a crash was held against all requests in flight on the target, until they complete. Class of fault: blame by presence.

A draft that has written for 0.5 s on a target is no suspect of its crash, and what it was suspected of before is cleared: requests that crash targets do so as they begin to run. Requests that crash targets before they write are quarantined as before (the other tests of the module).

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -119,7 +119,11 @@
             self._prove_sound(run, now_s)
 
     def _prove_sound(self, run: WatchedRun, now_s: float) -> None:
-        run.is_at_risk = False
+        if run.is_at_risk:
+            run.is_at_risk = False
+            self._view.crashes.quarantine.completed(
+                run.fingerprint, run.targets, now_s
+            )
         self._view.crashes.parts.proved_sound(run.shared_parts, now_s)
         self._view.crashes.collect(now_s)
 
@@ -142,10 +146,6 @@
         now_s = self._clock.now_s()
         self._drop(run)
         self._prove_sound(run, now_s)
-        self._view.crashes.quarantine.completed(
-            run.fingerprint, run.targets, now_s
-        )
-        self._view.crashes.collect(now_s)
 
     def engine_ended(self, name: str) -> None:
         """Record that an engine was found to have ended."""
@@ -171,7 +171,8 @@
 
     def _forget(self, run: WatchedRun) -> None:
         self._drop(run)
-        self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
+        if run.is_at_risk:
+            self._view.crashes.quarantine.ended(run.fingerprint, run.targets)
 
     def _drop(self, run: WatchedRun) -> None:
         for target in run.targets:
