--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -133,6 +133,38 @@
         await self.wait()
 
 
+class _StreamBody:
+    """Body of a stream, in chunks or until the end of its connection."""
+
+    def __init__(
+        self, writer: asyncio.StreamWriter, *, is_chunked: bool
+    ) -> None:
+        self._writer = writer
+        self.is_chunked = is_chunked
+
+    def write_head(self, headers: dict[str, str]) -> None:
+        lines = [f'{name}: {text}' for name, text in headers.items()]
+        if self.is_chunked:
+            lines.append('Transfer-Encoding: chunked')
+        head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
+        self._writer.write(head.encode())
+
+    def write(self, event: bytes) -> None:
+        if self.is_chunked:
+            event = b'%x\r\n%s\r\n' % (len(event), event)
+        self._writer.write(event)
+
+    def write_incomplete(self, begun_event: bytes) -> None:
+        """Write the begin of a chunk that is longer."""
+        if self.is_chunked:
+            self._writer.write(b'40\r\n')
+        self._writer.write(begun_event)
+
+    def write_end(self) -> None:
+        if self.is_chunked:
+            self._writer.write(b'0\r\n\r\n')
+
+
 class WireTarget:
     """Target that streams events if a request names a chain.
 
@@ -303,14 +335,9 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         first = int(request.headers.get('last-event-id', '0')) + 1
-        head = ''.join(
-            f'{name}: {text}\r\n' for name, text in own_headers.items()
-        )
+        body = _StreamBody(writer, is_chunked=not self.faults.omits_length)
         if not self.faults.lost_engine_address:
-            writer.write(
-                f'HTTP/1.1 200 OK\r\n{head}'
-                'Transfer-Encoding: chunked\r\n\r\n'.encode(),
-            )
+            body.write_head(own_headers)
         for sent, number in enumerate(range(first, self.events + 1)):
             if self.faults.lost_engine_address:
                 await asyncio.sleep(60.0)
@@ -320,18 +347,17 @@
             await self.silence.hold_stream(sent, self.faults)
             if sent == self.faults.break_after and self.faults.break_count:
                 self.faults.break_count -= 1
-                writer.write(b'40\r\nid: 99\ndata: ha')
+                body.write_incomplete(b'id: 99\ndata: ha')
                 await writer.drain()
                 if self.faults.stops_on_break:
                     await self.stop()
                 return False
-            event = f'id: {number}\ndata: {self.name}\n\n'.encode()
-            writer.write(b'%x\r\n%s\r\n' % (len(event), event))
+            body.write(f'id: {number}\ndata: {self.name}\n\n'.encode())
             await writer.drain()
             await asyncio.sleep(self.event_pause_s)
-        writer.write(b'0\r\n\r\n')
+        body.write_end()
         await writer.drain()
-        return True
+        return body.is_chunked
 
     async def _send_refusal(self, writer: asyncio.StreamWriter) -> bool:
         headers = {'Not-Executed': '1'}
--- a/tests/edge/test_daemon.py
+++ b/tests/edge/test_daemon.py
@@ -212,6 +212,32 @@
         answer = await self.deployment.call('/calls/2')
         self.assertEqual(answer.status, 502)
 
+    async def test_a_stream_without_length_and_chunks(self) -> None:
+        """Guards against streams cut or kept open that their engine ended."""
+        await self._start_chain()
+        self.deployment.targets['x1'].faults.omits_length = True
+        answer = await self.deployment.call('/drafts/1')
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+        self.assertEqual(_event_ids(answer.body), list(range(1, _EVENTS + 1)))
+
+    async def test_a_stream_without_length_that_ends_inside_an_event(
+        self,
+    ) -> None:
+        """Guards against a stream broken off that looks complete.
+
+        It goes on at another engine.
+        """
+        await self._start_chain()
+        await self._start_replicas()
+        for name in ('x1', 'x2'):
+            faults = self.deployment.targets[name].faults
+            faults.omits_length = True
+            faults.break_after = 4
+            faults.break_count = 1
+        answer = await self.deployment.call('/drafts/1')
+        self.assertEqual((answer.status, answer.is_whole), (200, True))
+        self.assertEqual(_event_ids(answer.body), list(range(1, _EVENTS + 1)))
+
     async def test_a_stray_answer_is_skipped(self) -> None:
         """An answer to another request is skipped; its connection is closed.
 
