Tell requests that crash targets from drafts that had begun to write

Callers saw sound drafts refused and streams cut as 'quarantined' after a request had crashed engines, and a third engine ended where two tell enough: the drafts on a crashed engine are sent on together, so that several were on the next one, and none was the only candidate.

A crash notice now tells which runs had written events. These are no candidates, and count only from five crashes on.

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke import outcomes
+from nutmegspoke.retries.notices import RunAtRisk
 from nutmegspoke.targets import TargetState
 
 if TYPE_CHECKING:
@@ -198,9 +199,13 @@
         if runs:
             self._log_crash(start, runs, now_s)
         at_risk = {
-            (run.fingerprint, run.shared_parts)
+            RunAtRisk(
+                run.fingerprint,
+                run.shared_parts,
+                run.first_event_s is not None,
+            )
             for run in runs
-            if run.is_at_risk and run.shared_parts
+            if run.is_at_risk
         }
         self._view.crashes.crashed(start, sorted(at_risk), now_s)
 
--- a/nutmegspoke/retries/crash_records.py
+++ b/nutmegspoke/retries/crash_records.py
@@ -44,19 +44,29 @@
         self._crashes: dict[str, Crash] = {}
 
     def record(
-        self, target: str, in_flight: Collection[str], now_s: float
+        self,
+        target: str,
+        in_flight: Collection[str],
+        now_s: float,
+        writing: Collection[str] = (),
     ) -> Crash:
         """Record a crash, and its requests in flight as suspects.
 
         The first report of a crash is logged.
+
+        :param writing: those of the requests that had begun to write; they are
+            no candidates.
         """
         crash = self.find_or_add(target, now_s)
         for fingerprint in in_flight:
             suspect = self._suspects.add(fingerprint, now_s)
+            suspect.since_s = now_s
+            if fingerprint in writing:
+                suspect.writing_targets.add(target)
+                continue
             if suspect.targets - {target}:
                 crash.candidates.add(fingerprint)
             suspect.targets.add(target)
-            suspect.since_s = now_s
         if not crash.is_logged:
             crash.is_logged = True
             logger.info(
--- a/nutmegspoke/retries/notices.py
+++ b/nutmegspoke/retries/notices.py
@@ -13,9 +13,18 @@
 # Begins the names of parts, which stand in place of a fingerprint.
 PARTS_PREFIX = 'parts:'
 
-# Fingerprint of a request, and ids of the parts of its prompt that other
-# requests may share.
-RequestParts = tuple[str, tuple[str, ...]]
+
+class RunAtRisk(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A run that had not yet written for a while when its target crashed.
+
+    :param fingerprint: digest of the request.
+    :param shared_parts: ids of the parts of its prompt that others may share.
+    :param has_written: whether the target had written events of it.
+    """
+
+    fingerprint: str
+    shared_parts: tuple[str, ...] = ()
+    has_written: bool = False
 
 
 class CrashNotice(msgspec.Struct, frozen=True, tag='crash'):
@@ -25,13 +34,14 @@
     :param passengers: fingerprints of the requests in flight on it.
     :param candidates: fingerprints of those requests that were also in flight
         on another target that crashed earlier.
-    :param at_risk: those that had not yet written there for a while.
+    :param at_risk: those that had not yet written there for a while; others of
+        them count as silent.
     """
 
     target: str
     passengers: tuple[str, ...]
     candidates: tuple[str, ...]
-    at_risk: tuple[RequestParts, ...] = ()
+    at_risk: tuple[RunAtRisk, ...] = ()
 
 
 class QuarantineNotice(msgspec.Struct, frozen=True, tag='quarantine'):
--- a/nutmegspoke/retries/part_evidence.py
+++ b/nutmegspoke/retries/part_evidence.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from nutmegspoke.retries.notices import RequestParts
+    from nutmegspoke.retries.notices import RunAtRisk
 
 NEVER_S = float('-inf')
 
@@ -18,11 +18,14 @@
     """The crashes that count against a part.
 
     :param targets: names of the targets that crashed, in order.
+    :param silent_count: how many of them had written nothing for a request with
+        the part.
     :param requests: fingerprints of the requests at risk that had the part.
     :param span_s: time between the first and the last crash in seconds.
     """
 
     targets: tuple[str, ...]
+    silent_count: int
     requests: frozenset[str]
     span_s: float
 
@@ -33,10 +36,12 @@
 
     :param at_s: time of the first report.
     :param requests: for each part of the requests at risk, their fingerprints.
+    :param silent_parts: parts of those that had written nothing.
     """
 
     at_s: float
     requests: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    silent_parts: set[str] = dataclasses.field(default_factory=set)
 
 
 class PartCrashes:
@@ -53,7 +58,7 @@
         self._crashes: dict[str, _Crash] = {}
 
     def add(
-        self, target: str, at_risk: Sequence[RequestParts], at_s: float
+        self, target: str, at_risk: Sequence[RunAtRisk], at_s: float
     ) -> frozenset[str]:
         """Add a crash, or requests at risk to a known one.
 
@@ -65,9 +70,11 @@
                 self._crashes.pop(next(iter(self._crashes)))
             crash = _Crash(at_s)
             self._crashes[target] = crash
-        for fingerprint, parts in at_risk:
-            for part in parts:
-                crash.requests.setdefault(part, set()).add(fingerprint)
+        for run in at_risk:
+            for part in run.shared_parts:
+                crash.requests.setdefault(part, set()).add(run.fingerprint)
+            if not run.has_written:
+                crash.silent_parts.update(run.shared_parts)
         return frozenset(crash.requests)
 
     def find_evidence(
@@ -95,6 +102,7 @@
         requests = (crash.requests[part] for crash in crashes.values())
         return PartEvidence(
             tuple(crashes),
+            sum(part in crash.silent_parts for crash in crashes.values()),
             frozenset().union(*requests),
             max(times_s, default=0.0) - min(times_s, default=0.0),
         )
--- a/nutmegspoke/retries/prompt_parts.py
+++ b/nutmegspoke/retries/prompt_parts.py
@@ -2,8 +2,8 @@
 
 A run is *at risk* on its targets until it has written for a while: a part that
 crashes targets does so as they begin to write. So a crash is evidence against
-the parts of the runs at risk, and a run that has written proves its parts
-sound.
+the parts of the runs at risk, stronger if they had written nothing, and a run
+that has written proves its parts sound.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from nutmegspoke.retries.notices import Notice, RequestParts
+    from nutmegspoke.retries.notices import Notice, RunAtRisk
     from nutmegspoke.retries.quarantined_parts import PartGroup, Quarantined
 
 logger = logging.getLogger(__name__)
@@ -46,11 +46,12 @@
     :param quarantine_s: duration of the first quarantine in seconds; each
         further one lasts twice as long.
     :param max_quarantine_s: longest duration of a quarantine in seconds.
-    :param max_crashes: number of crashes from which a part is quarantined.
+    :param max_crashes: number of crashes from which a part is quarantined,
+        without those at which all requests with it had begun to write.
     :param min_requests: number of different requests that must have been at
         risk at these crashes, as one request may be the cause by itself.
-    :param max_crashes_if_sound: the same number of crashes for a part that was
-        proved sound lately.
+    :param max_weak_crashes: number of crashes from which it is in any case, or
+        if it was proved sound lately.
     :param min_span_s: time in seconds that the crashes of such a part must
         span. Targets that end together, by a cause of their own, all run the
         parts that most prompts have.
@@ -65,7 +66,7 @@
     max_quarantine_s: float = 3600.0
     max_crashes: int = 3
     min_requests: int = 2
-    max_crashes_if_sound: int = 5
+    max_weak_crashes: int = 5
     min_span_s: float = 3.0
     soundness_s: float = 300.0
     suspicion_s: float = 900.0
@@ -116,7 +117,7 @@
         )
 
     def crashed(
-        self, target: str, at_risk: Sequence[RequestParts], now_s: float
+        self, target: str, at_risk: Sequence[RunAtRisk], now_s: float
     ) -> None:
         """Record that a target crashed.
 
@@ -167,7 +168,7 @@
         return self._quarantined.active(now_s)
 
     def _add_crash(
-        self, target: str, at_risk: Sequence[RequestParts], now_s: float
+        self, target: str, at_risk: Sequence[RunAtRisk], now_s: float
     ) -> PartGroup:
         """Add a crash; return the parts that are quarantined for it, if any."""
         parts = self._crashes.add(target, at_risk, now_s)
@@ -212,15 +213,13 @@
                 part, parts, now_s
             ),
         )
-        needed, span_s = settings.max_crashes, 0.0
+        is_enough = len(evidence.targets) >= settings.max_weak_crashes
         if self._sound.is_recent((part,), now_s - settings.soundness_s):
-            needed = settings.max_crashes_if_sound
-            span_s = settings.min_span_s
-        if len(evidence.targets) < needed or evidence.span_s < span_s:
-            return ()
-        if len(evidence.requests) < settings.min_requests:
-            return ()
-        return evidence.targets
+            is_enough &= evidence.span_s >= settings.min_span_s
+        else:
+            is_enough |= evidence.silent_count >= settings.max_crashes
+        is_enough &= len(evidence.requests) >= settings.min_requests
+        return evidence.targets if is_enough else ()
 
     def _is_suspect(self, part: str, now_s: float) -> bool:
         return self._quarantined.contains(part) or self._crashes.has_evidence(
@@ -285,5 +284,5 @@
         return self._quarantined.remove_part(part, is_refuted)
 
 
-def _all_parts(at_risk: Iterable[RequestParts]) -> frozenset[str]:
-    return frozenset(part for _, parts in at_risk for part in parts)
+def _all_parts(at_risk: Iterable[RunAtRisk]) -> frozenset[str]:
+    return frozenset(part for run in at_risk for part in run.shared_parts)
--- a/nutmegspoke/retries/quarantine.py
+++ b/nutmegspoke/retries/quarantine.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
 
-    from nutmegspoke.retries.notices import Notice, RequestParts
+    from nutmegspoke.retries.notices import Notice, RunAtRisk
     from nutmegspoke.retries.crash_records import Crash
     from nutmegspoke.retries.suspects import QuarantineSettings
 
@@ -113,7 +113,7 @@
         suspect = self.suspects.find(fingerprint)
         if suspect is None or not suspect.is_quarantined(now_s):
             return False
-        return suspect.has_crashed(self._settings.max_crashes)
+        return suspect.has_crashed_too_many(self._settings)
 
     def allowed_targets(
         self,
@@ -189,7 +189,7 @@
         self,
         target: str,
         now_s: float,
-        at_risk: Sequence[RequestParts] = (),
+        at_risk: Sequence[RunAtRisk] = (),
     ) -> None:
         """Record that a target crashed.
 
@@ -198,13 +198,14 @@
 
         :param target: name of the target.
         :param now_s: current time, in seconds.
-        :param at_risk: requests at risk on it, for the notice of the crash.
+        :param at_risk: requests in flight on it that had not yet written there
+            for a while; others of them count as silent.
         """
         in_flight = self._running.pop_target(target)
         if not in_flight:
             return
         suspects, _ = self._completed.split(in_flight, now_s)
-        crash = self._crashes.record(target, suspects, now_s)
+        crash = self._crashes.record(target, suspects, now_s, _writing(at_risk))
         notice = CrashNotice(
             target,
             tuple(sorted(suspects)),
@@ -251,7 +252,9 @@
     def _apply_crash(self, notice: CrashNotice, now_s: float) -> None:
         suspects, innocent = self._completed.split(notice.passengers, now_s)
         self._notices.add(*(ClearNotice(each) for each in sorted(innocent)))
-        crash = self._crashes.record(notice.target, suspects, now_s)
+        crash = self._crashes.record(
+            notice.target, suspects, now_s, _writing(notice.at_risk)
+        )
         crash.candidates.update(set(notice.candidates) - innocent)
         self._evaluate_crash(notice.target, crash, now_s)
         self._quarantine_repeated(notice.target, suspects, now_s)
@@ -271,7 +274,7 @@
         crash.candidates.add(notice.fingerprint)
         suspect = self.suspects.add(notice.fingerprint, now_s)
         suspect.targets.update((notice.target, *notice.targets))
-        is_repeated = suspect.has_crashed(self._settings.max_crashes)
+        is_repeated = suspect.has_crashed_too_many(self._settings)
         if len(crash.candidates) > 1 and not is_repeated:
             self._lift_quarantines(notice.target, crash, now_s)
             return
@@ -307,7 +310,7 @@
         """End the quarantines of candidates whose cause is this crash."""
         for fingerprint in crash.candidates:
             suspect = self.suspects.add(fingerprint, now_s)
-            if not suspect.has_crashed(self._settings.max_crashes):
+            if not suspect.has_crashed_too_many(self._settings):
                 suspect.lift(target, now_s)
 
     def _quarantine_repeated(
@@ -320,8 +323,8 @@
         return tuple(
             notice
             for fingerprint in sorted(in_flight)
-            if self.suspects.add(fingerprint, now_s).has_crashed(
-                self._settings.max_crashes
+            if self.suspects.add(fingerprint, now_s).has_crashed_too_many(
+                self._settings
             )
             for notice in self._quarantine(fingerprint, target, now_s)
         )
@@ -347,5 +350,11 @@
             target,
             quarantine_s,
         )
-        targets = tuple(sorted(suspect.targets))
+        targets = tuple(sorted(suspect.all_targets()))
         return (QuarantineNotice(fingerprint, target, quarantine_s, targets),)
+
+
+def _writing(at_risk: Sequence[RunAtRisk]) -> set[str]:
+    """Return the requests all of whose runs at risk had begun to write."""
+    silent = {run.fingerprint for run in at_risk if not run.has_written}
+    return {run.fingerprint for run in at_risk} - silent
--- a/nutmegspoke/retries/shared_quarantine.py
+++ b/nutmegspoke/retries/shared_quarantine.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from nutmegspoke.retries.notices import Notice, RequestParts
+    from nutmegspoke.retries.notices import Notice, RunAtRisk
 
 # Engines that crash need minutes until they have loaded their weights again.
 _QUARANTINE_S = 600.0
@@ -69,13 +69,12 @@
         self._decision_subscribers.append(subscriber)
 
     def crashed(
-        self, target: str, at_risk: Sequence[RequestParts], now_s: float
+        self, target: str, at_risk: Sequence[RunAtRisk], now_s: float
     ) -> None:
         """Record that a target crashed.
 
         :param target: name of the target.
-        :param at_risk: requests that had not yet written there for a while,
-            with the parts of their prompts.
+        :param at_risk: runs that had not yet written there for a while.
         :param now_s: current time, in seconds.
         """
         self.quarantine.crashed(target, now_s, at_risk)
@@ -153,7 +152,7 @@
                 fingerprint,
                 suspect.cause_target,
                 suspect.quarantined_until_s - now_s,
-                tuple(sorted(suspect.targets)),
+                tuple(sorted(suspect.all_targets())),
             )
             for fingerprint, suspect in quarantined[-_MAX_ACTIVE:]
         )
@@ -172,5 +171,6 @@
 def _is_urgent(notice: Notice) -> bool:
     """Return whether a request that causes crashes is or may be known."""
     if isinstance(notice, CrashNotice):
-        return bool(notice.candidates or notice.at_risk)
+        has_parts = any(run.shared_parts for run in notice.at_risk)
+        return has_parts or bool(notice.candidates)
     return isinstance(notice, QuarantineNotice)
--- a/nutmegspoke/retries/suspects.py
+++ b/nutmegspoke/retries/suspects.py
@@ -29,7 +29,9 @@
         suspects at the same time.
     :param max_suspects: largest number of suspects; the oldest is dropped.
     :param max_crashes: number of crashed targets from which a request is
-        quarantined whatever else was in flight on them.
+        quarantined whatever else was in flight on them, without those on which
+        it had begun to write.
+    :param max_weak_crashes: the same number with these targets.
     :param innocence_s: seconds for which a request that has completed does not
         become a suspect.
     :param max_completed: largest number of such requests; the oldest is
@@ -43,6 +45,7 @@
     max_suspect_share: float = 0.25
     max_suspects: int = 4096
     max_crashes: int = 3
+    max_weak_crashes: int = 5
     innocence_s: float = 300.0
     max_completed: int = 8192
 
@@ -53,6 +56,7 @@
 
     :param since_s: time of the last such crash, or end of the quarantine.
     :param targets: names of the targets that crashed.
+    :param writing_targets: names of those on which it had begun to write.
     :param quarantined_until_s: end of its quarantine; in the past if it is
         not quarantined.
     :param quarantine_count: number of its quarantines, without lifted ones.
@@ -61,6 +65,7 @@
 
     since_s: float
     targets: set[str] = dataclasses.field(default_factory=set)
+    writing_targets: set[str] = dataclasses.field(default_factory=set)
     quarantined_until_s: float = 0.0
     quarantine_count: int = 0
     cause_target: str = ''
@@ -69,9 +74,16 @@
         """Return whether the request is quarantined and must not run."""
         return now_s < self.quarantined_until_s
 
-    def has_crashed(self, count: int) -> bool:
-        """Return whether at least that many targets crashed."""
-        return len(self.targets) >= count
+    def has_crashed_too_many(self, settings: QuarantineSettings) -> bool:
+        """Return whether too many targets crashed."""
+        return (
+            len(self.targets) >= settings.max_crashes
+            or len(self.all_targets()) >= settings.max_weak_crashes
+        )
+
+    def all_targets(self) -> set[str]:
+        """Return the targets that crashed, whether it had written or not."""
+        return self.targets | self.writing_targets
 
     def quarantine(self, target: str, for_s: float, now_s: float) -> None:
         """Quarantine the request.
--- a/tests/retries/test_shared_quarantine.py
+++ b/tests/retries/test_shared_quarantine.py
@@ -6,6 +6,7 @@
 import unittest
 
 from nutmegspoke import outcomes
+from nutmegspoke.retries.notices import RunAtRisk
 from nutmegspoke.retries.shared_quarantine import SharedQuarantine
 
 _POISON = 'poison'
@@ -13,6 +14,8 @@
 _REPEAT_S = 1.5
 _INTERVAL_S = 0.5
 _MAX_CRASHES = 3
+# The same for a request that has written a little at each.
+_MAX_WEAK_CRASHES = 5
 # Twice as long as a first quarantine.
 _LONG_S = 1200.0
 
@@ -91,6 +94,39 @@
         crash(daemon, 't2', 1.3, _POISON)
         self.assertTrue(daemon.quarantine.must_stop(_POISON, 1.4))
 
+    def test_drafts_that_had_begun_to_write(self) -> None:
+        """Guards against blame of what is sent on with a deadly request.
+
+        That one writes nothing, and two crashes are enough to know it.
+        """
+        daemon = self.daemons[0]
+        for number in range(_MAX_CRASHES + 1):
+            target = f't{number}'
+            runs = [RunAtRisk('x', (), has_written=True)]
+            if not is_refused(daemon, _POISON, float(number)):
+                runs.append(RunAtRisk(_POISON))
+            for run in runs:
+                daemon.quarantine.started(run.fingerprint, (target,))
+            daemon.crashed(target, runs, float(number))
+            exchange(self.daemons, number + 0.1)
+            for each in self.daemons:
+                self.assertEqual(
+                    is_refused(each, _POISON, number + 0.2), number > 0
+                )
+                self.assertFalse(is_refused(each, 'x', number + 0.2))
+
+    def test_a_request_that_writes_before_each_crash(self) -> None:
+        """Guards against a request that is never known as it has written."""
+        for number in range(_MAX_WEAK_CRASHES):
+            daemon = self.daemons[number % 3]
+            target = f't{number}'
+            daemon.quarantine.started(_POISON, (target,))
+            run = RunAtRisk(_POISON, (), has_written=True)
+            daemon.crashed(target, [run], float(number))
+            exchange(self.daemons, number + 0.1)
+        for daemon in self.daemons:
+            self.assertTrue(is_refused(daemon, _POISON, 5.0))
+
     def test_a_read_that_completes_elsewhere(self) -> None:
         """Guards against refusals of a read that all daemons send all the time.
 
