Test what mutations of relays and of the start had left uncaught

Relays merge the crashes that all members report; summaries go to relays that other groups use; updates of relays are paced, and go on at that rate; a stop while the daemon is loaded waits. Also a test that parts are known through relays, when each crash is known to one daemon.

--- a/tests/cmd/test_entry.py
+++ b/tests/cmd/test_entry.py
@@ -65,6 +65,29 @@
                 daemon.send_signal(signal.SIGTERM)
                 self.assertEqual(daemon.wait(_LIMIT_S), 0)
 
+    def test_a_stop_before_the_daemon_handles_signals(self) -> None:
+        """Guards against a stop that ends the process while it is loaded.
+
+        Its callers would be cut off, whatever else the tests of timing show.
+        """
+        code = (
+            'import signal, sys\n'
+            'from unittest import mock\n'
+            'from nutmegspoke.cmd import entry\n'
+            'def listen(*_):\n'
+            '    signal.raise_signal(signal.SIGTERM)\n'
+            '    print(signal.sigpending())\n'
+            '    sys.exit(0)\n'
+            'with mock.patch.multiple(entry, open_listener=listen,'
+            ' boot_settings=mock.MagicMock()):\n'
+            '    entry.main()\n'
+        )
+        ended = subprocess.run(  # noqa: S603 -- fixed arguments
+            [sys.executable, '-c', code], check=False, capture_output=True
+        )
+        self.assertEqual(ended.returncode, 0, ended.stderr)
+        self.assertIn(b'SIGTERM', ended.stdout)
+
     def _await_blocked_signal(self, process_id: int) -> None:
         """Wait until the process has blocked SIGTERM."""
         status = pathlib.Path(f'/proc/{process_id}/status')
--- a/tests/edge/test_paced_sender.py
+++ b/tests/edge/test_paced_sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from nutmegspoke.edge.paced_sender import PacedSender
 
@@ -43,6 +44,20 @@
                 await asyncio.sleep(0.01)
         self.assertEqual(self.sender.dropped, 0)
 
+    async def test_the_rate_holds_after_the_first_datagrams(self) -> None:
+        """Guards against a burst that is held back once and then sent whole."""
+        loop = mock.Mock()
+        with mock.patch.object(asyncio, 'get_running_loop', lambda: loop):
+            for _ in range(100):
+                self.sender.send(_DATAGRAM, _ADDRESS)
+            for _ in range(5):
+                sent = len(self.transport.sent)
+                pause_s, send_some = loop.call_later.call_args.args
+                send_some()
+                sent = len(self.transport.sent) - sent
+                self.assertGreater(sent, 0)
+                self.assertLessEqual(sent * len(_DATAGRAM), 1e6 * pause_s)
+
     async def test_a_large_datagram_is_sent(self) -> None:
         """A datagram above the size of one interval only delays the next."""
         self.sender.send(bytes(50_000), _ADDRESS)
--- a/tests/edge/test_update_exchange.py
+++ b/tests/edge/test_update_exchange.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from nutmegspoke.membership.load_news import EventUpdate, LoadUpdate
+from nutmegspoke.membership.relays import SUMMARY_INTERVAL_S
 from nutmegspoke.outcomes import NotRun
+from nutmegspoke.retries.notices import RunAtRisk
 from tests.edge.exchanges import Daemon, Network
 
 _SETTLED_S = 2.5
@@ -105,6 +107,48 @@
             decision = daemon.view.crashes.quarantine.check('request', now_s)
             self.assertIsInstance(decision, NotRun)
 
+    async def test_a_part_that_crashes_engines_of_three_daemons(self) -> None:
+        """Guards against evidence on parts that relays do not forward.
+
+        Each crash is known to one daemon, none of them a relay.
+        """
+        await asyncio.sleep(_SETTLED_S)
+        now_s = self.network.clock.now_s()
+        daemons = tuple(self.network.daemons.values())
+        others = [
+            daemon
+            for daemon in daemons
+            if not daemon.view.load_updates.is_relay(now_s)
+        ]
+        for number, daemon in enumerate(others[:3]):
+            crashes = daemon.view.crashes
+            run = RunAtRisk(f'request-{number}', ('fa7a1',))
+            crashes.quarantine.started(run.fingerprint, (f't{number}',))
+            crashes.crashed(f't{number}', [run], now_s)
+        await asyncio.sleep(_SETTLED_S)
+        for daemon in daemons:
+            decision = daemon.view.crashes.parts.check(('fa7a1',), now_s)
+            self.assertIsInstance(decision, NotRun)
+
+    async def test_relays_keep_to_the_share_of_their_link(self) -> None:
+        """Guards against summaries that fill a slow link all at once."""
+        await asyncio.sleep(_SETTLED_S)
+        now_s = self.network.clock.now_s()
+        relay = next(
+            daemon
+            for daemon in self.network.daemons.values()
+            if daemon.view.load_updates.is_relay(now_s)
+        )
+        paced = relay.exchange._paced  # noqa: SLF001 -- nothing shows it
+        transport = relay.exchange._transport  # noqa: SLF001
+        with (
+            mock.patch.object(paced, 'send') as paced_send,
+            mock.patch.object(transport, 'sendto') as send,
+        ):
+            await asyncio.sleep(2 * SUMMARY_INTERVAL_S)
+        self.assertGreater(paced_send.call_count, 0)
+        send.assert_not_called()
+
 
 class DroppedDatagramsTest(unittest.IsolatedAsyncioTestCase):
     """Datagrams that can't be used are dropped, whatever they contain."""
--- a/tests/membership/test_relayed_updates.py
+++ b/tests/membership/test_relayed_updates.py
@@ -4,6 +4,8 @@
 
 import unittest
 
+import msgspec
+
 from nutmegspoke.membership.common_work import rank_key
 from nutmegspoke.membership.load_news import (
     SILENCE_LIMIT_S,
@@ -13,6 +15,7 @@
 from nutmegspoke.membership.received_updates import ReceivedUpdates
 from nutmegspoke.membership.relays import SUMMARY_INTERVAL_S, Relays
 from nutmegspoke.membership.summaries import new_summaries
+from nutmegspoke.retries.notices import CrashNotice
 from tests.builders_fleet import Fleet
 
 _SIZES = (9, 200, 1000)
@@ -64,6 +67,62 @@
                     self.assertEqual(fleet.request_counts(), {size - 1})
 
 
+class SummaryTest(unittest.TestCase):
+    """Contents and receivers of summaries."""
+
+    def setUp(self) -> None:
+        """Start a large deployment and take one of its relays."""
+        self.fleet = Fleet(200)
+        self.fleet.run(_SETTLED_S)
+        self.relay = next(iter(self.fleet.relays()))
+        self.received = self.fleet.members[self.relay].received
+
+    def _new_summaries(
+        self, own: LoadUpdate
+    ) -> list[tuple[tuple[str, ...], LoadUpdate]]:
+        return list(new_summaries(own, self.received, self.fleet.now_s))
+
+    def test_a_crash_found_by_a_whole_group(self) -> None:
+        """Guards against crashes that fill summaries and push others out.
+
+        Each member reports the crash with its own requests.
+        """
+        now_s = self.fleet.now_s
+        members = self.received.members(now_s)
+        for member in members:
+            host = member.update.host
+            notice = CrashNotice('engine', (host,), ())
+            update = msgspec.structs.replace(
+                member.update,
+                number=member.update.number + 1,
+                notices=(notice,),
+            )
+            self.received.receive(update, now_s)
+        own = self.fleet.members[self.relay].new_update()
+        for _, summary in self._new_summaries(own):
+            (crash,) = summary.notices
+            self.assertEqual(len(crash.passengers), len(members))
+
+    def test_relays_that_another_group_uses(self) -> None:
+        """Guards against members that hear nothing of other groups.
+
+        They rely on the relay that sends them summaries, whether or not others
+        would select it.
+        """
+        relays = self.received.relays
+        selected = relays.relays_elsewhere(self.fleet.now_s)
+        other = next(
+            host
+            for host, member in self.fleet.members.items()
+            if member.received.relays.group != relays.group
+            and host not in selected
+        )
+        relays.record_summary(other, self.fleet.now_s)
+        own = self.fleet.members[self.relay].new_update()
+        receivers, _ = self._new_summaries(own)[0]
+        self.assertIn(other, receivers)
+
+
 class LostRelaysTest(unittest.TestCase):
     """Relays that fail are replaced."""
 
--- a/tests/mutation_list_relays.py
+++ b/tests/mutation_list_relays.py
@@ -149,4 +149,41 @@
         '        except OSError:\n            connection.abort()\n            raise\n        idle',
         ('tests.test_http_calls',),
     ),
+    Mutation(
+        'relays: crashes found by many daemons are not merged',
+        'nutmegspoke/membership/summaries.py',
+        'return merge_notices(notices)[:_MAX_NOTICES]',
+        'return tuple(notices)[:_MAX_NOTICES]',
+        ('tests.membership.test_relayed_updates.SummaryTest',),
+    ),
+    Mutation(
+        'relays: summaries go to selected relays only',
+        'nutmegspoke/membership/relays.py',
+        '                if self._is_active(host, now_s):\n',
+        '                if False:\n',
+        ('tests.membership.test_relayed_updates.SummaryTest',),
+    ),
+    Mutation(
+        'relays: updates are not paced',
+        'nutmegspoke/edge/news_exchange.py',
+        'send = self._paced.send if is_paced else self._transport.sendto',
+        'send = self._transport.sendto',
+        ('tests.edge.test_update_exchange',),
+    ),
+    Mutation(
+        'relays: datagrams that waited are sent at once',
+        'nutmegspoke/edge/paced_sender.py',
+        '            intervals = max(1.0, sent_bytes / self._interval_bytes)\n',
+        '            intervals = max(1.0, sent_bytes / self._interval_bytes)\n'
+        "            self._interval_bytes = float('inf')\n",
+        ('tests.edge.test_paced_sender',),
+    ),
+    Mutation(
+        'start: a stop while the daemon is loaded ends the process',
+        'nutmegspoke/cmd/entry.py',
+        '    signal.pthread_sigmask(signal.SIG_BLOCK,'
+        ' (signal.SIGTERM, signal.SIGINT))\n',
+        '',
+        ('tests.cmd.test_entry.LoadingTest',),
+    ),
 )
