Wait for the crash of a suspect's last target before it is sent on

Cause: an engine that ends resets its connections some milliseconds before it closes its port. The first check found the port open, and the draft was sent on 3 ms later; the second check, 50 ms later, was not waited for.

Mutations showed that drafts that write for a while had no test any more, as those that write at all are no candidates; the test now looks at the notices.

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -8,6 +8,7 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.retries.notices import RunAtRisk
+from nutmegspoke.retries.quarantine import SendAlone
 from nutmegspoke.targets import TargetState
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
 # A request that may be sent again waits at most this long for the check whether
 # its last target has crashed.
 _CHECK_TIMEOUT_S = 0.1
+_Checks = dict[str, set[asyncio.Task[None]]]
 # Time for which a run must write until it is at risk no more, and proves the
 # parts of its prompt sound.
 _PROOF_S = 0.5
@@ -70,9 +72,9 @@
         self._clock = clock
         # Runs in flight, by the start of each target that runs them.
         self._runs: dict[str, set[WatchedRun]] = {}
-        # First checks in progress, by the fingerprint of the request.
-        self._checks: dict[str, set[asyncio.Task[None]]] = {}
-        self._later_checks: set[asyncio.Task[None]] = set()
+        # Checks in progress, by the fingerprint of the request.
+        self._checks: _Checks = {}
+        self._later_checks: _Checks = {}
 
     async def find_refusal(
         self, context: RequestContext, *, has_answer: bool = False
@@ -82,9 +84,9 @@
         :param has_answer: whether the caller has a part of the answer.
         :returns: ``None`` if it may be sent.
         """
-        checks = self._checks.get(context.fingerprint)
-        if checks:
-            await asyncio.wait(checks, timeout=_CHECK_TIMEOUT_S)
+        await _wait_for_checks(self._checks, context.fingerprint)
+        if self._is_suspect(context):
+            await _wait_for_checks(self._later_checks, context.fingerprint)
         now_s = self._clock.now_s()
         quarantine = self._view.crashes.quarantine
         decision = quarantine.check(context.fingerprint, now_s)
@@ -95,6 +97,14 @@
             return decision
         return self._view.crashes.parts.check(context.facts.shared_parts, now_s)
 
+    def _is_suspect(self, context: RequestContext) -> bool:
+        now_s = self._clock.now_s()
+        crashes = self._view.crashes
+        decision = crashes.quarantine.check(context.fingerprint, now_s)
+        if isinstance(decision, SendAlone):
+            return True
+        return crashes.parts.has_suspect(context.facts.shared_parts, now_s)
+
     def started(
         self, context: RequestContext, targets: Iterable[str]
     ) -> WatchedRun:
@@ -137,10 +147,8 @@
         if not is_broken_off or run.first is None:
             self._forget(run)
             return
-        checks = self._checks.setdefault(run.fingerprint, set())
         check = asyncio.create_task(self._check(run, run.first))
-        checks.add(check)
-        check.add_done_callback(lambda _: self._check_done(run, check))
+        _add_check(self._checks, run.fingerprint, check)
 
     def completed(self, run: WatchedRun) -> None:
         """Record that targets completed a request."""
@@ -161,8 +169,7 @@
             self._forget(run)
             return
         later = asyncio.create_task(self._check_later(run, target))
-        self._later_checks.add(later)
-        later.add_done_callback(self._later_checks.discard)
+        _add_check(self._later_checks, run.fingerprint, later)
 
     async def _check_later(self, run: WatchedRun, target: TargetEntry) -> None:
         await asyncio.sleep(_PORT_CLOSE_S)
@@ -182,12 +189,6 @@
             if not runs:
                 self._runs.pop(target, None)
 
-    def _check_done(self, run: WatchedRun, check: asyncio.Task[None]) -> None:
-        checks = self._checks[run.fingerprint]
-        checks.discard(check)
-        if not checks:
-            self._checks.pop(run.fingerprint)
-
     def _crashed(self, target: TargetEntry) -> None:
         """Record a crash; a target that is leaving ends as announced."""
         listed = self._view.targets.find(target.name)
@@ -229,6 +230,27 @@
         )
 
 
+def _add_check(
+    checks: _Checks, fingerprint: str, check: asyncio.Task[None]
+) -> None:
+    """Add a check, which is removed when it is done."""
+    running = checks.setdefault(fingerprint, set())
+    running.add(check)
+
+    def remove(_: asyncio.Task[None]) -> None:
+        running.discard(check)
+        if not running:
+            checks.pop(fingerprint, None)
+
+    check.add_done_callback(remove)
+
+
+async def _wait_for_checks(checks: _Checks, fingerprint: str) -> None:
+    running = checks.get(fingerprint)
+    if running:
+        await asyncio.wait(running, timeout=_CHECK_TIMEOUT_S)
+
+
 def _wrote_for_s(run: WatchedRun, now_s: float) -> float:
     """Return the time since the first event of a run; -1 before it."""
     return -1.0 if run.first_event_s is None else now_s - run.first_event_s
--- a/nutmegspoke/retries/prompt_parts.py
+++ b/nutmegspoke/retries/prompt_parts.py
@@ -116,6 +116,10 @@
             'targets crashed under a part of the prompt',
         )
 
+    def has_suspect(self, parts: Iterable[str], now_s: float) -> bool:
+        """Return whether some part was at a crash and not proved sound since."""
+        return any(self._is_suspect(part, now_s) for part in parts)
+
     def crashed(
         self, target: str, at_risk: Sequence[RunAtRisk], now_s: float
     ) -> None:
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -49,6 +49,8 @@
         for none.
     :param fatal_part: id of a part of the prompt, other than the last, under
         which the target crashes as it begins to answer; empty for none.
+    :param closes_port_after_s: time for which the port of a target that crashes
+        stays open after its connections.
     """
 
     refusals: int = 0
@@ -68,6 +70,7 @@
     awaited_address: str = ''
     fatal_body: bytes | None = None
     fatal_part: str = ''
+    closes_port_after_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +225,9 @@
         """Simulate a crash a moment after a request began to run."""
         await asyncio.sleep(_RUN_BEFORE_CRASH_S)
         self.has_crashed = True
+        if self.faults.closes_port_after_s:
+            self.reset_connections()
+            await asyncio.sleep(self.faults.closes_port_after_s)
         await self.stop()
         self.reset_connections()
         return False
--- a/tests/edge/test_crashing_requests.py
+++ b/tests/edge/test_crashing_requests.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from nutmegspoke.retries.notices import ClearNotice
+from nutmegspoke.retries.notices import ClearNotice, CrashNotice
 from nutmegspoke.standins.row_store import RowStore
 from tests import builders_edge as build
 from tests.edge.test_daemon import DaemonCase
@@ -14,6 +14,7 @@
 # Targets that may crash under one request before it is refused.
 _MAX_CRASHES = 3
 _TRIES = 6
+_LATE_PORT_S = 0.03
 # A stream that writes on each of several engines for a while.
 _LONG_EVENTS = 45
 _LONG_EVENT_PAUSE_S = 0.1
@@ -151,16 +152,38 @@
         self.assertEqual((answer.status, answer.is_whole), (200, True))
 
 
+class LatePortTest(CrashingRequestsCase):
+    """Engines end their connections a moment before their port."""
+
+    async def test_a_suspect_waits_until_its_last_crash_is_known(self) -> None:
+        """Guards against a third engine that ends before the second counts."""
+        await self.deployment.add_engine('y1', (40, 80))
+        names = [f'x{number}' for number in range(_TRIES)]
+        await self._add_engines(*names)
+        for name in names:
+            faults = self.deployment.targets[name].faults
+            faults.closes_port_after_s = _LATE_PORT_S
+        answer = await self.deployment.call('/drafts/1', body=_FATAL)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self._count_fatal_runs(), 2)
+
+
 class WritingDraftsTest(CrashingRequestsCase):
     """Engines end for other reasons while a draft writes on them."""
 
+    async def asyncSetUp(self) -> None:
+        """Start without suspicions."""
+        await super().asyncSetUp()
+        self.suspicions: list[CrashNotice] = []
+
     async def test_a_draft_goes_on_after_its_engines_have_ended(self) -> None:
         """Guards against streams cut as ended engines count for the limit."""
         await self._write_while_engines_end(_MAX_CRASHES - 1)
 
     async def test_a_draft_that_writes_is_not_the_cause(self) -> None:
-        """Guards against sound drafts that are cut after three crashes."""
+        """Guards against sound drafts that are cut after several crashes."""
         await self._write_while_engines_end(_MAX_CRASHES)
+        self.assertEqual(self.suspicions, [])
 
     async def _write_while_engines_end(self, count: int) -> None:
         """Let a draft write on an engine, end it, and so on; check the answer.
@@ -184,10 +207,25 @@
             await asyncio.sleep(_WRITING_S)
             await engine.stop()
             engine.reset_connections()
+            await self._collect_suspicions(engine.name)
         answer = await draft
         self.assertEqual((answer.status, answer.is_whole), (200, True))
         self.assertEqual(answer.body.count(b'id:'), _LONG_EVENTS)
 
+    async def _collect_suspicions(self, engine: str) -> None:
+        """Wait for the crash of an engine; store the notices of suspects."""
+        await self.deployment.until(
+            lambda: any(
+                line['target'].startswith(engine)
+                for line in self.deployment.events('target_crashed')
+            )
+        )
+        now_s = asyncio.get_running_loop().time()
+        notices = self.deployment.daemon.view.crashes.outgoing(_NEWS_S, now_s)
+        self.suspicions.extend(
+            each for each in notices if isinstance(each, CrashNotice)
+        )
+
 
 class AllDaemonsEndTest(CrashingRequestsCase):
     """No daemon is left that could tell of a quarantine."""
--- a/tests/edge/test_fatal_prompt_parts.py
+++ b/tests/edge/test_fatal_prompt_parts.py
@@ -19,6 +19,7 @@
 # Engines of the first layers that are kept running.
 _FIRST_ENGINES = 4
 _TRIES = 6
+_LATE_PORT_S = 0.03
 # Crashes after which no more requests with the part may be sent, once the
 # daemons have had time to tell each other.
 _MAX_CRASHES = 5
@@ -149,6 +150,18 @@
         self.assertLessEqual(len(self._fatal_sends()) - sent, _MAX_LATE_SENDS)
 
 
+class LatePortTest(FatalPartCase):
+    """Engines end their connections a moment before their port."""
+
+    async def test_the_crash_that_decides(self) -> None:
+        """Guards against a fourth engine that ends before the third counts."""
+        for host in self.hosts:
+            for target in self.deployment.targets.values():
+                target.faults.closes_port_after_s = _LATE_PORT_S
+            await self._send_fatal_drafts([host])
+        self.assertEqual(self._count_crashes(), 3)
+
+
 class KnownPartTest(FatalPartCase):
     """Daemons come and go once the part is known."""
 
--- a/tests/mutation_list_parts.py
+++ b/tests/mutation_list_parts.py
@@ -157,6 +157,20 @@
         'False',
         ('tests.edge.test_crashing_requests.WritingDraftsTest',),
     ),
+    Mutation(
+        'crashes: a suspect is sent on before its last crash is known',
+        _WATCH,
+        'if isinstance(decision, SendAlone):',
+        'if False:',
+        ('tests.edge.test_crashing_requests.LatePortTest',),
+    ),
+    Mutation(
+        'crashes: a prompt with a suspect part is sent on at once',
+        _WATCH,
+        'return crashes.parts.has_suspect(context.facts.shared_parts, now_s)',
+        'return False',
+        ('tests.edge.test_fatal_prompt_parts.LatePortTest',),
+    ),
     Mutation(
         'crashes: ended targets count for the limit of a stream',
         'nutmegspoke/edge/drafts.py',
