Log pauses that targets ask for, and the connections of unanswered calls

What the logs lacked to tell its hypotheses apart: whether a call to the store without an answer was on a connection from before an outage, the era in which a version of the tables was read, and that a target asked for a pause. Decisions are unchanged: the header is read and logged only.

--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -9,9 +9,11 @@
 from nutmegspoke.edge.attempts import (
     Broken,
     NotSent,
+    OpenedAnswer,
     OutboundRequest,
     Refused,
 )
+from nutmegspoke.edge.pause_requests import PauseRequests
 from nutmegspoke.forwarded import Dispatch
 from nutmegspoke.pipelines.event_stream import EventSplitter
 from nutmegspoke.retries.target_faults import Fault
@@ -19,7 +21,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
-    from nutmegspoke.edge.attempts import Attempts, OpenedAnswer, OpenResult
+    from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.stream_relay import DraftStream
@@ -76,6 +78,7 @@
     ) -> None:
         """Store the parts that runs use."""
         self._crashes = crashes
+        self._pauses = PauseRequests(log)
         self._view = view
         self._attempts = attempts
         self._watch = watch
@@ -149,6 +152,8 @@
             result = self._attempts.classify_first_event(run.connection, event)
         now_s = self._clock.now_s()
         first_engine = run.chain[0].target
+        if isinstance(result, Refused | OpenedAnswer):
+            self._pauses.record(context, first_engine, result.facts)
         if isinstance(result, Refused):
             self._record_refused(context, first_engine, result, now_s)
             return result
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -56,7 +56,7 @@
         """
         for row in changes.rows:
             if row.key.partition('/')[2] == self._row_name:
-                self._apply_row(row, now_s)
+                self._apply_row(row, changes.era, now_s)
         return frozenset()
 
     def failed_elsewhere(self, failed_s: float) -> None:
@@ -68,7 +68,7 @@
     def answered(self, now_s: float) -> None:
         """Ignore this: there is no failure state to reset."""
 
-    def _apply_row(self, row: StoredRow, now_s: float) -> None:
+    def _apply_row(self, row: StoredRow, era: int, now_s: float) -> None:
         try:
             tables = self._decode(row.body)
         except ValueError as error:
@@ -82,6 +82,7 @@
                 routes=len(tables.routes),
                 pools=len(tables.pools),
                 row_version=row.version,
+                era=era,
             )
 
 
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -13,6 +13,7 @@
     Refused,
     failure_reason,
 )
+from nutmegspoke.edge.pause_requests import PauseRequests
 from nutmegspoke.edge.repeats import RetryPolicy
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
@@ -54,6 +55,7 @@
         """Create a handler."""
         self._crashes = crashes
         self._retries = RetryPolicy(view, log, clock)
+        self._pauses = PauseRequests(log)
         self._view = view
         self._attempts = attempts
         self._answer_sender = answer_sender
@@ -202,6 +204,8 @@
             fault = Fault.FULL if result.is_full else Fault.UNREACHABLE
             self._view.faults.record_fault(name, fault, now_s)
             return
+        if isinstance(result, Refused | CompleteAnswer):
+            self._pauses.record(context, name, result.facts)
         if isinstance(result, Refused):
             self._record_load(target, result.facts.load, now_s)
             fault = Fault.FULL if result.facts.load else Fault.OTHER_TARGET
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -100,6 +100,8 @@
     :param keep_alive_s: time that the connection may be idle; ``None`` if not
         given.
     :param must_close: whether the connection accepts no more requests.
+    :param pause_s: time for which the target asks this host to send nothing;
+        0 if it asks for none.
     """
 
     request_id: str
@@ -108,6 +110,7 @@
     load: tuple[int, int, int] | None
     keep_alive_s: float | None
     must_close: bool
+    pause_s: float = 0.0
 
 
 class HeaderCodec(Protocol):
--- a/nutmegspoke/http_calls.py
+++ b/nutmegspoke/http_calls.py
@@ -131,7 +131,13 @@
     ) -> CallAnswer:
         try:
             answer = await connection.exchange(request)
-        except BaseException:
+        except BaseException as error:
+            logger.info(
+                'http calls: no answer from %s: %r; %s',
+                address,
+                error,
+                connection.describe(asyncio.get_running_loop().time()),
+            )
             connection.abort()
             raise
         idle = self._idle.setdefault(address, [])
@@ -160,10 +166,14 @@
         self._received_bytes = 0
         self._keep_alive = False
         self._idle_since_s = 0.0
+        self._opened_s = 0.0
+        self._sent_s = 0.0
+        self._answer_count = 0
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport."""
         self._transport = transport
+        self._opened_s = asyncio.get_running_loop().time()
         self._opened.add(self)
 
     def data_received(self, received: bytes) -> None:
@@ -223,11 +233,21 @@
         self._answer = loop.create_future()
         if self._transport is None:
             raise CallError('connection lost before the request')
+        self._sent_s = loop.time()
         self._transport.write(request)
         answer = await self._answer
+        self._answer_count += 1
         self._idle_since_s = loop.time()
         return answer
 
+    def describe(self, now_s: float) -> str:
+        """Return the connection's age and use, for the log."""
+        return (
+            f'sent {now_s - self._sent_s:.3f} s ago on a connection opened '
+            f'{now_s - self._opened_s:.3f} s ago with {self._answer_count} '
+            f'answers'
+        )
+
     def on_message_begin(self) -> None:
         """Give up the connection if an answer follows the expected one."""
         if self._answer is not None and self._answer.done():
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -39,6 +39,7 @@
 _NOT_RUN = b'not-executed'
 _TARGET_AT_FAULT = b'at-server'
 _SERVER_LOAD = b'server-load'
+_RETRY_AFTER = b'retry-after'
 
 _HOP_BY_HOP = frozenset(
     (
@@ -72,6 +73,10 @@
 _NOT_RETURNED = _HOP_BY_HOP
 _MS_PER_S = 1_000
 _MISDIRECTED = 421
+# Statuses with which a target may ask for a pause.
+_BUSY_STATUSES = frozenset((429, 503))
+# Longest pause that is granted; a target that asks for more is mistaken.
+_MAX_PAUSE_S = 60.0
 _BAD_REQUEST = 400
 _SUCCESS = range(200, 300)
 _CRLF = b'\r\n'
@@ -126,6 +131,7 @@
         load=_parse_load(fields.get(_SERVER_LOAD)),
         keep_alive_s=_parse_keep_alive(fields.get(b'keep-alive')),
         must_close=b'close' in fields.get(b'connection', b'').lower(),
+        pause_s=_parse_pause(status, fields.get(_RETRY_AFTER)),
     )
 
 
@@ -213,6 +219,16 @@
     return None
 
 
+def _parse_pause(status: int, raw: bytes | None) -> float:
+    """Return the pause in seconds that an answer asks for; 0 for none."""
+    if status not in _BUSY_STATUSES:
+        return 0.0
+    pause_s = _parse_number(raw) or 0.0
+    if pause_s > _MAX_PAUSE_S:
+        logger.info('headers: pause of %r s is too long', raw)
+    return min(pause_s, _MAX_PAUSE_S)
+
+
 def _parse_count(raw: bytes) -> int | None:
     text = raw.strip()
     if text.isdigit() and len(text) <= _MAX_COUNT_DIGITS:
