Reproduce tables that come too late over mute connections, and ignored pauses

Stand-ins: a proxy on the path to the store whose open connections go mute while new ones work, and targets that ask each host for a pause with their refusals.

--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import json
 import socket
@@ -16,6 +17,8 @@
 _EVENTS = 12
 _EVENT_PAUSE_S = 0.01
 _RUN_BEFORE_CRASH_S = 0.05
+# Time for a host to notice that a target asks for a pause.
+_NOTICE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +52,8 @@
         for none.
     :param fatal_part: id of a part of the prompt, other than the last, under
         which the target crashes as it begins to answer; empty for none.
+    :param pause: pause that refusals ask for, as the header's text; empty for
+        none.
     :param closes_port_after_s: time for which the port of a target that crashes
         stays open after its connections.
     """
@@ -70,6 +75,7 @@
     awaited_address: str = ''
     fatal_body: bytes | None = None
     fatal_part: str = ''
+    pause: str = ''
     closes_port_after_s: float = 0.0
 
 
@@ -136,6 +142,45 @@
         await self.wait()
 
 
+class Rest:
+    """Pauses that a target asks each host for, with its first refusal.
+
+    A host is named by the start of the ids of its requests.
+    """
+
+    def __init__(self) -> None:
+        """Start without pauses."""
+        self._asked_s = 0.0
+        self._until_s: dict[str, float] = {}
+        self._late_counts: collections.Counter[str] = collections.Counter()
+        self.served = 0
+
+    def ask(self, asked_s: float) -> None:
+        """Ask each host for a pause of some seconds from now on."""
+        self._asked_s = asked_s
+        self._until_s.clear()
+        self._late_counts.clear()
+        self.served = 0
+
+    def most_late_requests(self) -> int:
+        """Return the most requests of a host after the time to notice."""
+        return max(self._late_counts.values(), default=0)
+
+    def left_s(self, request: ReceivedRequest) -> float:
+        """Return for how long a request's host should send nothing."""
+        if not self._asked_s:
+            return 0.0
+        now_s = asyncio.get_running_loop().time()
+        host = request.headers.get('attempt-id', '').partition('/')[0]
+        until_s = self._until_s.setdefault(host, now_s + self._asked_s)
+        if now_s >= until_s:
+            self.served += 1
+            return 0.0
+        if now_s - (until_s - self._asked_s) > _NOTICE_S:
+            self._late_counts[host] += 1
+        return until_s - now_s
+
+
 class _StreamBody:
     """Body of a stream, in chunks or until the end of its connection."""
 
@@ -195,6 +240,7 @@
         self._open_connections: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.silence = Silence()
+        self.rest = Rest()
 
     async def start(self) -> str:
         """Start to listen on the loopback address.
@@ -274,9 +320,12 @@
             return await self._answer_control_call(request, writer)
         if self.faults.is_silent:
             await asyncio.sleep(60.0)
+        rest_s = self.rest.left_s(request)
+        if rest_s > 0:
+            return await self._send_refusal(writer, f'{rest_s:.3f}')
         if self.faults.refusals:
             self.faults.refusals -= 1
-            return await self._send_refusal(writer)
+            return await self._send_refusal(writer, self.faults.pause)
         if self.faults.stray_answers:
             self.faults.stray_answers -= 1
             await _write_answer(
@@ -365,8 +414,12 @@
         await writer.drain()
         return body.is_chunked
 
-    async def _send_refusal(self, writer: asyncio.StreamWriter) -> bool:
-        headers = {'Not-Executed': '1'}
+    async def _send_refusal(
+        self, writer: asyncio.StreamWriter, pause: str
+    ) -> bool:
+        headers = {'Not-Executed': '1', 'Server-Load': '6,2,6'}
+        if pause:
+            headers['Retry-After'] = pause
         if self.faults.at_fault_address:
             headers['At-Server'] = self.faults.at_fault_address
         return await _write_answer(writer, 503, headers, b'')
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -27,6 +27,7 @@
 from nutmegspoke.platform import configuration, discovery, headers
 from nutmegspoke.platform.engine_calls import EngineClient
 from nutmegspoke.platform.store_client import StoreClient
+from nutmegspoke.standins.path_proxy import PathProxy
 from nutmegspoke.standins.row_store import RowStore
 from nutmegspoke.standins.wire_target import WireTarget
 from tests import builders_edge as build
@@ -35,6 +36,7 @@
 _PORTS = 5
 # Long, for busy machines; a test waits only for events that must occur.
 WAIT_S = 20.0
+_STEP_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,15 +56,23 @@
     """A store, targets, a daemon and callers, on loopback addresses."""
 
     def __init__(
-        self, shared: Deployment | None = None, name: str = 'host-2'
+        self,
+        shared: Deployment | None = None,
+        name: str = 'host-2',
+        *,
+        has_store_path: bool = False,
     ) -> None:
         """Create a deployment that is not started yet.
 
         :param shared: deployment whose store and targets this one uses, for a
             further daemon; ``None`` for own ones.
         :param name: name of the host of such a daemon.
+        :param has_store_path: whether the daemon reaches the store over a path
+            of its own, whose connections can go mute.
         """
         self._shared = shared
+        self._has_store_path = has_store_path
+        self.store_path: PathProxy | None = None
         self._name = 'host-1' if shared is None else name
         self.store = RowStore() if shared is None else shared.store
         self.targets: dict[str, WireTarget] = (
@@ -81,7 +91,11 @@
         if self._shared is None:
             await self._start_store(ports[0])
         else:
-            store_address = self._shared.host.store_address
+            store_address = self._shared.store_address
+        self.store_address = store_address
+        if self._has_store_path:
+            self.store_path = PathProxy(store_address)
+            store_address = await self.store_path.start()
         self._http = HttpCalls()
         host = build.host(
             name=self._name,
@@ -134,6 +148,8 @@
         """Stop the daemon, the targets and the store."""
         await self.daemon.close()
         await self._http.close()
+        if self.store_path is not None:
+            await self.store_path.stop()
         if self._shared is None:
             for target in self.targets.values():
                 await target.stop()
@@ -205,6 +221,24 @@
             while not predicate():
                 await asyncio.sleep(0.01)
 
+    async def is_within(self, limit_s: float, predicate: Any) -> bool:
+        """Return whether a predicate returns a true value within a time.
+
+        Time in which the process stood still isn't counted: it would be for all
+        that a test runs.
+        """
+        loop = asyncio.get_running_loop()
+        waited_s = 0.0
+        last_s = loop.time()
+        while not predicate():
+            if waited_s >= limit_s:
+                return False
+            await asyncio.sleep(_STEP_S)
+            now_s = loop.time()
+            waited_s += min(now_s - last_s, 2 * _STEP_S)
+            last_s = now_s
+        return True
+
     async def call(
         self,
         path: str,
