Send overdue calls to the store on new connections, and poll urgent tables for a second

What callers saw: requests handled by tables of versions that had been replaced more than two seconds before, at one host.

Cause: open connections can go mute while new ones work. A poll of the tables waited 11.5 s on such a connection, and a call that got no answer ended only its own: the next one took another connection that was as old and as mute, and waited for its whole timeout again.

Fix: a GET that is overdue is sent a second time on a new connection; if only that one brings an answer, all other calls that wait at the address are sent again, too. A call without an answer closes the idle connections of its address. Polls of the operator's tables and of the targets wait for one second, so that a lost one is noticed in time by a daemon without others, too; that of the targets waited 0.5 s before, so that the number of calls stays the same.

Evidence: tests/edge/test_mute_connections.py.

Tests of lost polls now also check a table whose poll is long, as the poll of the tables ends by itself after a second: as strict as before for what repeats lost polls.

--- a/nutmegspoke/edge/feeds.py
+++ b/nutmegspoke/edge/feeds.py
@@ -92,12 +92,16 @@
         (
             parts.tables_table,
             listeners.tables,
-            TableSharing(uses_relays, is_relay, forwards_rows=False),
+            TableSharing(
+                uses_relays, is_relay, is_urgent=True, forwards_rows=False
+            ),
         ),
         (
             parts.targets_table,
             listeners.targets,
-            TableSharing(shares_targets, reads_targets, is_busy=True),
+            TableSharing(
+                shares_targets, reads_targets, is_busy=True, is_urgent=True
+            ),
         ),
         (
             DAEMONS_TABLE,
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -32,9 +32,9 @@
 # Timeout of a long poll, which waits for a change. A stale feed is noticed
 # sooner, from the updates of daemons whose feeds are current.
 FEED_WAIT_S = 10.0
-# The same for a table that always changes. Its silence is that of the store,
-# which may have lost the polls of the other tables, too.
-_BUSY_FEED_WAIT_S = 0.5
+# The same for tables whose changes must be applied within two seconds. A poll
+# that the store or the network has lost is noticed only when it ends.
+URGENT_FEED_WAIT_S = 1.0
 # A daemon that relies on updates reads the store itself after this time without
 # any. Readers send several updates per second, and a target that leaves must
 # be out of use two seconds later.
@@ -91,6 +91,7 @@
         for the others now; otherwise each reads it for itself.
     :param is_reader: returns whether this daemon is one of them.
     :param is_busy: whether the table always changes.
+    :param is_urgent: whether a change must be applied within two seconds.
     :param forwards_rows: whether readers forward changed rows. If not, as they
         are too large, the others read them when they hear of a change.
     """
@@ -98,6 +99,7 @@
     is_used: Callable[[], bool]
     is_reader: Callable[[], bool]
     is_busy: bool = False
+    is_urgent: bool = False
     forwards_rows: bool = True
 
     def reads_store(self) -> bool:
@@ -288,7 +290,7 @@
         """Return how long a call waits if there is no change yet."""
         if self._health.is_failing or not self.is_reader():
             return 0.0
-        return _BUSY_FEED_WAIT_S if self.sharing.is_busy else FEED_WAIT_S
+        return URGENT_FEED_WAIT_S if self.sharing.is_urgent else FEED_WAIT_S
 
     def _is_kept_current(self) -> bool:
         """Return whether updates from readers keep this daemon current."""
--- a/nutmegspoke/http_calls.py
+++ b/nutmegspoke/http_calls.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from nutmegspoke.path_doubts import PathDoubts, ending_tasks
 from nutmegspoke.probed_sockets import probed_socket
 
 if TYPE_CHECKING:
@@ -61,6 +62,7 @@
         """Start without connections."""
         self._idle: dict[str, list[_Connection]] = {}
         self._open: set[_Connection] = set()
+        self._doubts = PathDoubts()
 
     async def call(
         self,
@@ -70,6 +72,7 @@
         body: bytes = b'',
         headers: Mapping[str, str] | None = None,
         query: Mapping[str, str] | None = None,
+        patience_s: float | None = None,
     ) -> CallAnswer:
         """Return the answer to a request.
 
@@ -77,11 +80,20 @@
         side may have closed that connection while it was idle.
 
         :param address: ``IP:PORT`` of the server.
+        :param patience_s: time after which a GET without an answer is sent on a
+            new connection, too; ``None`` for never.
         :raises NotSentError: if no connection can be opened.
         :raises CallError: if the answer is incomplete or not HTTP.
         """
         target = f'{path}?{urlencode(query)}' if query else path
         request = _encode_request(method, address, target, body, headers or {})
+        if patience_s is None or method != 'GET':
+            return await self._call_once(method, address, request)
+        return await self._call_patiently(address, request, patience_s)
+
+    async def _call_once(
+        self, method: str, address: str, request: bytes
+    ) -> CallAnswer:
         connection = self._take_idle(address)
         if connection is not None:
             try:
@@ -90,9 +102,39 @@
                 if method != 'GET':
                     raise
                 logger.info('http calls: repeated to %s: %s', address, error)
+        return await self._call_anew(address, request)
+
+    async def _call_anew(self, address: str, request: bytes) -> CallAnswer:
+        """Return the answer to a request on a new connection."""
         connection = await self._connect(address)
         return await self._exchange(connection, address, request)
 
+    async def _call_patiently(
+        self, address: str, request: bytes, patience_s: float
+    ) -> CallAnswer:
+        """Return the first answer to a GET, which may be sent a second time.
+
+        The network may have lost track of the open connections to an address.
+        If only the new connection brings an answer, other calls that wait there
+        are sent again, too.
+        """
+        with ending_tasks() as calls:
+            first = asyncio.create_task(
+                self._call_once('GET', address, request)
+            )
+            calls.add(first)
+            await self._doubts.wait(first, address, patience_s)
+            if first.done():
+                return first.result()
+            second = asyncio.create_task(self._call_anew(address, request))
+            calls.add(second)
+            await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+            if first.done() or second.exception() is not None:
+                return await first
+            logger.info('http calls: only new connections to %s work', address)
+            self._doubts.spread(address)
+            return second.result()
+
     async def close(self) -> None:
         """Close all connections."""
         for connection in tuple(self._open):
@@ -109,6 +151,10 @@
             connection.abort()
         return None
 
+    def _drop_idle(self, address: str) -> None:
+        for connection in self._idle.pop(address, ()):
+            connection.abort()
+
     async def _connect(self, address: str) -> _Connection:
         ip, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
@@ -139,6 +185,8 @@
                 connection.describe(asyncio.get_running_loop().time()),
             )
             connection.abort()
+            # What keeps this connection silent may have hit the others, too.
+            self._drop_idle(address)
             raise
         idle = self._idle.setdefault(address, [])
         now_s = asyncio.get_running_loop().time()
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -35,6 +35,9 @@
 # The store usually answers in a few milliseconds; a slow one takes tens of times
 # as long.
 CALL_TIMEOUT_S = 1.5
+# Time after which an answer is overdue, so that the call is made a second time on
+# a new connection.
+_PATIENCE_S = 0.4
 _PAGE_ROWS = 500
 # Numbers of this length fit into the integers of datagrams.
 _MAX_ERA_DIGITS = 18
@@ -142,8 +145,7 @@
             'after': str(after),
             'wait_ms': str(int(wait_s * 1_000)),
         }
-        timeout_s = wait_s + CALL_TIMEOUT_S
-        answer = await self._request_feed(query, timeout_s)
+        answer = await self._request_feed(query, wait_s)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
         return TableChanges(
@@ -179,7 +181,11 @@
     ) -> _WireRows | Unavailable:
         try:
             answer = await self._request(
-                'GET', '/v1/rows-get', query, CALL_TIMEOUT_S
+                'GET',
+                '/v1/rows-get',
+                query,
+                CALL_TIMEOUT_S,
+                patience_s=_PATIENCE_S,
             )
         except _CALL_ERRORS as error:
             return _call_failure(error)
@@ -188,11 +194,15 @@
     async def _request_feed(
         self,
         query: dict[str, str],
-        timeout_s: float,
+        wait_s: float,
     ) -> _WireRows | HistoryLost | Unavailable:
         try:
             answer = await self._request(
-                'GET', '/v1/rows-feed', query, timeout_s
+                'GET',
+                '/v1/rows-feed',
+                query,
+                wait_s + CALL_TIMEOUT_S,
+                patience_s=wait_s + _PATIENCE_S,
             )
         except _CALL_ERRORS as error:
             return _call_failure(error)
@@ -207,11 +217,12 @@
         query: dict[str, str],
         timeout_s: float,
         body: bytes = b'',
+        patience_s: float | None = None,
     ) -> CallAnswer:
         headers = {'Content-Type': 'application/json'} if body else None
         async with asyncio.timeout(timeout_s):
             return await self._http.call(
-                method, self._address, path, body, headers, query
+                method, self._address, path, body, headers, query, patience_s
             )
 
 
--- a/tests/edge/test_mute_connections.py
+++ b/tests/edge/test_mute_connections.py
@@ -16,6 +16,7 @@
 _STABLE_S = 3.0
 _HOSTS = 3
 _SEED = 33
+_OUTAGE_SEED = 9
 _OUTAGES = 9
 _CHANGES = 3
 # Times before and after the store's return at which connections go mute.
@@ -27,10 +28,12 @@
 class MuteCase(unittest.IsolatedAsyncioTestCase):
     """Base class with a store that each daemon reaches by a path of its own."""
 
+    seed = _SEED
+
     async def _start(self, hosts: int) -> None:
         self.hosts: list[Deployment] = []
         self._version = 7
-        self.draw = random.Random(_SEED)  # noqa: S311 -- seeded on purpose
+        self.draw = random.Random(self.seed)  # noqa: S311 -- seeded on purpose
         for number in range(hosts):
             shared = self.hosts[0] if self.hosts else None
             host = Deployment(shared, f'host-{number + 1}', has_store_path=True)
@@ -90,6 +93,8 @@
 class MuteAfterOutageTest(MuteCase):
     """The connections of one of several daemons go mute around an outage."""
 
+    seed = _OUTAGE_SEED
+
     async def test_tables_changed_after_an_outage(self) -> None:
         """Guards against a host that keeps the tables from before an outage.
 
--- a/tests/edge/test_silent_store.py
+++ b/tests/edge/test_silent_store.py
@@ -39,13 +39,14 @@
         store.faults.is_silent = False
 
     async def test_a_version_written_when_it_is_back(self) -> None:
-        """Guards against tables that come into force when a lost poll ends.
+        """Guards against rows that are known only when a lost poll ends.
 
         All polls that waited when the silence began are lost, and nothing shows
         it but the silence of feeds that always have changes.
         """
         await self._lose_all_polls(daemons=1)
         await self.deployment.serve_tables(version=8)
+        await self.deployment.add_daemon('host-9')
 
     async def test_another_host_is_told(self) -> None:
         """Guards against a host that waits as it reads no busy table itself."""
@@ -56,3 +57,5 @@
         await self._lose_all_polls(daemons=2)
         await self.deployment.serve_tables(version=8)
         await other.until(lambda: other.daemon.view.version == 8)
+        await self.deployment.add_daemon('host-9')
+        await other.until(lambda: other.knows_daemon('host-9'))
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -7,7 +7,10 @@
 from types import MappingProxyType
 from unittest import mock
 
+import msgspec
+
 from nutmegspoke.edge import followers
+from nutmegspoke.edge.listeners import DaemonRow
 from nutmegspoke.membership.load_news import LoadUpdate
 from nutmegspoke.platform import configuration, discovery
 from nutmegspoke.standins.wire_target import WireTarget
@@ -150,18 +153,21 @@
         await super().asyncSetUp()
 
     async def test_another_feed_notices(self) -> None:
-        """Guards against tables that come into force when a poll ends."""
+        """Guards against rows that are known only when a poll ends."""
         await self._return_with_new_tables()
         await self.deployment.until(
             lambda: self.deployment.daemon.view.version == 8
         )
+        await self.deployment.until(
+            lambda: self.deployment.knows_daemon('host-9')
+        )
 
     async def test_another_daemon_notices(self) -> None:
         """Guards against a daemon that learns of the return too late.
 
         None of its own calls is answered.
         """
-        patch = mock.patch.object(followers, '_BUSY_FEED_WAIT_S', _LONG_WAIT_S)
+        patch = mock.patch.object(followers, 'URGENT_FEED_WAIT_S', _LONG_WAIT_S)
         patch.start()
         self.addCleanup(patch.stop)
         await self.deployment.add_daemon('host-2')
@@ -186,8 +192,14 @@
         polls = store.calls
         tables = build.wire_configuration(version=8, weights=(1, 0))
         heartbeats = [('other', 'x', b'')] * _HEARTBEATS
+        daemon = msgspec.json.encode(DaemonRow('127.0.0.1', 1, 'zone-1'))
         await store.come_back_from(
-            copy, [('op', 'config', tables), *heartbeats]
+            copy,
+            [
+                ('op', 'config', tables),
+                ('daemons', 'host-9', daemon),
+                *heartbeats,
+            ],
         )
         await self.deployment.until(lambda: store.calls > polls)
 
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -202,8 +202,12 @@
         self._other_address = ('127.0.0.1', port)
         row = DaemonRow('127.0.0.1', port, 'zone-1')
         await self.store.put(DAEMONS_TABLE, name, msgspec.json.encode(row))
+        await self.until(lambda: self.knows_daemon(name))
+
+    def knows_daemon(self, name: str) -> bool:
+        """Return whether the daemon knows another one's address."""
         listener = self.daemon._daemons  # noqa: SLF001 -- nothing shows it
-        await self.until(lambda: name in listener.addresses)
+        return name in listener.addresses
 
     def send_update(self, update: LoadUpdate) -> None:
         """Send an update in the name of the other daemon."""
