Send nothing to targets that have asked this host for a pause

What callers saw: requests refused by targets that had asked for a pause, and half of the drafts refused though an engine was free.

Cause: nothing read the time that a target's refusal asks for. A refusal was a fault with a time of the daemon's own, 0.15 s and more, and targets that are left out for faults are used if no other is left.

Fix: TargetPauses holds the time by target, for first sends, repeats, resumes, chains and the polls of reports. If all that could serve pause, callers are refused at once until the earliest end, spread over a second. A pause is neither a fault nor passed on to other daemons: a target counts by host and asks each one itself.

Polls of urgent tables wait 1.2 s, and calls are overdue after 0.35 s.

--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
     QueuePosition,
     RetryTimes,
 )
+from nutmegspoke.edge.pause_requests import pause_left_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -117,7 +119,10 @@
         """Assign a retry time to a refused draft, with values for the log."""
         now_s = self._clock.now_s()
         has_layers = self._has_layers(context, need)
-        earliest_s = 0.0 if has_layers else _LAYER_RELOAD_S
+        earliest_s = 0.0
+        if not has_layers:
+            left_s = pause_left_s(self._view, context.pool.name, now_s)
+            earliest_s = left_s if math.isfinite(left_s) else _LAYER_RELOAD_S
         log_fields = self._refusal_log_fields(context, need, now_s)
         return Refusal(
             self.retry_times.retry_after_s(earliest_s, now_s),
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -78,7 +78,7 @@
     ) -> None:
         """Store the parts that runs use."""
         self._crashes = crashes
-        self._pauses = PauseRequests(log)
+        self._pauses = PauseRequests(view, log, clock)
         self._view = view
         self._attempts = attempts
         self._watch = watch
@@ -113,6 +113,7 @@
             self._record_not_sent(context, first_engine, connection)
             return connection
         context.sends += 1
+        self._view.pauses.sent(first_engine)
         if first_engine not in context.targets:
             context.targets.append(first_engine)
         run = DraftRun(
@@ -296,6 +297,10 @@
             result.facts.unreachable_address
         )
         target = named_target or first_engine
+        if result.facts.pause_s > 0:
+            context.avoided.add(first_engine)
+        if result.facts.pause_s > 0 and target == first_engine:
+            return
         is_full = self._view.find_utilization(target, now_s) > _FULL_UTILIZATION
         kind = Fault.FULL if is_full else Fault.NAMED_AT_FAULT
         self._record_fault(context, target, kind, now_s)
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -34,7 +34,7 @@
 FEED_WAIT_S = 10.0
 # The same for tables whose changes must be applied within two seconds. A poll
 # that the store or the network has lost is noticed only when it ends.
-URGENT_FEED_WAIT_S = 1.0
+URGENT_FEED_WAIT_S = 1.2
 # A daemon that relies on updates reads the store itself after this time without
 # any. Readers send several updates per second, and a target that leaves must
 # be out of use two seconds later.
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import zlib
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.attempts import (
@@ -13,7 +15,11 @@
     Refused,
     failure_reason,
 )
-from nutmegspoke.edge.pause_requests import PauseRequests
+from nutmegspoke.edge.pause_requests import (
+    PauseRequests,
+    open_targets,
+    pause_left_s,
+)
 from nutmegspoke.edge.repeats import RetryPolicy
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
@@ -38,6 +44,9 @@
 _REFUSED_RETRY_AFTER_S = 0.2
 # Time until new targets are listed if none is left.
 _NO_TARGET_RETRY_AFTER_S = 0.8
+# Callers return over this time after the first pause has ended.
+_PAUSE_SPREAD_S = 1.0
+_CHECKSUMS = 2**32
 
 
 class PlainCalls:
@@ -55,7 +64,7 @@
         """Create a handler."""
         self._crashes = crashes
         self._retries = RetryPolicy(view, log, clock)
-        self._pauses = PauseRequests(log)
+        self._pauses = PauseRequests(view, log, clock)
         self._view = view
         self._attempts = attempts
         self._answer_sender = answer_sender
@@ -97,7 +106,7 @@
     def _choose_target(
         self, context: RequestContext, now_s: float
     ) -> TargetEntry | None:
-        live = self._view.targets.live(context.pool.name)
+        live = open_targets(self._view, context.pool.name, now_s)
         usable = [
             entry
             for entry in live
@@ -142,6 +151,7 @@
             return connection
         context.sends += 1
         context.targets.append(target.name)
+        self._view.pauses.sent(target.name)
         run = self._crashes.started(context, (target.name,))
         result: FetchResult | None = None
         try:
@@ -207,9 +217,7 @@
         if isinstance(result, Refused | CompleteAnswer):
             self._pauses.record(context, name, result.facts)
         if isinstance(result, Refused):
-            self._record_load(target, result.facts.load, now_s)
-            fault = Fault.FULL if result.facts.load else Fault.OTHER_TARGET
-            self._view.faults.record_fault(name, fault, now_s)
+            self._record_refused(target, result, now_s)
             return
         context.may_have_run = True
         if _is_error(result):
@@ -218,6 +226,15 @@
             self._record_load(target, result.facts.load, now_s)
             self._view.faults.succeeded(name, now_s)
 
+    def _record_refused(
+        self, target: TargetEntry, result: Refused, now_s: float
+    ) -> None:
+        self._record_load(target, result.facts.load, now_s)
+        if result.facts.pause_s > 0:
+            return
+        fault = Fault.FULL if result.facts.load else Fault.OTHER_TARGET
+        self._view.faults.record_fault(target.name, fault, now_s)
+
     def _record_load(
         self,
         target: TargetEntry,
@@ -240,7 +257,7 @@
                 context, status, reason=failure_reason(last_result)
             )
         else:
-            retry_after_s = _retry_after_s(last_result)
+            retry_after_s = self._retry_after_s(context, last_result)
             await self._answer_sender.send(
                 context,
                 OwnAnswer.NOT_RUN,
@@ -259,12 +276,31 @@
                 self._view.faults.is_left_out(entry.name, now_s)
                 for entry in live
             ),
+            'targets_paused': sum(
+                self._view.pauses.is_closed(entry.name, now_s) for entry in live
+            ),
             'targets_failed': sorted(context.avoided),
             'targets_version': self._view.targets_version,
         }
 
+    def _retry_after_s(
+        self, context: RequestContext, result: FetchResult
+    ) -> float:
+        """Return when a request that has not run may be sent again."""
+        now_s = self._clock.now_s()
+        pool = context.pool.name
+        left_s = pause_left_s(self._view, pool, now_s)
+        if math.isfinite(left_s) and not open_targets(self._view, pool, now_s):
+            return left_s + _spread_s(context.facts.request_id)
+        return _usual_retry_after_s(result)
+
+
+def _spread_s(request_id: str) -> float:
+    """Return a delay by which the callers that wait for a pause differ."""
+    return zlib.crc32(request_id.encode()) / _CHECKSUMS * _PAUSE_SPREAD_S
+
 
-def _retry_after_s(result: FetchResult) -> float:
+def _usual_retry_after_s(result: FetchResult) -> float:
     """Return when a request that has not run may be sent again."""
     if isinstance(result, Refused):
         return _REFUSED_RETRY_AFTER_S
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -22,9 +22,14 @@
 from nutmegspoke.retries.pool_budgets import PoolBudgets
 from nutmegspoke.retries.shared_quarantine import SharedQuarantine
 from nutmegspoke.retries.target_faults import TargetFaults
+from nutmegspoke.retries.target_pauses import TargetPauses
 from nutmegspoke.retries.window_budget import WindowSettings
 from nutmegspoke.routing.crossing_budget import CrossingBudget
-from nutmegspoke.routing.engine_loads import EngineLoad, fill_limit
+from nutmegspoke.routing.engine_loads import (
+    DraftNeed,
+    EngineLoad,
+    fill_limit,
+)
 from nutmegspoke.routing.entry_routes import RouteIndex
 from nutmegspoke.routing.room_chains import ChainFinder
 
@@ -39,7 +44,6 @@
         ModelProfile,
         RecoveryBounds,
     )
-    from nutmegspoke.routing.engine_loads import DraftNeed
 
 
 # Daemons assumed to share budgets even if no update from them was received,
@@ -59,6 +63,7 @@
     :ivar targets: targets that discovery lists.
     :ivar targets_version: version of the table of targets.
     :ivar faults: targets that are left out because of faults.
+    :ivar pauses: targets that have asked this host for a pause.
     :ivar own_reservations: memory that this daemon has reserved on engines.
     :ivar load_updates: last updates of the other daemons.
     :ivar reports: state of engines, from their reports.
@@ -78,6 +83,7 @@
         self.targets = TargetEntries(host.bounds.drain_s)
         self.targets_version = 0
         self.faults = TargetFaults()
+        self.pauses = TargetPauses()
         self.own_reservations = MemoryReservations()
         self.load_updates = ReceivedUpdates.from_host(host)
         self.reports = EngineReports()
@@ -182,7 +188,8 @@
         reserved = self.total_reservations(now_s)
         limit = fill_limit(self.load_updates.max_load_age_s(now_s))
         loads: list[EngineLoad] = []
-        for entry in self.targets.live(pool):
+        live = self.targets.live(pool)
+        for entry in self.pauses.filter_open(live, now_s):
             kind = profile.kinds.get(entry.kind)
             layers = self.reassignments.usable_layers(entry, now_s)
             if kind is None or layers is None or entry.name in avoided:
@@ -218,7 +225,7 @@
         """Return whether some chain of a pool could run a draft if idle.
 
         Reserved memory is ignored. Engines that are left out because of a
-        fault are not used.
+        fault, or have asked for a pause, are not used.
         """
         profile = self._profiles.get(pool)
         if profile is None:
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -37,7 +37,7 @@
 CALL_TIMEOUT_S = 1.5
 # Time after which an answer is overdue, so that the call is made a second time on
 # a new connection.
-_PATIENCE_S = 0.4
+_PATIENCE_S = 0.35
 _PAGE_ROWS = 500
 # Numbers of this length fit into the integers of datagrams.
 _MAX_ERA_DIGITS = 18
