--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -188,8 +188,7 @@
         reserved = self.total_reservations(now_s)
         limit = fill_limit(self.load_updates.max_load_age_s(now_s))
         loads: list[EngineLoad] = []
-        live = self.targets.live(pool)
-        for entry in self.pauses.filter_open(live, now_s):
+        for entry in self.pauses.filter_open(self.targets.live(pool), now_s):
             kind = profile.kinds.get(entry.kind)
             layers = self.reassignments.usable_layers(entry, now_s)
             if kind is None or layers is None or entry.name in avoided:
