Decode all that others have written in one way, and skip daemons without an address

What happened: a deeply nested row among the daemons raised RecursionError in the listener; the follower discarded the table and read it again each second, and a daemon that joined and sorted after the row was never known: no updates to or from it. Addresses that can't be sent to were taken as daemons.

Cause: three modules caught that error by lists of their own, seven others did not. Fix: UntrustedDecoder, used for all tables, answers and datagrams, raises one error.

tests/edge/test_odd_rows.py: before, the test of daemons' rows failed with RecursionError; odd rows of targets and quarantines did no harm before either. tests/test_untrusted.py draws bytes for every decoder (hypothesis).

--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
 from nutmegspoke.targets import TargetState
+from nutmegspoke.untrusted import UntrustedDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +21,8 @@
 
 logger = logging.getLogger(__name__)
 
+_MAX_PORT = 65_535
+
 
 class TablesListener:
     """Listener for new versions of the operator's tables.
@@ -234,10 +238,23 @@
     """
 
     ip: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=_MAX_PORT)]
     zone: str = ''
 
 
+_daemon_decoder = UntrustedDecoder.from_json(DaemonRow)
+
+
+def _decode_daemon(body: bytes) -> DaemonRow:
+    """Return a daemon to whose address updates can be sent.
+
+    :raises ValueError: if the row names none.
+    """
+    daemon = _daemon_decoder.decode(body)
+    ipaddress.IPv4Address(daemon.ip)
+    return daemon
+
+
 class DaemonsListener:
     """Listener for the addresses of the other daemons.
 
@@ -288,8 +305,8 @@
             self.own_row = body
             return
         try:
-            daemon = msgspec.json.decode(body, type=DaemonRow)
-        except msgspec.MsgspecError as error:
+            daemon = _decode_daemon(body)
+        except ValueError as error:
             logger.info('daemons: row of %s not decoded: %s', name, error)
             self._remove(name)
             return
--- a/nutmegspoke/edge/quarantine_rows.py
+++ b/nutmegspoke/edge/quarantine_rows.py
@@ -20,6 +20,7 @@
     Write,
 )
 from nutmegspoke.retries.notices import QuarantineNotice
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -35,9 +36,6 @@
 _MAX_WRITES = 50
 # The store allows keys of this length.
 _MAX_KEY_BYTES = 200
-# Raised for bytes that are no JSON of the expected types; nested too deeply,
-# they raise RecursionError.
-_DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class QuarantineRow(msgspec.Struct, frozen=True):
@@ -53,6 +51,9 @@
     until_s: float
 
 
+_decoder = UntrustedDecoder.from_json(QuarantineRow)
+
+
 class QuarantineRows:
     """Writes the quarantines that this daemon decides, and reads all at start.
 
@@ -129,8 +130,8 @@
     def _to_notice(self, row: StoredRow) -> QuarantineNotice | None:
         """Return the notice of a row; ``None`` if it is over or unreadable."""
         try:
-            kept = msgspec.json.decode(row.body, type=QuarantineRow)
-        except _DECODE_ERRORS as error:
+            kept = _decoder.decode(row.body)
+        except UndecodableError as error:
             logger.warning('quarantine: row %s removed: %s', row.key, error)
             return None
         remaining_s = kept.until_s - self._clock.wall_s()
--- a/nutmegspoke/edge/update_receiver.py
+++ b/nutmegspoke/edge/update_receiver.py
@@ -5,8 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from nutmegspoke.edge.followers import batch_pause_s
 from nutmegspoke.membership.feed_versions import FeedVersion, FeedVersions
 from nutmegspoke.membership.load_news import (
@@ -16,6 +14,7 @@
     check_update,
 )
 from nutmegspoke.membership.table_news import TableUpdate
+from nutmegspoke.untrusted import UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -57,7 +56,7 @@
         self._health = feeds.health
         self._feed_versions = FeedVersions()
         self._clock = clock
-        self._decoder = msgspec.msgpack.Decoder(
+        self._decoder = UntrustedDecoder.from_msgpack(
             LoadUpdate | EventUpdate | TableUpdate
         )
         self._dropped_count = 0
--- a/nutmegspoke/membership/daemon_rows.py
+++ b/nutmegspoke/membership/daemon_rows.py
@@ -10,6 +10,7 @@
 
 from nutmegspoke.membership.gossip_types import PeerAddress
 from nutmegspoke.metadata_store import Condition, Transaction, Write
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -39,6 +40,9 @@
     availability_zone: str
 
 
+_decoder = UntrustedDecoder.from_msgpack(DaemonRow)
+
+
 @dataclasses.dataclass(slots=True)
 class DaemonRows:
     """Decides when to write the own row, and which rows of others are stale.
@@ -129,6 +133,6 @@
 def decode_daemon_row(row: StoredRow) -> DaemonRow | None:
     """Return the content of a daemon's row; ``None`` if it can't be read."""
     try:
-        return msgspec.msgpack.decode(row.body, type=DaemonRow)
-    except msgspec.MsgspecError:
+        return _decoder.decode(row.body)
+    except UndecodableError:
         return None
--- a/nutmegspoke/placement/lease.py
+++ b/nutmegspoke/placement/lease.py
@@ -26,6 +26,7 @@
     Unavailable,
     Write,
 )
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.metadata_store import CommitResult
@@ -53,6 +54,9 @@
     write_id: int = 0
 
 
+_decoder = UntrustedDecoder.from_msgpack(LeaseRow)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseSettings:
     """Durations of a lease.
@@ -304,6 +308,6 @@
 
 def _decode_lease(row: StoredRow) -> LeaseRow | None:
     try:
-        return msgspec.msgpack.decode(row.body, type=LeaseRow)
-    except msgspec.MsgspecError:
+        return _decoder.decode(row.body)
+    except UndecodableError:
         return None
--- a/nutmegspoke/placement/orders.py
+++ b/nutmegspoke/placement/orders.py
@@ -24,6 +24,7 @@
     Unavailable,
     Write,
 )
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.metadata_store import CommitResult
@@ -69,6 +70,9 @@
         return f'{ORDER_PREFIX}{self.pool}/{self.layers}'
 
 
+_decoder = UntrustedDecoder.from_msgpack(OrderRow)
+
+
 class OrderState(enum.StrEnum):
     """Progress of an order.
 
@@ -309,8 +313,8 @@
 def decode_order(row: StoredRow) -> OrderRow | None:
     """Return the order of a record; ``None`` if it can't be read."""
     try:
-        return msgspec.msgpack.decode(row.body, type=OrderRow)
-    except msgspec.MsgspecError:
+        return _decoder.decode(row.body)
+    except UndecodableError:
         return None
 
 
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -17,6 +17,7 @@
     RetryRule,
     Team,
 )
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 # Table and key of the row that holds the configuration.
 TABLE = 'op'
@@ -118,7 +119,7 @@
     tenants: list[_Tenant] | None = None
 
 
-_decoder = msgspec.json.Decoder(_Config)
+_decoder = UntrustedDecoder.from_json(_Config)
 
 
 class ConfigurationError(ValueError):
@@ -133,7 +134,7 @@
     """
     try:
         config = _decoder.decode(body)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except UndecodableError as error:
         raise ConfigurationError(str(error)) from error
     pools = (_build_pool(service) for service in config.services)
     return EntryTables(
--- a/nutmegspoke/platform/discovery.py
+++ b/nutmegspoke/platform/discovery.py
@@ -12,6 +12,7 @@
 from nutmegspoke.entry_host import TargetEntry
 from nutmegspoke.layers import LayerRange
 from nutmegspoke.targets import TargetState
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 logger = logging.getLogger(__name__)
 
@@ -23,9 +24,6 @@
 _MAX_LAYERS = 100_000
 _MAX_PORT = 65_535
 _LayerIndex = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LAYERS)]
-# Raised for bytes that are no JSON of the expected types; nested too deeply,
-# they raise RecursionError.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 class HeldLayers(msgspec.Struct, rename={'start': 'from', 'stop': 'to'}):
@@ -59,7 +57,7 @@
     born: int = 0
 
 
-_decoder = msgspec.json.Decoder(_Server)
+_decoder = UntrustedDecoder.from_json(_Server)
 _STATES = MappingProxyType(
     {'ready': TargetState.LIVE, 'draining': TargetState.LEAVING},
 )
@@ -73,7 +71,7 @@
     """
     try:
         server = _decoder.decode(body)
-    except DECODE_ERRORS as error:
+    except UndecodableError as error:
         logger.warning('discovery: row %s skipped: %s', name, error)
         return None
     if not (_is_header_text(name) and _is_address(server.address)):
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -11,7 +11,8 @@
 
 from nutmegspoke.engine_orders import EngineReport, OrderAnswer
 from nutmegspoke.http_calls import NotSentError
-from nutmegspoke.platform.discovery import DECODE_ERRORS, HeldLayers
+from nutmegspoke.platform.discovery import HeldLayers
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.http_calls import HttpCalls
@@ -23,7 +24,7 @@
 _REPORT_TIMEOUT_S = 0.5
 _ORDER_TIMEOUT_S = 1.0
 _ERRORS = (TimeoutError, OSError)
-_REPORT_ERRORS = (*_ERRORS, *DECODE_ERRORS)
+_REPORT_ERRORS = (*_ERRORS, UndecodableError)
 
 
 _ANSWER_BY_STATUS = MappingProxyType(
@@ -55,7 +56,7 @@
     stalled: list[_Stalled] = msgspec.field(default_factory=list)
 
 
-_decoder = msgspec.json.Decoder(_Report)
+_decoder = UntrustedDecoder.from_json(_Report)
 
 
 class EngineClient:
--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -22,6 +22,7 @@
     TableChanges,
     Unavailable,
 )
+from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
     from nutmegspoke.http_calls import CallAnswer, HttpCalls
@@ -70,7 +71,7 @@
     era: int = 0
 
 
-_rows_decoder = msgspec.json.Decoder(_WireRows)
+_rows_decoder = UntrustedDecoder.from_json(_WireRows)
 
 
 class StoreClient:
@@ -242,7 +243,7 @@
         return Unavailable(f'status {answer.status}')
     try:
         rows = _rows_decoder.decode(answer.body)
-    except msgspec.MsgspecError as error:
+    except UndecodableError as error:
         return Unavailable(f'unreadable answer: {error}')
     rows.era = _parse_era(answer)
     rows.rows = [row for row in rows.rows if not row.part]
@@ -293,7 +294,7 @@
         return Unavailable(f'status {status}')
     try:
         answer = _rows_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except UndecodableError as error:
         return InDoubt(f'status {status}, unreadable answer: {error}')
     if status == _CONFLICT:
         return Conflict(_find_condition_rows(answer, transaction))
