Close the idle connections to a target that did not answer

A request without an answer closed only its own connection; the next one took another that was idle since before. With six idle connections that go mute and one target, two of six requests in a row ended 504 before their deadline of 0.5 s was long enough for keepalive probes; now it is one, the one that finds out.

--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -70,11 +70,20 @@
 
     :param address: ``IP:PORT`` of the target.
     :param counts: counters that include the connection while it is open.
+    :param on_unanswered: called with the address if the connection is closed
+        before its target has sent anything in answer to a request.
     """
 
-    def __init__(self, address: str, counts: OpenCounts) -> None:
+    def __init__(
+        self,
+        address: str,
+        counts: OpenCounts,
+        on_unanswered: Callable[[str], None],
+    ) -> None:
         """Create a connection that waits for its transport."""
         self.address = address
+        self._on_unanswered = on_unanswered
+        self._has_answer = True
         self._counts = counts
         self._transport: Any = None
         self._reader = AnswerReader(self._on_event)
@@ -99,6 +108,7 @@
         if not self._reader.is_expecting:
             self.close()
             return
+        self._has_answer = True
         fault = self._reader.feed(received)
         if fault:
             self._reader.fail(fault)
@@ -135,6 +145,7 @@
             raise ConnectionError('connection closed before the request')
         self._events.clear()
         self._buffered = 0
+        self._has_answer = False
         self._reader.expect(is_match)
         self._transport.write(request)
 
@@ -178,6 +189,9 @@
         self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
+        if not self._has_answer:
+            self._has_answer = True
+            self._on_unanswered(self.address)
 
     def is_answer_pending(self) -> bool:
         """Return whether an expected answer is not yet complete."""
@@ -323,6 +337,14 @@
             if not kept:
                 self._idle.pop(address)
 
+    def _drop_idle(self, address: str) -> None:
+        """Close the idle connections to a target that did not answer.
+
+        What keeps one connection silent may have hit the others, too.
+        """
+        for connection, _ in self._idle.pop(address, ()):
+            connection.close()
+
     def _make_capacity(self, address: str, max_connections: int) -> None:
         """Close an idle connection if a limit is reached.
 
@@ -359,7 +381,9 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: TargetConnection(address, self._counts),
+                    lambda: TargetConnection(
+                        address, self._counts, self._drop_idle
+                    ),
                     ip,
                     int(port),
                 )
