Keep a connection after a refusal only if the refusal names its request

Without an id it passed for the refusal of the next request on the connection: a draft that its engine ran was told as not run (503), and a read whose target had answered it was refused.

Calls that may run once were safe, as they use new connections.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -268,7 +268,12 @@
         opened = OpenedAnswer(connection, event, facts)
         if facts.kind != AnswerKind.NOT_RUN:
             return opened
-        if event.length == 0 and isinstance(connection.peek(), AnswerEnd):
+        # A refusal that is written once more would pass for that of the next
+        # request, unless it names its own.
+        is_whole = event.length == 0 and isinstance(
+            connection.peek(), AnswerEnd
+        )
+        if is_whole and facts.request_id:
             self.release_connection(opened)
         else:
             connection.close()
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -52,6 +52,11 @@
         for none.
     :param fatal_part: id of a part of the prompt, other than the last, under
         which the target crashes as it begins to answer; empty for none.
+    :param repeats_refusals: each refusal is written once more before the next
+        answer on its connection.
+    :param names_refused: refusals carry the id of their request.
+    :param error_status: status of the answer to requests that resume a stream;
+        0 to resume it.
     :param pause: pause that refusals ask for, as the header's text; empty for
         none.
     :param closes_port_after_s: time for which the port of a target that crashes
@@ -75,6 +80,9 @@
     awaited_address: str = ''
     fatal_body: bytes | None = None
     fatal_part: str = ''
+    repeats_refusals: bool = False
+    names_refused: bool = False
+    error_status: int = 0
     pause: str = ''
     closes_port_after_s: float = 0.0
 
@@ -241,6 +249,8 @@
         self._server: asyncio.Server | None = None
         self.silence = Silence()
         self.rest = Rest()
+        # Refusals that are written once more, by connection.
+        self._stale_refusals: dict[asyncio.StreamWriter, bytes] = {}
 
     async def start(self) -> str:
         """Start to listen on the loopback address.
@@ -298,6 +308,7 @@
                 request = await _read_request(reader)
                 self.idle_connections.discard(writer)
                 self.received.append(request)
+                writer.write(self._stale_refusals.pop(writer, b''))
                 if not await self._answer(request, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -322,10 +333,10 @@
             await asyncio.sleep(60.0)
         rest_s = self.rest.left_s(request)
         if rest_s > 0:
-            return await self._send_refusal(writer, f'{rest_s:.3f}')
+            return await self._send_refusal(request, writer, f'{rest_s:.3f}')
         if self.faults.refusals:
             self.faults.refusals -= 1
-            return await self._send_refusal(writer, self.faults.pause)
+            return await self._send_refusal(request, writer, self.faults.pause)
         if self.faults.stray_answers:
             self.faults.stray_answers -= 1
             await _write_answer(
@@ -349,6 +360,10 @@
         is_fatal = self.faults.fatal_part in request.shared_parts()
         if is_fatal or request.body == self.faults.fatal_body:
             return await self._crash_under_run()
+        if self.faults.error_status and 'last-event-id' in request.headers:
+            return await _write_answer(
+                writer, self.faults.error_status, own_headers, b'an error'
+            )
         if 'hops' in request.headers:
             return await self._send_stream(request, own_headers, writer)
         return await self._answer_plainly(own_headers, writer)
@@ -415,14 +430,28 @@
         return body.is_chunked
 
     async def _send_refusal(
-        self, writer: asyncio.StreamWriter, pause: str
+        self,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        pause: str,
     ) -> bool:
-        headers = {'Not-Executed': '1', 'Server-Load': '6,2,6'}
+        headers = {
+            'Not-Executed': '1',
+            'Server-Load': '6,2,6',
+            'Keep-Alive': 'timeout=10',
+        }
         if pause:
             headers['Retry-After'] = pause
         if self.faults.at_fault_address:
             headers['At-Server'] = self.faults.at_fault_address
-        return await _write_answer(writer, 503, headers, b'')
+        if self.faults.names_refused:
+            headers['Attempt-Id'] = request.headers.get('attempt-id', '')
+        refusal = _encode_answer(503, headers, b'')
+        if self.faults.repeats_refusals:
+            self._stale_refusals[writer] = refusal
+        writer.write(refusal)
+        await writer.drain()
+        return True
 
     async def _send_report(self, writer: asyncio.StreamWriter) -> bool:
         address = self.faults.lost_engine_address
@@ -482,10 +511,12 @@
     headers: dict[str, str],
     body: bytes,
 ) -> bool:
-    all_headers = {**headers, 'Content-Length': str(len(body))}
-    head = ''.join(f'{name}: {text}\r\n' for name, text in all_headers.items())
-    writer.write(
-        b'HTTP/1.1 %d X\r\n%s\r\n%s' % (status, head.encode(), body),
-    )
+    writer.write(_encode_answer(status, headers, body))
     await writer.drain()
     return True
+
+
+def _encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    all_headers = {**headers, 'Content-Length': str(len(body))}
+    head = ''.join(f'{name}: {text}\r\n' for name, text in all_headers.items())
+    return b'HTTP/1.1 %d X\r\n%s\r\n%s' % (status, head.encode(), body)
