--- a/nutmegspoke/standins/path_proxy.py
+++ b/nutmegspoke/standins/path_proxy.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import Any
 
+from nutmegspoke.standins.tasks import end_tasks, track_current
+
 _CHUNK_BYTES = 65_536
 
 
@@ -20,6 +22,7 @@
         self._target = (ip, int(port))
         self.opened = 0
         self._pairs: list[_Pair] = []
+        self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self) -> str:
@@ -37,6 +40,7 @@
             self._server.close()
         for pair in self._pairs:
             pair.abort()
+        await end_tasks(self._tasks)
 
     def mute_open(self) -> None:
         """Deliver nothing more on the connections that are open now.
@@ -49,6 +53,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        track_current(self._tasks)
         self.opened += 1
         try:
             far_reader, far_writer = await asyncio.open_connection(
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -14,6 +14,8 @@
 import struct
 from typing import Any
 
+from nutmegspoke.standins.tasks import end_tasks, track_current
+
 _EVENTS = 12
 _EVENT_PAUSE_S = 0.01
 _RUN_BEFORE_CRASH_S = 0.05
@@ -249,6 +251,7 @@
         self._server: asyncio.Server | None = None
         self.silence = Silence()
         self.rest = Rest()
+        self._tasks: set[asyncio.Task[None]] = set()
         # Refusals that are written once more, by connection.
         self._stale_refusals: dict[asyncio.StreamWriter, bytes] = {}
 
@@ -266,6 +269,12 @@
         if self._server is not None:
             self._server.close()
 
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        await self.stop()
+        self.reset_connections()
+        await end_tasks(self._tasks)
+
     async def crash(self) -> None:
         """Simulate a crash: stop listening and reset idle connections."""
         await self.stop()
@@ -301,6 +310,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        track_current(self._tasks)
         self.idle_connections.add(writer)
         self._open_connections.add(writer)
         try:
@@ -466,7 +476,7 @@
             if address
         ]
         report = {
-            'layers': self._wire_layers(),
+            'layers': _wire_layers(self.layers),
             'busy': False,
             'seq_no': len(self.orders),
             'pace': 1.0,
@@ -485,10 +495,11 @@
             self.layers = (order['from'], order['to'])
         return await _write_answer(writer, 202, {}, b'')
 
-    def _wire_layers(self) -> dict[str, int] | None:
-        if self.layers is None:
-            return None
-        return {'from': self.layers[0], 'to': self.layers[1], 'version': 1}
+
+def _wire_layers(held: tuple[int, int] | None) -> dict[str, int] | None:
+    if held is None:
+        return None
+    return {'from': held[0], 'to': held[1], 'version': 1}
 
 
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest:
--- a/tests/edge/test_target_pauses.py
+++ b/tests/edge/test_target_pauses.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 
+from nutmegspoke.border.clock import SystemClock
 from nutmegspoke.standins.wire_target import WireTarget
 from tests.edge.test_daemon import DaemonCase
 from tests.edge.world import CallResult, Deployment
@@ -17,6 +18,8 @@
 # Requests that may reach a target in a pause that it has asked for.
 _MAX_LATE = 2
 _ODD_PAUSES = ('-5', 'nan', 'inf', '1e400', 'soon', '9' * 20, '', '0')
+# Longer than a report takes.
+_REPORTS_S = 0.5
 # Callers without an answer by then would have been kept waiting.
 _AT_ONCE_S = 1.0
 
@@ -167,3 +170,23 @@
         targets[0].rest.served = 0
         statuses = await self._send('/drafts/1', _LONG_PAUSE_S)
         self.assertGreater(targets[0].rest.served, statuses.total() / 6)
+
+    async def test_reports(self) -> None:
+        """Guards against polls of reports from an engine in a pause.
+
+        The engine wants nothing from the host.
+        """
+        (engine, *others) = await self._add_engines()
+        await self.deployment.until(lambda: self._count_reports(engine))
+        for target in others:
+            await self.deployment.store.put('servers', target.name, None)
+        for host in self.hosts:
+            pauses = host.daemon.view.pauses
+            pauses.begin(engine.name, _LONG_PAUSE_S, SystemClock().now_s())
+        await asyncio.sleep(_REPORTS_S)
+        before = self._count_reports(engine)
+        await asyncio.sleep(_LONG_PAUSE_S / 2)
+        self.assertEqual(self._count_reports(engine), before)
+
+    def _count_reports(self, engine: WireTarget) -> int:
+        return sum(request.path == '/v1/report' for request in engine.received)
--- a/tests/edge/world.py
+++ b/tests/edge/world.py
@@ -152,7 +152,7 @@
             await self.store_path.stop()
         if self._shared is None:
             for target in self.targets.values():
-                await target.stop()
+                await target.close()
             await self._store_runner.cleanup()
         os.close(self._null_descriptor)
 
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -6,6 +6,7 @@
 from tests.mutation_list_edge import EDGE_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
 from tests.mutation_list_parts import PART_MUTATIONS
+from tests.mutation_list_paths import PATH_MUTATIONS
 from tests.mutation_list_pipelines import PIPELINE_MUTATIONS
 from tests.mutation_list_relays import RELAY_MUTATIONS
 from tests.mutation_list_tables import TABLES_MUTATIONS
@@ -48,6 +49,7 @@
     *EDGE_MUTATIONS,
     *RELAY_MUTATIONS,
     *PART_MUTATIONS,
+    *PATH_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
     *TABLES_MUTATIONS,
     *PIPELINE_MUTATIONS,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -166,6 +166,23 @@
         invalid = headers.read_answer(200, [(b'Server-Load', b'2,x,96')])
         self.assertIsNone(invalid.load)
 
+    def test_reads_pauses(self) -> None:
+        """Guards against pauses without end, and those of other answers."""
+        pauses = (
+            (503, b'2.5', 2.5),
+            (429, b' 1 ', 1.0),
+            (200, b'2', 0.0),
+            (503, b'-5', 0.0),
+            (503, b'nan', 0.0),
+            (503, b'1e400', 0.0),
+            (503, b'soon', 0.0),
+            (503, b'9' * 20, 60.0),
+        )
+        for status, text, pause_s in pauses:
+            facts = headers.read_answer(status, [(b'Retry-After', text)])
+            self.assertEqual(facts.pause_s, pause_s, text)
+        self.assertEqual(headers.read_answer(503, []).pause_s, 0.0)
+
     def test_tells_stray_answers(self) -> None:
         """An answer with another id is not accepted."""
         self.assertTrue(
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -7,6 +7,8 @@
 
 from nutmegspoke import http_calls
 from nutmegspoke.http_calls import CallError, HttpCalls, NotSentError
+from nutmegspoke.standins.path_proxy import PathProxy
+from nutmegspoke.standins.tasks import end_tasks, track_current
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _WITHOUT_LENGTH = b'HTTP/1.1 200 OK\r\nServer: a\r\n\r\nok'
@@ -14,6 +16,7 @@
 _CLOSED_AFTER = (b'', _WITHOUT_LENGTH, _ANSWER[:-1])
 # Long, for busy machines.
 _LIMIT_S = 20.0
+_PATIENCE_S = 0.1
 _SECOND = b'HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nbad'
 
 
@@ -29,6 +32,8 @@
         # Set when a connection has ended.
         self.closed = asyncio.Event()
         self.connections = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.addAsyncCleanup(end_tasks, self._tasks)
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         self.addCleanup(server.close)
         ip, port = server.sockets[0].getsockname()
@@ -133,12 +138,95 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        track_current(self._tasks)
         self.connections += 1
-        while request := await reader.read(65_536):
-            self.requests.append(request)
-            answer = self.answers.pop(0) if self.answers else b''
-            writer.write(answer)
-            if answer in _CLOSED_AFTER:
-                break
-        self.closed.set()
-        writer.close()
+        try:
+            while request := await reader.read(65_536):
+                self.requests.append(request)
+                answer = self.answers.pop(0) if self.answers else b''
+                writer.write(answer)
+                if answer in _CLOSED_AFTER:
+                    break
+        finally:
+            self.closed.set()
+            writer.close()
+
+
+class OverdueCallsTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over a path whose open connections go mute, while new ones work."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a server that answers each request at once."""
+        self.http = HttpCalls()
+        self.addAsyncCleanup(self.http.close)
+        self.requests: list[bytes] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.addAsyncCleanup(end_tasks, self._tasks)
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        ip, port = server.sockets[0].getsockname()
+        self.path = PathProxy(f'{ip}:{port}')
+        self.address = await self.path.start()
+        self.addAsyncCleanup(self.path.stop)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        track_current(self._tasks)
+        try:
+            while request := await reader.read(65_536):
+                self.requests.append(request)
+                writer.write(_ANSWER)
+        finally:
+            writer.close()
+
+    async def _open(self, count: int) -> None:
+        """Open connections, and let them be idle."""
+        await asyncio.gather(
+            *(self.http.call('GET', self.address, '/a') for _ in range(count))
+        )
+
+    async def _call(self, patience_s: float, method: str = 'GET') -> bytes:
+        async with asyncio.timeout(_LIMIT_S):
+            answer = await self.http.call(
+                method, self.address, '/a', patience_s=patience_s
+            )
+        return answer.body
+
+    async def test_an_overdue_read(self) -> None:
+        """Guards against a read that waits on a connection that is mute."""
+        await self._open(1)
+        self.path.mute_open()
+        self.assertEqual(await self._call(_PATIENCE_S), b'ok')
+
+    async def test_other_reads_that_wait(self) -> None:
+        """Guards against patience where another read has shown it is in vain."""
+        await self._open(2)
+        self.path.mute_open()
+        answers = await asyncio.gather(
+            self._call(_PATIENCE_S), self._call(10 * _LIMIT_S)
+        )
+        self.assertEqual(answers, [b'ok', b'ok'])
+
+    async def test_idle_connections_after_a_call_without_answer(self) -> None:
+        """Guards against calls that try one mute connection after the other."""
+        await self._open(3)
+        self.path.mute_open()
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(_PATIENCE_S):
+                await self.http.call('POST', self.address, '/a')
+        async with asyncio.timeout(_LIMIT_S):
+            answer = await self.http.call('POST', self.address, '/a')
+        self.assertEqual(answer.body, b'ok')
+
+    async def test_a_write_is_sent_once(self) -> None:
+        """Guards against a write that is carried out twice."""
+        await self._open(1)
+        self.path.mute_open()
+        received = len(self.requests)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(4 * _PATIENCE_S):
+                await self.http.call(
+                    'POST', self.address, '/a', patience_s=_PATIENCE_S
+                )
+        self.assertEqual(len(self.requests), received)
