Test addresses of odd rows without a loop, and connections after refusals

Two mutations had survived: an odd address of a daemon raises an error only on some event loops, and nothing showed that a connection is kept after a refusal with an id.

--- a/tests/edge/test_odd_rows.py
+++ b/tests/edge/test_odd_rows.py
@@ -5,6 +5,7 @@
 from nutmegspoke.border.clock import SystemClock
 from nutmegspoke.edge.announcing import DAEMONS_TABLE
 from tests.builders_odd_rows import odd_daemon_rows, odd_target_rows
+from tests.edge.stream_loop_case import StreamLoopCase
 from tests.edge.test_daemon import DaemonCase
 from tests.edge.world import Deployment
 
@@ -61,3 +62,7 @@
         self.addAsyncCleanup(other.stop)
         await other.until(lambda: other.daemon.view.targets.find('r1'))
         self.assertEqual((await other.call('/calls/1')).status, 200)
+
+
+class StreamLoopOddRowsTest(StreamLoopCase, OddRowsTest):
+    """The same on the event loop of the daemon's process."""
--- a/tests/edge/test_stale_refusals.py
+++ b/tests/edge/test_stale_refusals.py
@@ -46,6 +46,16 @@
             answer = await self.deployment.call('/calls/1')
             self.assertEqual(answer.status, 200, names_refused)
 
+    async def test_connections_after_refusals(self) -> None:
+        """Guards against a new connection after each refusal that has an id."""
+        target = await self.deployment.add_service('r1')
+        target.faults.names_refused = True
+        await self._be_refused('/calls/1', target)
+        self.assertEqual(target.disconnect_count, 0)
+        target.faults.names_refused = False
+        await self._be_refused('/calls/1', target)
+        await self.deployment.until(lambda: target.disconnect_count == 1)
+
     async def _be_refused(self, path: str, target: WireTarget) -> None:
         """Send a request that its target refuses, and wait until it is usable."""
         target.faults.refusals = 1
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -131,7 +131,7 @@
         'nutmegspoke/edge/listeners.py',
         '    ipaddress.IPv4Address(daemon.ip)\n',
         '',
-        ('tests.edge.test_odd_rows',),
+        ('tests.test_untrusted',),
     ),
     Mutation(
         'refusals: connections are kept after any',
--- a/tests/test_untrusted.py
+++ b/tests/test_untrusted.py
@@ -107,6 +107,18 @@
         for decode in _DECODERS:
             decode(raw)
 
+    def test_odd_rows_name_no_address(self) -> None:
+        """Guards against updates to addresses that can't be sent to.
+
+        An event loop may raise an error for them, and the daemons behind would
+        get no update.
+        """
+        listener = DaemonsListener('host-1')
+        for name, raw in odd_daemon_rows().items():
+            rows = (StoredRow(f'daemons/{name}', 1, raw),)
+            listener.changed(TableChanges(1, rows), 0.0)
+            self.assertEqual(listener.addresses, {}, name)
+
     def test_odd_rows_and_deep_nesting(self) -> None:
         """Guards against RecursionError, in each decoder."""
         rows = (odd_daemon_rows() | odd_target_rows()).values()
