--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -61,4 +61,18 @@
         'tests.placement.test_orders',
         'tests.placement.test_spares',
     ),
+    'mute connections': (
+        'tests.edge.test_mute_connections',
+        'tests.edge.test_mute_targets',
+        'tests.test_http_calls',
+    ),
+    'pauses of targets': (
+        'tests.edge.test_target_pauses',
+        'tests.retries.test_target_pauses',
+    ),
+    'odd rows': (
+        'tests.edge.test_odd_rows',
+        'tests.test_untrusted',
+    ),
+    'stale refusals': ('tests.edge.test_stale_refusals',),
 }
