--- a/tests/edge/test_mute_connections.py
+++ b/tests/edge/test_mute_connections.py
@@ -23,6 +23,8 @@
 _EARLY_S = 0.15
 _LATE_S = 1.0
 _HEARTBEAT_S = 0.3
+# Time in which connections that are mute are replaced.
+_REPLACED_S = (0.5, 1.8)
 
 
 class MuteCase(unittest.IsolatedAsyncioTestCase):
@@ -153,6 +155,19 @@
         await self._start(1)
         await self._check_changes(1)
 
+    async def test_again_at_once(self) -> None:
+        """Guards against new connections that are trusted for being new.
+
+        Those that have just replaced mute ones go mute as well.
+        """
+        await self._start(1)
+        for number in range(_CHANGES):
+            self._mute(self.hosts)
+            await asyncio.sleep(self.draw.uniform(*_REPLACED_S))
+            self._mute(self.hosts)
+            version = await self._change_tables()
+            await self._check_in_force(version, f'change {number}')
+
     async def _check_changes(self, mute_hosts: int) -> None:
         for number in range(_CHANGES):
             await asyncio.sleep(self.draw.uniform(0.1, 1.0))
