--- a/tests/edge/test_target_connections.py
+++ b/tests/edge/test_target_connections.py
@@ -18,9 +18,12 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    await reader.readuntil(b'\r\n\r\n')
-    writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
-    await reader.read()
+    try:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        await reader.read()
+    finally:
+        writer.close()
 
 
 class TargetConnectionsTest(unittest.IsolatedAsyncioTestCase):
