--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -13,7 +13,7 @@
     QueuePosition,
     RetryTimes,
 )
-from nutmegspoke.edge.pause_requests import pause_left_s
+from nutmegspoke.edge.target_notices import pause_left_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -13,7 +13,7 @@
     OutboundRequest,
     Refused,
 )
-from nutmegspoke.edge.pause_requests import PauseRequests
+from nutmegspoke.edge.target_notices import TargetNotices
 from nutmegspoke.forwarded import Dispatch
 from nutmegspoke.pipelines.event_stream import EventSplitter
 from nutmegspoke.retries.target_faults import Fault
@@ -78,7 +78,7 @@
     ) -> None:
         """Store the parts that runs use."""
         self._crashes = crashes
-        self._pauses = PauseRequests(view, log, clock)
+        self._notices = TargetNotices(view, log, clock)
         self._view = view
         self._attempts = attempts
         self._watch = watch
@@ -113,7 +113,7 @@
             self._record_not_sent(context, first_engine, connection)
             return connection
         context.sends += 1
-        self._view.pauses.sent(first_engine)
+        self._notices.sent(first_engine)
         if first_engine not in context.targets:
             context.targets.append(first_engine)
         run = DraftRun(
@@ -154,7 +154,7 @@
         now_s = self._clock.now_s()
         first_engine = run.chain[0].target
         if isinstance(result, Refused | OpenedAnswer):
-            self._pauses.record(context, first_engine, result.facts)
+            self._notices.record(context, first_engine, result.facts)
         if isinstance(result, Refused):
             self._record_refused(context, first_engine, result, now_s)
             return result
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -92,7 +92,7 @@
             for entry in self._view.targets.all()
             if entry.layers is not None
             and not self._view.faults.is_left_out(entry.name, now_s)
-            and not self._view.pauses.is_paused(entry.name, now_s)
+            and not self._view.conditions.pauses.is_paused(entry.name, now_s)
         ]
         reserved = self._view.total_reservations(now_s)
         await asyncio.gather(
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -15,8 +15,8 @@
     Refused,
     failure_reason,
 )
-from nutmegspoke.edge.pause_requests import (
-    PauseRequests,
+from nutmegspoke.edge.target_notices import (
+    TargetNotices,
     open_targets,
     pause_left_s,
 )
@@ -64,7 +64,7 @@
         """Create a handler."""
         self._crashes = crashes
         self._retries = RetryPolicy(view, log, clock)
-        self._pauses = PauseRequests(view, log, clock)
+        self._notices = TargetNotices(view, log, clock)
         self._view = view
         self._attempts = attempts
         self._answer_sender = answer_sender
@@ -151,7 +151,7 @@
             return connection
         context.sends += 1
         context.targets.append(target.name)
-        self._view.pauses.sent(target.name)
+        self._notices.sent(target.name)
         run = self._crashes.started(context, (target.name,))
         result: FetchResult | None = None
         try:
@@ -215,7 +215,7 @@
             self._view.faults.record_fault(name, fault, now_s)
             return
         if isinstance(result, Refused | CompleteAnswer):
-            self._pauses.record(context, name, result.facts)
+            self._notices.record(context, name, result.facts)
         if isinstance(result, Refused):
             self._record_refused(target, result, now_s)
             return
@@ -277,7 +277,8 @@
                 for entry in live
             ),
             'targets_paused': sum(
-                self._view.pauses.is_closed(entry.name, now_s) for entry in live
+                self._view.conditions.pauses.is_closed(entry.name, now_s)
+                for entry in live
             ),
             'targets_failed': sorted(context.avoided),
             'targets_version': self._view.targets_version,
--- /dev/null
+++ b/nutmegspoke/edge/target_notices.py
@@ -0,0 +1,95 @@
+"""What targets say of themselves in their answers: pauses and limits."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.edge.work import RequestContext
+    from nutmegspoke.entry_host import TargetEntry
+    from nutmegspoke.forwarded import AnswerFacts
+
+# Interval at which invalid limits are logged.
+_INVALID_LOG_INTERVAL_S = 5.0
+
+
+class TargetNotices:
+    """Recorder of what the answers of targets say, and of what is sent."""
+
+    def __init__(self, view: View, log: DecisionLog, clock: Clock) -> None:
+        """Create a recorder that writes to a view and a log."""
+        self._view = view
+        self._log = log
+        self._clock = clock
+        self._invalid_logged_s = float('-inf')
+
+    def sent(self, target: str) -> None:
+        """Record that a request was sent to a target."""
+        self._view.conditions.sent(target, self._clock.now_s())
+
+    def record(
+        self, context: RequestContext, target: str, facts: AnswerFacts
+    ) -> None:
+        """Record what an answer says.
+
+        :param target: name of the target that answered.
+        """
+        if not facts.is_other_target:
+            self._record_limit(context, target, facts)
+        if facts.pause_s <= 0:
+            return
+        self._view.conditions.pauses.begin(
+            target, facts.pause_s, self._clock.now_s()
+        )
+        self._log.decided(
+            'target_asks_pause',
+            request=context.facts.request_id,
+            target=target,
+            pause_s=facts.pause_s,
+            load=facts.load,
+        )
+
+    def _record_limit(
+        self, context: RequestContext, target: str, facts: AnswerFacts
+    ) -> None:
+        now_s = self._clock.now_s()
+        if facts.invalid_limit:
+            self._log_invalid(target, facts.invalid_limit, now_s)
+        entry = self._view.targets.find(target)
+        if entry is None:
+            return
+        if self._view.conditions.limits.record_answer(
+            entry, facts.limit_per_s, now_s
+        ):
+            self._log.decided(
+                'target_names_limit',
+                request=context.facts.request_id,
+                target=target,
+                limit_per_s=facts.limit_per_s,
+                layers=str(entry.layers),
+                load=facts.load,
+            )
+
+    def _log_invalid(self, target: str, invalid: str, now_s: float) -> None:
+        if now_s - self._invalid_logged_s < _INVALID_LOG_INTERVAL_S:
+            return
+        self._invalid_logged_s = now_s
+        self._log.decided('limit_invalid', target=target, limit=invalid)
+
+
+def open_targets(view: View, pool: str, now_s: float) -> list[TargetEntry]:
+    """Return the live targets of a pool that are not closed by a pause."""
+    return view.conditions.pauses.filter_open(view.targets.live(pool), now_s)
+
+
+def pause_left_s(view: View, pool: str, now_s: float) -> float:
+    """Return the time until a target of a pool opens after its pause.
+
+    :returns: infinity if none is closed by a pause.
+    """
+    names = (entry.name for entry in view.targets.live(pool))
+    return view.conditions.pauses.left_s(names, now_s)
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -21,8 +21,8 @@
 from nutmegspoke.membership.target_entries import TargetEntries
 from nutmegspoke.retries.pool_budgets import PoolBudgets
 from nutmegspoke.retries.shared_quarantine import SharedQuarantine
+from nutmegspoke.retries.target_conditions import TargetConditions
 from nutmegspoke.retries.target_faults import TargetFaults
-from nutmegspoke.retries.target_pauses import TargetPauses
 from nutmegspoke.retries.window_budget import WindowSettings
 from nutmegspoke.routing.crossing_budget import CrossingBudget
 from nutmegspoke.routing.engine_loads import (
@@ -63,7 +63,7 @@
     :ivar targets: targets that discovery lists.
     :ivar targets_version: version of the table of targets.
     :ivar faults: targets that are left out because of faults.
-    :ivar pauses: targets that have asked this host for a pause.
+    :ivar conditions: what targets ask of hosts.
     :ivar own_reservations: memory that this daemon has reserved on engines.
     :ivar load_updates: last updates of the other daemons.
     :ivar reports: state of engines, from their reports.
@@ -83,7 +83,7 @@
         self.targets = TargetEntries(host.bounds.drain_s)
         self.targets_version = 0
         self.faults = TargetFaults()
-        self.pauses = TargetPauses()
+        self.conditions = TargetConditions()
         self.own_reservations = MemoryReservations()
         self.load_updates = ReceivedUpdates.from_host(host)
         self.reports = EngineReports()
@@ -188,7 +188,9 @@
         reserved = self.total_reservations(now_s)
         limit = fill_limit(self.load_updates.max_load_age_s(now_s))
         loads: list[EngineLoad] = []
-        for entry in self.pauses.filter_open(self.targets.live(pool), now_s):
+        for entry in self.conditions.pauses.filter_open(
+            self.targets.live(pool), now_s
+        ):
             kind = profile.kinds.get(entry.kind)
             layers = self.reassignments.usable_layers(entry, now_s)
             if kind is None or layers is None or entry.name in avoided:
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -102,6 +102,10 @@
     :param must_close: whether the connection accepts no more requests.
     :param pause_s: time for which the target asks this host to send nothing;
         0 if it asks for none.
+    :param limit_per_s: requests a second that the target takes from all hosts
+        together; ``None`` if it names no limit.
+    :param invalid_limit: a limit that can't be true, as text; empty for none.
+    :param is_other_target: whether another target answers at the address.
     """
 
     request_id: str
@@ -111,6 +115,9 @@
     keep_alive_s: float | None
     must_close: bool
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    invalid_limit: str = ''
+    is_other_target: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -40,6 +40,7 @@
 _TARGET_AT_FAULT = b'at-server'
 _SERVER_LOAD = b'server-load'
 _RETRY_AFTER = b'retry-after'
+_SERVER_LIMIT = b'server-limit'
 
 _HOP_BY_HOP = frozenset(
     (
@@ -82,6 +83,10 @@
 _CRLF = b'\r\n'
 # Longer numbers count as invalid; arithmetic with them could overflow.
 _MAX_COUNT_DIGITS = 15
+# A decimal number; higher limits would not bind.
+_LIMIT = re.compile(rb'[0-9]{1,6}([.][0-9]{1,9})?')
+# Part of an invalid header that is logged.
+_LOGGED_BYTES = 40
 _PART_ID = re.compile(rb'[0-9a-f]{1,64}')
 _MAX_SHARED_PARTS = 64
 
@@ -124,6 +129,7 @@
 def read_answer(status: int, headers: Headers) -> AnswerFacts:
     """Parse the status and headers of an answer."""
     fields = _index_by_name(headers)
+    limit_per_s, invalid_limit = _parse_limit(headers)
     return AnswerFacts(
         request_id=_decode_text(fields.get(_REQUEST_ID)),
         kind=_classify_answer(status, fields),
@@ -132,6 +138,9 @@
         keep_alive_s=_parse_keep_alive(fields.get(b'keep-alive')),
         must_close=b'close' in fields.get(b'connection', b'').lower(),
         pause_s=_parse_pause(status, fields.get(_RETRY_AFTER)),
+        limit_per_s=limit_per_s,
+        invalid_limit=invalid_limit,
+        is_other_target=status == _MISDIRECTED,
     )
 
 
@@ -229,6 +238,17 @@
     return min(pause_s, _MAX_PAUSE_S)
 
 
+def _parse_limit(headers: Headers) -> tuple[float | None, str]:
+    """Return the limit that an answer names, and an invalid one as text."""
+    named = [raw for name, raw in headers if name.lower() == _SERVER_LIMIT]
+    if not named:
+        return None, ''
+    text = named[0].strip()
+    if len(named) == 1 and _LIMIT.fullmatch(text):
+        return float(text), ''
+    return None, repr(b', '.join(named)[:_LOGGED_BYTES])
+
+
 def _parse_count(raw: bytes) -> int | None:
     text = raw.strip()
     if text.isdigit() and len(text) <= _MAX_COUNT_DIGITS:
--- /dev/null
+++ b/nutmegspoke/retries/target_conditions.py
@@ -0,0 +1,24 @@
+"""What targets ask of hosts: pauses, and limits on requests."""
+
+from __future__ import annotations
+
+from nutmegspoke.retries.target_limits import TargetLimits
+from nutmegspoke.retries.target_pauses import TargetPauses
+
+
+class TargetConditions:
+    """Conditions under which targets may be sent requests.
+
+    :ivar pauses: targets that have asked this host for a pause.
+    :ivar limits: limits that targets have named to this host or others.
+    """
+
+    def __init__(self) -> None:
+        """Start without conditions."""
+        self.pauses = TargetPauses()
+        self.limits = TargetLimits()
+
+    def sent(self, target: str, now_s: float) -> None:
+        """Count a request that is sent to a target."""
+        self.pauses.sent(target)
+        self.limits.sent(target, now_s)
--- /dev/null
+++ b/nutmegspoke/retries/target_limits.py
@@ -0,0 +1,286 @@
+"""Limits on requests that targets name for all hosts together.
+
+No host has a share of its own: with few requests a second and hundreds of hosts,
+such a share would be a fraction of a request. Instead each request opens a limited
+target with the same probability at all hosts, which follows from the limit and the
+requests of callers at all hosts. So the allowance goes where the requests are. What
+hosts have sent lately bounds it: nothing more is sent while that exceeds the limit.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from nutmegspoke.entry_host import TargetEntry
+
+# Time in which sent requests are counted.
+WINDOW_S = 4.0
+# Requests that may have been sent in the window: a multiple of what the limit
+# allows, and some more, as requests don't come at regular intervals.
+_WINDOW_FACTOR = 1.2
+_WINDOW_SLACK = 2
+# Rate of requests that ask a target whether its limit of almost 0 still holds.
+_MIN_RATE_PER_S = 0.25
+# An unconfirmed limit is raised from this age on, and doubles after each step.
+_UNCONFIRMED_S = 6.0
+_UNCONFIRMED_STEP_S = 2.0
+# After the end of a limit the rate doubles with each step, until the return is
+# over. The news of the end is repeated meanwhile.
+_RETURN_STEP_S = 0.25
+_RETURN_S = 2.0
+# A limit without confirmation is dropped after this time.
+_FORGET_S = 60.0
+
+
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """What daemons know of the limit of a target.
+
+    :param started_ms: start of the target that named it; 0 if unknown.
+    :param limit_per_s: requests a second that it takes from all hosts.
+    :param age_s: time since the last answer that said so.
+    :param sent: requests that were sent to it in the last window.
+    :param has_ended: whether that answer named no limit any more.
+    """
+
+    started_ms: int
+    limit_per_s: float
+    age_s: float
+    sent: int = 0
+    has_ended: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Requests for a pool, and what is known of other hosts.
+
+    :param requests_per_s: requests of callers at all hosts.
+    :param unheard_hosts: hosts whose updates don't arrive. They are taken to
+        have as many requests as this one, and to send as many.
+    """
+
+    requests_per_s: float
+    unheard_hosts: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Limit:
+    """The limit of a target, as last named or heard of.
+
+    :ivar answered_s: time of the answer that names it, or names none any more.
+    :ivar since_s: since when this host knows of a limit of the target.
+    :ivar sent_s: times of requests of this host in the last window.
+    """
+
+    started_ms: int
+    limit_per_s: float
+    answered_s: float
+    since_s: float
+    has_ended: bool = False
+    sent_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def is_over(self, now_s: float) -> bool:
+        """Return whether nothing is left of the limit."""
+        age_s = now_s - self.answered_s
+        return age_s > (_RETURN_S if self.has_ended else _FORGET_S)
+
+    def rate_per_s(self, now_s: float) -> float:
+        """Return the rate of requests that may be sent by all hosts."""
+        rate_per_s = max(self.limit_per_s, _MIN_RATE_PER_S)
+        age_s = now_s - self.answered_s
+        if self.has_ended:
+            return rate_per_s * 2 ** (age_s / _RETURN_STEP_S)
+        late_s = max(0.0, age_s - _UNCONFIRMED_S)
+        return rate_per_s * 2 ** (late_s / _UNCONFIRMED_STEP_S)
+
+    def sent_count(self, now_s: float) -> int:
+        """Return the requests that this host has sent in the last window."""
+        while self.sent_s and self.sent_s[0] <= now_s - WINDOW_S:
+            self.sent_s.popleft()
+        return len(self.sent_s)
+
+    def is_used_up(self, sent_count: int) -> bool:
+        """Return whether the requests of the last window are all it takes."""
+        allowed = _WINDOW_FACTOR * self.limit_per_s * WINDOW_S + _WINDOW_SLACK
+        return not self.has_ended and sent_count >= allowed
+
+
+class TargetLimits:
+    """Limits of targets that this host or others know of."""
+
+    def __init__(self) -> None:
+        """Start without limits."""
+        self._limits: dict[str, _Limit] = {}
+
+    def record_answer(
+        self, entry: TargetEntry, limit_per_s: float | None, now_s: float
+    ) -> bool:
+        """Record the limit that an answer of a target names.
+
+        :param limit_per_s: ``None`` if it names none.
+        :returns: whether that is new.
+        """
+        known = self._limits.get(entry.name)
+        if limit_per_s is None:
+            return known is not None and self._end(known, now_s)
+        if known is None or known.started_ms != entry.started_ms:
+            self._limits[entry.name] = _Limit(
+                entry.started_ms, limit_per_s, now_s, now_s
+            )
+            return True
+        is_new = known.has_ended or known.limit_per_s != limit_per_s
+        known.since_s = now_s if known.has_ended else known.since_s
+        known.limit_per_s = limit_per_s
+        known.answered_s = now_s
+        known.has_ended = False
+        return is_new
+
+    def receive(self, news: Mapping[str, LimitNews], now_s: float) -> list[str]:
+        """Apply what another daemon knows, unless this one knows better.
+
+        :returns: targets of which something new was learnt.
+        """
+        return [
+            target
+            for target, limit in news.items()
+            if self._receive(target, limit, now_s)
+        ]
+
+    def outgoing(self, now_s: float) -> dict[str, LimitNews]:
+        """Return what other daemons must know; forget what is over."""
+        self._limits = {
+            target: limit
+            for target, limit in self._limits.items()
+            if not limit.is_over(now_s)
+        }
+        return {
+            target: LimitNews(
+                limit.started_ms,
+                limit.limit_per_s,
+                round(now_s - limit.answered_s, 2),
+                limit.sent_count(now_s),
+                limit.has_ended,
+            )
+            for target, limit in self._limits.items()
+        }
+
+    def sent(self, target: str, now_s: float) -> None:
+        """Count a request that is sent to a target."""
+        limit = self._limits.get(target)
+        if limit is not None:
+            limit.sent_s.append(now_s)
+
+    def find(self, target: str, now_s: float) -> float | None:
+        """Return the limit of a target, in requests a second."""
+        limit = self._limits.get(target)
+        if limit is None or limit.has_ended or limit.is_over(now_s):
+            return None
+        return limit.limit_per_s
+
+    def limited(
+        self, entries: Iterable[TargetEntry], now_s: float
+    ) -> list[TargetEntry]:
+        """Return the entries of targets to which a limit applies."""
+        return [
+            entry
+            for entry in entries
+            if self._applied(entry, now_s) is not None
+        ]
+
+    def closed(
+        self,
+        entries: Iterable[TargetEntry],
+        draw: float,
+        demand: Demand,
+        others_sent: Mapping[str, int],
+        now_s: float,
+    ) -> frozenset[str]:
+        """Return the targets that a request must not be sent to.
+
+        The probabilities of the targets follow each other on a circle, and a
+        request opens those at its place. So it opens one of them at least if
+        they take all requests together.
+
+        :param draw: place of the request, from 0 to 1, evenly distributed.
+        :param others_sent: requests that others have sent in the last window.
+        """
+        closed: set[str] = set()
+        place = 0.0
+        for entry in sorted(
+            self.limited(entries, now_s), key=lambda each: each.name
+        ):
+            limit = self._limits[entry.name]
+            sent_count = limit.sent_count(now_s) * (1 + demand.unheard_hosts)
+            sent_count += others_sent.get(entry.name, 0)
+            if limit.is_used_up(sent_count):
+                closed.add(entry.name)
+                continue
+            chance = limit.rate_per_s(now_s) / max(
+                demand.requests_per_s, limit.rate_per_s(now_s)
+            )
+            if math.fmod(1 + draw - place, 1) >= chance:
+                closed.add(entry.name)
+            place = math.fmod(place + chance, 1)
+        return frozenset(closed)
+
+    def wait_s(
+        self, entries: Iterable[TargetEntry], demand: Demand, now_s: float
+    ) -> float:
+        """Return the mean time until another request opens some target.
+
+        :returns: infinity if no limit applies to any of them.
+        """
+        rate_per_s = sum(
+            self._limits[entry.name].rate_per_s(now_s)
+            for entry in self.limited(entries, now_s)
+        )
+        if not rate_per_s:
+            return math.inf
+        return max(1.0, demand.requests_per_s) / rate_per_s
+
+    def _applied(self, entry: TargetEntry, now_s: float) -> _Limit | None:
+        """Return the limit of a target unless it ended with another start."""
+        limit = self._limits.get(entry.name)
+        if limit is None or limit.is_over(now_s):
+            return None
+        return limit if limit.started_ms == entry.started_ms else None
+
+    def _end(self, limit: _Limit, now_s: float) -> bool:
+        if limit.has_ended:
+            return False
+        limit.has_ended = True
+        limit.answered_s = now_s
+        return True
+
+    def _receive(self, target: str, news: LimitNews, now_s: float) -> bool:
+        answered_s = now_s - news.age_s
+        known = self._limits.get(target)
+        if known is None:
+            if news.has_ended:
+                return False
+            self._limits[target] = _Limit(
+                news.started_ms, news.limit_per_s, answered_s, now_s
+            )
+            return True
+        order = (news.started_ms, answered_s)
+        if order <= (known.started_ms, known.answered_s):
+            return False
+        is_same = (known.limit_per_s, known.has_ended, known.started_ms) == (
+            news.limit_per_s,
+            news.has_ended,
+            news.started_ms,
+        )
+        known.started_ms = news.started_ms
+        known.limit_per_s = news.limit_per_s
+        known.has_ended = news.has_ended
+        known.answered_s = answered_s
+        return not is_same
--- a/tests/edge/test_target_pauses.py
+++ b/tests/edge/test_target_pauses.py
@@ -181,7 +181,7 @@
         for target in others:
             await self.deployment.store.put('servers', target.name, None)
         for host in self.hosts:
-            pauses = host.daemon.view.pauses
+            pauses = host.daemon.view.conditions.pauses
             pauses.begin(engine.name, _LONG_PAUSE_S, SystemClock().now_s())
         await asyncio.sleep(_REPORTS_S)
         before = self._count_reports(engine)
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -115,7 +115,7 @@
     Mutation(
         'pauses: reports are polled all the same',
         'nutmegspoke/edge/engine_polls.py',
-        'and not self._view.pauses.is_paused(entry.name, now_s)',
+        'and not self._view.conditions.pauses.is_paused(entry.name, now_s)',
         'and entry.name',
         _PAUSE_TESTS,
     ),
