--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -191,6 +191,51 @@
         return until_s - now_s
 
 
+class NamedLimit:
+    """Limit that a target names in its answers, and the requests it gets.
+
+    :ivar text: limit in requests a second, as the header's text; empty for none.
+    :ivar received_s: time and host of each request. A host is named by the
+        start of the ids of its requests.
+    """
+
+    def __init__(self) -> None:
+        """Start without a limit."""
+        self.text = ''
+        self.received_s: list[tuple[float, str]] = []
+
+    def name(self, text: str) -> None:
+        """Name a limit from now on, and count requests anew."""
+        self.text = text
+        self.received_s.clear()
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers of answers that name the limit."""
+        return {'Server-Limit': self.text} if self.text else {}
+
+    def receive(self, request: ReceivedRequest) -> None:
+        """Count a request."""
+        host = request.headers.get('attempt-id', '').partition('/')[0]
+        self.received_s.append((asyncio.get_running_loop().time(), host))
+
+    def count_since(self, start_s: float) -> int:
+        """Return the number of requests since a time of the loop."""
+        return sum(time_s >= start_s for time_s, _ in self.received_s)
+
+    def most_in_window(self, start_s: float, window_s: float) -> int:
+        """Return the most requests in a window that begins at a time or later."""
+        times_s = [time_s for time_s, _ in self.received_s if time_s >= start_s]
+        return max(
+            (
+                sum(
+                    begin_s <= time_s < begin_s + window_s for time_s in times_s
+                )
+                for begin_s in times_s
+            ),
+            default=0,
+        )
+
+
 class _StreamBody:
     """Body of a stream, in chunks or until the end of its connection."""
 
@@ -251,6 +296,7 @@
         self._server: asyncio.Server | None = None
         self.silence = Silence()
         self.rest = Rest()
+        self.limit = NamedLimit()
         self._tasks: set[asyncio.Task[None]] = set()
         # Refusals that are written once more, by connection.
         self._stale_refusals: dict[asyncio.StreamWriter, bytes] = {}
@@ -341,6 +387,7 @@
             return await self._answer_control_call(request, writer)
         if self.faults.is_silent:
             await asyncio.sleep(60.0)
+        self.limit.receive(request)
         rest_s = self.rest.left_s(request)
         if rest_s > 0:
             return await self._send_refusal(request, writer, f'{rest_s:.3f}')
@@ -355,6 +402,7 @@
         own_headers = {
             'Attempt-Id': request.headers.get('attempt-id', ''),
             'Response-Seal': f'seal-{self.name}',
+            **self.limit.headers(),
         }
         if self.faults.failures:
             self.faults.failures -= 1
@@ -449,6 +497,7 @@
             'Not-Executed': '1',
             'Server-Load': '6,2,6',
             'Keep-Alive': 'timeout=10',
+            **self.limit.headers(),
         }
         if pause:
             headers['Retry-After'] = pause
