--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -6,6 +6,7 @@
 import zlib
 from typing import TYPE_CHECKING
 
+from nutmegspoke.edge.target_notices import closed_by_limits
 from nutmegspoke.membership.load_news import max_load_age_s
 from nutmegspoke.routing.engine_loads import event_interval_s
 from nutmegspoke.routing.room_chains import ChainOptions, CostJitter
@@ -46,6 +47,7 @@
         )
         crossings = self._view.crossing_budget(pool.name, pool.profile)
         daemons = self._view.load_updates.daemons(now_s) + 1
+        not_first = closed_by_limits(self._view, context, now_s)
         blocked_pairs = crossings.blocked_pairs(
             {engine.availability_zone for engine in engines},
             daemons,
@@ -57,6 +59,7 @@
             ChainOptions(
                 blocked_pairs=blocked_pairs,
                 first_engines=context.allowed_targets(),
+                not_first=not_first,
                 jitter=CostJitter.from_age(
                     zlib.crc32(context.reservation_key.encode())
                     + context.sends,
@@ -81,6 +84,7 @@
             daemons_heard=daemons - 1,
             crossings=len(zone_crossings),
             links_full=len(blocked_pairs),
+            closed_by_limits=len(not_first),
             pause_s=round(event_interval_s(chain, engines, pool.profile), 4),
             chain=[f'{stage.target}={stage.layers}' for stage in chain],
         )
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from typing import TYPE_CHECKING
 
 from nutmegspoke.admission.socket_shares import (
@@ -24,6 +23,7 @@
     stop_listening,
 )
 from nutmegspoke.edge.layer_keeper import LayerController
+from nutmegspoke.edge.limit_log import LimitLog
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
     TablesListener,
@@ -42,8 +42,6 @@
     from nutmegspoke.edge.platform_parts import PlatformParts
     from nutmegspoke.entry_host import EntryHost, EntryTables
 
-logger = logging.getLogger(__name__)
-
 METRICS_PORT = 9_100
 _TICK_S = 0.25
 # A tick that is this late shows that the host was suspended.
@@ -151,6 +149,7 @@
         )
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._last_tick_s = clock.now_s()
+        self._limit_log = LimitLog(self.view, self.metrics, log)
         self._reported_rejections = 0
         self._logged_relays: tuple[str, ...] = ()
 
@@ -284,6 +283,7 @@
         self._connections.close_idle(now_s)
         self._log_rejections()
         self._log_relays(now_s)
+        self._limit_log.tick(now_s)
         self._measure_followers(now_s)
         for follower in self._update_exchange.receiver.find_stale_followers(
             now_s
--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -13,7 +13,11 @@
     QueuePosition,
     RetryTimes,
 )
-from nutmegspoke.edge.target_notices import pause_left_s
+from nutmegspoke.edge.target_notices import (
+    closed_by_limits,
+    limit_wait_s,
+    pause_left_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -121,7 +125,10 @@
         has_layers = self._has_layers(context, need)
         earliest_s = 0.0
         if not has_layers:
-            left_s = pause_left_s(self._view, context.pool.name, now_s)
+            left_s = min(
+                pause_left_s(self._view, context.pool.name, now_s),
+                limit_wait_s(self._view, context, now_s),
+            )
             earliest_s = left_s if math.isfinite(left_s) else _LAYER_RELOAD_S
         log_fields = self._refusal_log_fields(context, need, now_s)
         return Refusal(
@@ -146,6 +153,9 @@
             'engines_live': len(self._view.targets.live(pool.name)),
             'engines_usable': len(engines),
             'room_used': round(used / max(1.0, total), 3),
+            'closed_by_limits': len(
+                closed_by_limits(self._view, context, now_s)
+            ),
             'line': len(self._queue),
             'expected_s': round(
                 self.retry_times.expected_wait_s(len(self._queue), now_s), 2
@@ -177,8 +187,13 @@
     def _has_layers(self, context: RequestContext, need: DraftNeed) -> bool:
         """Return whether an otherwise idle chain could run the draft.
 
-        Besides its layers, the memory and the faults of engines are checked.
+        Besides their layers, the memory, faults and limits of engines are
+        checked.
         """
+        now_s = self._clock.now_s()
         return self._view.has_layers(
-            context.pool.name, need, self._clock.now_s()
+            context.pool.name,
+            need,
+            now_s,
+            closed_by_limits(self._view, context, now_s),
         )
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -39,6 +39,11 @@
             'Other daemons with recent updates.',
             registry=self.registry,
         )
+        self._target_limits = aioprometheus.Gauge(
+            'nutmegspoke_edge_target_limits',
+            'Targets that name a limit on requests of all hosts together.',
+            registry=self.registry,
+        )
         self._feed_ages = aioprometheus.Gauge(
             'nutmegspoke_edge_feed_answer_age_seconds',
             'Time since a followed table was last known to be current.',
@@ -75,6 +80,10 @@
         """Record the number of other daemons with recent updates."""
         self._daemons_heard.set({}, count)
 
+    def observe_limits(self, count: int) -> None:
+        """Record the number of targets that name a limit."""
+        self._target_limits.set({}, count)
+
     def observe_feed_age(self, table: str, age_s: float) -> None:
         """Record the time since a table was last known to be current."""
         self._feed_ages.set({'table': table}, age_s)
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -93,6 +93,7 @@
             if entry.layers is not None
             and not self._view.faults.is_left_out(entry.name, now_s)
             and not self._view.conditions.pauses.is_paused(entry.name, now_s)
+            and self._view.conditions.limits.may_poll(entry.name, now_s)
         ]
         reserved = self._view.total_reservations(now_s)
         await asyncio.gather(
@@ -113,6 +114,7 @@
         :param reserved_token_layers: memory that daemons had reserved on the
             engine before the report, in tokens times layers.
         """
+        self._view.conditions.limits.polled(entry.name, self._clock.now_s())
         report = await self._calls.report(entry.address)
         if report is None:
             return
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -17,6 +17,8 @@
 )
 from nutmegspoke.edge.target_notices import (
     TargetNotices,
+    closed_by_limits,
+    limit_wait_s,
     open_targets,
     pause_left_s,
 )
@@ -112,7 +114,10 @@
             for entry in live
             if not self._view.faults.is_left_out(entry.name, now_s)
         ]
-        return self._loads.choose(usable or live, context.avoided, now_s)
+        closed = closed_by_limits(self._view, context, now_s)
+        return self._loads.choose(
+            usable or live, context.avoided | closed, now_s
+        )
 
     async def _send(
         self, context: RequestContext, target: TargetEntry
@@ -280,6 +285,9 @@
                 self._view.conditions.pauses.is_closed(entry.name, now_s)
                 for entry in live
             ),
+            'closed_by_limits': len(
+                closed_by_limits(self._view, context, now_s)
+            ),
             'targets_failed': sorted(context.avoided),
             'targets_version': self._view.targets_version,
         }
@@ -291,7 +299,9 @@
         now_s = self._clock.now_s()
         pool = context.pool.name
         left_s = pause_left_s(self._view, pool, now_s)
-        if math.isfinite(left_s) and not open_targets(self._view, pool, now_s):
+        if open_targets(self._view, pool, now_s):
+            left_s = limit_wait_s(self._view, context, now_s)
+        if math.isfinite(left_s):
             return left_s + _spread_s(context.facts.request_id)
         return _usual_retry_after_s(result)
 
--- a/nutmegspoke/edge/target_notices.py
+++ b/nutmegspoke/edge/target_notices.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
+from nutmegspoke.membership.received_updates import requests_to_limited
+from nutmegspoke.retries.target_limits import Demand, Draw
+
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -15,6 +19,7 @@
 
 # Interval at which invalid limits are logged.
 _INVALID_LOG_INTERVAL_S = 5.0
+_DRAW_BYTES = 4
 
 
 class TargetNotices:
@@ -86,6 +91,75 @@
     return view.conditions.pauses.filter_open(view.targets.live(pool), now_s)
 
 
+def closed_by_limits(
+    view: View, context: RequestContext, now_s: float
+) -> frozenset[str]:
+    """Return the targets that a request must not be sent to, for their limits.
+
+    A draft is sent to the first engine of its chain only.
+    """
+    limits = view.conditions.limits
+    entries = _limited_targets(view, context, now_s)
+    if not entries:
+        return frozenset()
+    return limits.closed(
+        entries,
+        Draw(_place(context), is_repeat=context.sends > 0),
+        find_demand(view, context.pool.name, now_s),
+        requests_to_limited(view.load_updates.others(now_s)),
+        now_s,
+    )
+
+
+def limit_wait_s(view: View, context: RequestContext, now_s: float) -> float:
+    """Return the time after which a refused caller may return, in seconds.
+
+    :returns: infinity without limited targets.
+    """
+    return view.conditions.limits.wait_s(
+        _limited_targets(view, context, now_s),
+        find_demand(view, context.pool.name, now_s),
+        now_s,
+    )
+
+
+def _limited_targets(
+    view: View, context: RequestContext, now_s: float
+) -> list[TargetEntry]:
+    """Return the limited targets that a request could be sent to otherwise."""
+    pool = context.pool
+    return [
+        entry
+        for entry in view.conditions.limits.limited(
+            open_targets(view, pool.name, now_s), now_s
+        )
+        if entry.name not in context.avoided
+        and not view.faults.is_left_out(entry.name, now_s)
+        and (pool.profile is None or _may_be_first(entry))
+    ]
+
+
+def _may_be_first(entry: TargetEntry) -> bool:
+    return entry.layers is not None and entry.layers.start == 0
+
+
+def _place(context: RequestContext) -> float:
+    """Return a number from 0 to 1 that differs between attempts."""
+    attempt = f'{context.facts.request_id}/{context.sends}'
+    digest = hashlib.blake2b(attempt.encode(), digest_size=_DRAW_BYTES)
+    return int.from_bytes(digest.digest()) / 2 ** (8 * _DRAW_BYTES)
+
+
+def find_demand(view: View, pool: str, now_s: float) -> Demand:
+    """Return the requests for a pool at all hosts, in the window of retries."""
+    own_count, _ = view.retry_budgets.for_pool(pool).usage(now_s)
+    updates = view.load_updates
+    others = updates.usage(pool, now_s).requests
+    unheard = max(0, updates.relays.count_hosts() - updates.daemons(now_s))
+    total = own_count * (1 + unheard) + others
+    return Demand(total / view.host.bounds.retry_window_s, unheard)
+
+
 def pause_left_s(view: View, pool: str, now_s: float) -> float:
     """Return the time until a target of a pool opens after its pause.
 
--- a/nutmegspoke/edge/update_contents.py
+++ b/nutmegspoke/edge/update_contents.py
@@ -118,6 +118,7 @@
             silence_age_s=round(self._health.silence_age_s(now_s), 2),
             group=relays.group,
             asks_summary=relays.is_relayed,
+            limits=self._view.conditions.limits.outgoing(now_s),
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
--- a/nutmegspoke/edge/update_receiver.py
+++ b/nutmegspoke/edge/update_receiver.py
@@ -126,6 +126,7 @@
         self._view.reassignments.receive(update.reassignments, now_s)
         self._view.lost_engines.receive(update.lost, now_s)
         self._view.crashes.receive(update.notices, now_s)
+        self._view.conditions.limits.receive(update.limits, now_s)
         self._health.enter_era(update.era, now_s)
         if update.silence_age_s >= 0:
             self._health.silence_ended_elsewhere(now_s - update.silence_age_s)
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -31,7 +31,7 @@
     fill_limit,
 )
 from nutmegspoke.routing.entry_routes import RouteIndex
-from nutmegspoke.routing.room_chains import ChainFinder
+from nutmegspoke.routing.room_chains import ChainFinder, ChainOptions
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -222,11 +222,19 @@
             )
         return loads
 
-    def has_layers(self, pool: str, need: DraftNeed, now_s: float) -> bool:
+    def has_layers(
+        self,
+        pool: str,
+        need: DraftNeed,
+        now_s: float,
+        not_first: Collection[str] = (),
+    ) -> bool:
         """Return whether some chain of a pool could run a draft if idle.
 
         Reserved memory is ignored. Engines that are left out because of a
         fault, or have asked for a pause, are not used.
+
+        :param not_first: names of engines at which the chain must not begin.
         """
         profile = self._profiles.get(pool)
         if profile is None:
@@ -235,7 +243,9 @@
             dataclasses.replace(load, used_token_layers=0.0)
             for load in self.engine_loads(pool, profile, (), now_s)
         ]
-        return self.chain_finder(profile).find(engines, need) is not None
+        finder = self.chain_finder(profile)
+        options = ChainOptions(not_first=frozenset(not_first))
+        return finder.find(engines, need, options) is not None
 
     def find_utilization(self, target: str, now_s: float) -> float:
         """Return the share of an engine's memory that is in use.
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -18,6 +18,9 @@
 
 from nutmegspoke.membership.relays import RELAYED_FROM, SUMMARY_INTERVAL_S
 from nutmegspoke.retries.notices import Notice  # noqa: TC001 -- a field's type
+from nutmegspoke.retries.target_limits import (
+    LimitNews,  # noqa: TC001 -- a field's type
+)
 
 # Minimum interval between updates: a chain fills up within seconds.
 _INTERVAL_S = 0.1
@@ -109,6 +112,7 @@
     :param daemons: number of daemons that the update contains.
     :param known_daemons: the same, with those that have become silent lately.
     :param first_hosts: hosts of some of these daemons, the first in rank.
+    :param limits: limits of targets, and requests sent to these lately.
     """
 
     host: str
@@ -132,6 +136,7 @@
     daemons: int = 1
     known_daemons: int = 1
     first_hosts: tuple[str, ...] = ()
+    limits: dict[str, LimitNews] = {}
 
 
 class EventUpdate(msgspec.Struct, frozen=True, array_like=True, tag='event'):
@@ -164,3 +169,5 @@
     times_s = (fault.left_s for fault in update.faults)
     if not all(-math.inf < time_s < math.inf for time_s in times_s):
         raise ValueError('impossible duration of a fault')
+    if not all(limit.is_possible() for limit in update.limits.values()):
+        raise ValueError('impossible limit of a target')
--- a/nutmegspoke/membership/received_updates.py
+++ b/nutmegspoke/membership/received_updates.py
@@ -131,12 +131,12 @@
     def total_reservations(self, now_s: float) -> dict[str, Reservation]:
         """Return the sum of the other daemons' reservations, by engine."""
         return sum_reservations(
-            received.reservations for received in self._others(now_s)
+            received.reservations for received in self.others(now_s)
         )
 
     def has_leader(self, now_s: float) -> bool:
         """Return whether another daemon reports that it holds the lease."""
-        return any(received.update.leads for received in self._others(now_s))
+        return any(received.update.leads for received in self.others(now_s))
 
     def usage(self, pool: str, now_s: float) -> PoolUsage:
         """Return the sums of the other daemons' recent use of a pool.
@@ -146,7 +146,7 @@
         """
         usages = [
             received.update.used[pool]
-            for received in self._others(now_s)
+            for received in self.others(now_s)
             if pool in received.update.used
         ]
         return PoolUsage(
@@ -162,13 +162,13 @@
         """
         return [
             host
-            for received in self._others(now_s)
+            for received in self.others(now_s)
             for host in hosts_of(received.update)
         ]
 
     def daemons(self, now_s: float) -> int:
         """Return the number of other daemons with recent updates."""
-        return _count(self._others(now_s))
+        return _count(self.others(now_s))
 
     def max_load_age_s(self, now_s: float) -> float:
         """Return the longest expected age of reservations, in seconds."""
@@ -219,7 +219,7 @@
             and received.update.group == self.relays.group
         )
 
-    def _others(self, now_s: float) -> list[ReceivedUpdate]:
+    def others(self, now_s: float) -> list[ReceivedUpdate]:
         """Return recent updates that contain each other daemon once."""
         parts = self.parts(now_s)
         summary: ReceivedUpdate | None = None
@@ -238,6 +238,15 @@
         ]
 
 
+def requests_to_limited(updates: Iterable[ReceivedUpdate]) -> dict[str, int]:
+    """Return the requests that daemons have sent to limited targets lately."""
+    total: dict[str, int] = {}
+    for received in updates:
+        for target, limit in received.update.limits.items():
+            total[target] = total.get(target, 0) + limit.sent
+    return total
+
+
 def hosts_of(update: LoadUpdate) -> tuple[str, ...]:
     """Return the hosts that an update names as those of its daemons."""
     if update.scope == Scope.HOST:
--- a/nutmegspoke/membership/relays.py
+++ b/nutmegspoke/membership/relays.py
@@ -76,6 +76,10 @@
         self.group = ''
         self.replace_hosts({})
 
+    def count_hosts(self) -> int:
+        """Return the number of other hosts that are known, heard or not."""
+        return len(self._zones)
+
     @property
     def is_relayed(self) -> bool:
         """Return whether there are enough daemons to use relays."""
--- a/nutmegspoke/membership/summaries.py
+++ b/nutmegspoke/membership/summaries.py
@@ -24,6 +24,7 @@
         ReceivedUpdates,
     )
     from nutmegspoke.retries.notices import Notice
+    from nutmegspoke.retries.target_limits import LimitNews
 
 # Sums by name, as in ``LoadUpdate.reservations`` and ``LoadUpdate.used``.
 _Sums = dict[str, tuple[float, int, int]]
@@ -102,6 +103,7 @@
         daemons=sum(update.daemons for update in updates),
         known_daemons=known_daemons,
         first_hosts=tuple(sorted(hosts, key=rank_key)[:READER_COUNT]),
+        limits=_merge_limits(updates),
     )
 
 
@@ -120,6 +122,12 @@
         first_hosts=tuple(
             host for host in summary.first_hosts if host != member.host
         ),
+        limits={
+            target: limit.without(member.limits[target])
+            if target in member.limits
+            else limit
+            for target, limit in summary.limits.items()
+        },
     )
 
 
@@ -143,6 +151,9 @@
         silence_age_s=(
             -1.0 if silence_age_s < 0 else round(silence_age_s + age_s, 2)
         ),
+        limits={
+            target: limit.aged(age_s) for target, limit in update.limits.items()
+        },
     )
 
 
@@ -175,6 +186,15 @@
     )
 
 
+def _merge_limits(updates: Sequence[LoadUpdate]) -> dict[str, LimitNews]:
+    merged: dict[str, LimitNews] = {}
+    for update in updates:
+        for target, limit in update.limits.items():
+            known = merged.get(target)
+            merged[target] = limit if known is None else known.merged(limit)
+    return merged
+
+
 def _union_faults(updates: Sequence[LoadUpdate]) -> tuple[TargetFault, ...]:
     left_s: dict[str, float] = {}
     for update in updates:
--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -27,17 +27,30 @@
 # allows, and some more, as requests don't come at regular intervals.
 _WINDOW_FACTOR = 1.2
 _WINDOW_SLACK = 2
+# Factor on the probability that a repeat opens a target.
+_REPEAT_WEIGHT = 3
 # Rate of requests that ask a target whether its limit of almost 0 still holds.
 _MIN_RATE_PER_S = 0.25
 # An unconfirmed limit is raised from this age on, and doubles after each step.
 _UNCONFIRMED_S = 6.0
 _UNCONFIRMED_STEP_S = 2.0
 # After the end of a limit the rate doubles with each step, until the return is
-# over. The news of the end is repeated meanwhile.
+# over.
 _RETURN_STEP_S = 0.25
 _RETURN_S = 2.0
-# A limit without confirmation is dropped after this time.
+# Part of a limit that polls of the target's report may take, and the longest
+# pause between two polls.
+_POLL_PART = 0.1
+_MAX_POLL_PAUSE_S = 8.0
+# Bounds of the time after which refused callers return.
+_MIN_WAIT_S = 0.5
+_MAX_WAIT_S = 3.0
+# News without confirmation are dropped after this time. That of an end outlives
+# the limits of daemons that were cut off.
 _FORGET_S = 60.0
+# Longer than an update takes, so that a daemon's own news that another returns
+# don't pass for newer.
+_TRANSIT_S = 0.02
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +69,39 @@
     sent: int = 0
     has_ended: bool = False
 
+    def is_possible(self) -> bool:
+        """Return whether the numbers can be true."""
+        numbers = (self.started_ms, self.limit_per_s, self.age_s, self.sent)
+        return all(0 <= number < math.inf for number in numbers)
+
+    def aged(self, age_s: float) -> LimitNews:
+        """Return the same news some seconds later."""
+        return msgspec.structs.replace(self, age_s=round(self.age_s + age_s, 2))
+
+    def merged(self, other: LimitNews) -> LimitNews:
+        """Return what two groups of daemons know and have sent together."""
+        newer = max(
+            self, other, key=lambda each: (each.started_ms, -each.age_s)
+        )
+        return msgspec.structs.replace(newer, sent=self.sent + other.sent)
+
+    def without(self, part: LimitNews) -> LimitNews:
+        """Return the news without the requests of a part of the daemons."""
+        return msgspec.structs.replace(self, sent=self.sent - part.sent)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draw:
+    """Draw of a request for limited targets.
+
+    :param place: from 0 to 1, evenly distributed over requests.
+    :param is_repeat: whether the request was sent before. Its caller has waited,
+        and may have a part of the answer.
+    """
+
+    place: float
+    is_repeat: bool = False
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -70,6 +116,21 @@
     unheard_hosts: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitUse:
+    """A limit in force, and what this host has sent.
+
+    :param since_s: since when this host knows of a limit of the target.
+    :param answered_s: time of the last answer that names it.
+    :param sent_count: requests of this host in the last window.
+    """
+
+    limit_per_s: float
+    since_s: float
+    answered_s: float
+    sent_count: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Limit:
     """The limit of a target, as last named or heard of.
@@ -77,6 +138,7 @@
     :ivar answered_s: time of the answer that names it, or names none any more.
     :ivar since_s: since when this host knows of a limit of the target.
     :ivar sent_s: times of requests of this host in the last window.
+    :ivar polled_s: time of its last poll of the target's report.
     """
 
     started_ms: int
@@ -87,11 +149,16 @@
     sent_s: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    polled_s: float = float('-inf')
 
-    def is_over(self, now_s: float) -> bool:
-        """Return whether nothing is left of the limit."""
+    def is_known(self, now_s: float) -> bool:
+        """Return whether there was an answer in the last time."""
+        return now_s - self.answered_s <= _FORGET_S
+
+    def applies(self, now_s: float) -> bool:
+        """Return whether the limit, or the return after it, has not ended."""
         age_s = now_s - self.answered_s
-        return age_s > (_RETURN_S if self.has_ended else _FORGET_S)
+        return age_s <= (_RETURN_S if self.has_ended else _FORGET_S)
 
     def rate_per_s(self, now_s: float) -> float:
         """Return the rate of requests that may be sent by all hosts."""
@@ -160,7 +227,7 @@
         self._limits = {
             target: limit
             for target, limit in self._limits.items()
-            if not limit.is_over(now_s)
+            if limit.is_known(now_s)
         }
         return {
             target: LimitNews(
@@ -181,10 +248,39 @@
 
     def find(self, target: str, now_s: float) -> float | None:
         """Return the limit of a target, in requests a second."""
+        use = self.uses(now_s).get(target)
+        return None if use is None else use.limit_per_s
+
+    def may_poll(self, target: str, now_s: float) -> bool:
+        """Return whether a target may be asked for a report.
+
+        Reports of a limited target take a small part of what it allows.
+        """
         limit = self._limits.get(target)
-        if limit is None or limit.has_ended or limit.is_over(now_s):
-            return None
-        return limit.limit_per_s
+        if limit is None or not limit.applies(now_s):
+            return True
+        pause_s = 1 / (_POLL_PART * max(limit.limit_per_s, _MIN_RATE_PER_S))
+        return now_s - limit.polled_s >= min(_MAX_POLL_PAUSE_S, pause_s)
+
+    def polled(self, target: str, now_s: float) -> None:
+        """Count a report that a target is asked for, which is a request, too."""
+        limit = self._limits.get(target)
+        if limit is not None:
+            limit.polled_s = now_s
+            limit.sent_s.append(now_s)
+
+    def uses(self, now_s: float) -> dict[str, LimitUse]:
+        """Return the limits in force by target."""
+        return {
+            target: LimitUse(
+                limit.limit_per_s,
+                limit.since_s,
+                limit.answered_s,
+                limit.sent_count(now_s),
+            )
+            for target, limit in self._limits.items()
+            if limit.applies(now_s) and not limit.has_ended
+        }
 
     def limited(
         self, entries: Iterable[TargetEntry], now_s: float
@@ -199,7 +295,7 @@
     def closed(
         self,
         entries: Iterable[TargetEntry],
-        draw: float,
+        draw: Draw,
         demand: Demand,
         others_sent: Mapping[str, int],
         now_s: float,
@@ -210,7 +306,7 @@
         request opens those at its place. So it opens one of them at least if
         they take all requests together.
 
-        :param draw: place of the request, from 0 to 1, evenly distributed.
+        :param draw: draw of the request.
         :param others_sent: requests that others have sent in the last window.
         """
         closed: set[str] = set()
@@ -224,10 +320,11 @@
             if limit.is_used_up(sent_count):
                 closed.add(entry.name)
                 continue
-            chance = limit.rate_per_s(now_s) / max(
-                demand.requests_per_s, limit.rate_per_s(now_s)
-            )
-            if math.fmod(1 + draw - place, 1) >= chance:
+            rate_per_s = limit.rate_per_s(now_s)
+            if draw.is_repeat:
+                rate_per_s *= _REPEAT_WEIGHT
+            chance = rate_per_s / max(demand.requests_per_s, rate_per_s)
+            if math.fmod(1 + draw.place - place, 1) >= chance:
                 closed.add(entry.name)
             place = math.fmod(place + chance, 1)
         return frozenset(closed)
@@ -235,7 +332,10 @@
     def wait_s(
         self, entries: Iterable[TargetEntry], demand: Demand, now_s: float
     ) -> float:
-        """Return the mean time until another request opens some target.
+        """Return the time after which a refused caller may return, in seconds.
+
+        The more requests there are for each one that the limits allow, the
+        longer it is.
 
         :returns: infinity if no limit applies to any of them.
         """
@@ -245,12 +345,13 @@
         )
         if not rate_per_s:
             return math.inf
-        return max(1.0, demand.requests_per_s) / rate_per_s
+        wait_s = demand.requests_per_s / rate_per_s
+        return min(_MAX_WAIT_S, max(_MIN_WAIT_S, wait_s))
 
     def _applied(self, entry: TargetEntry, now_s: float) -> _Limit | None:
         """Return the limit of a target unless it ended with another start."""
         limit = self._limits.get(entry.name)
-        if limit is None or limit.is_over(now_s):
+        if limit is None or not limit.applies(now_s):
             return None
         return limit if limit.started_ms == entry.started_ms else None
 
@@ -262,7 +363,7 @@
         return True
 
     def _receive(self, target: str, news: LimitNews, now_s: float) -> bool:
-        answered_s = now_s - news.age_s
+        answered_s = now_s - news.age_s - _TRANSIT_S
         known = self._limits.get(target)
         if known is None:
             if news.has_ended:
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -102,11 +102,13 @@
     :param blocked_pairs: pairs of zones between which it must not cross.
     :param first_engines: names of the engines at which it may begin; ``None``
         for any.
+    :param not_first: names of engines at which it must not begin.
     :param jitter: variation of the costs of engines.
     """
 
     blocked_pairs: frozenset[ZonePair] = frozenset()
     first_engines: frozenset[str] | None = None
+    not_first: frozenset[str] = frozenset()
     jitter: CostJitter = CostJitter()
 
 
@@ -283,6 +285,8 @@
         first_engines = self._options.first_engines
         if first_engines is not None and engine.name not in first_engines:
             return False
+        if engine.name in self._options.not_first:
+            return False
         return engine.first_stage_count < self._profile.first_slots
 
     def _first_stage_cost_s(self, engine: EngineLoad) -> float:
