--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -30,10 +30,7 @@
 # Factor on the probability that a repeat opens a target.
 _REPEAT_WEIGHT = 3
 # Rate of requests that ask a target whether its limit of almost 0 still holds.
-_MIN_RATE_PER_S = 0.25
-# An unconfirmed limit is raised from this age on, and doubles after each step.
-_UNCONFIRMED_S = 6.0
-_UNCONFIRMED_STEP_S = 2.0
+_MIN_RATE_PER_S = 0.1
 # After the end of a limit the rate doubles with each step, until the return is
 # over.
 _RETURN_STEP_S = 0.25
@@ -163,11 +160,10 @@
     def rate_per_s(self, now_s: float) -> float:
         """Return the rate of requests that may be sent by all hosts."""
         rate_per_s = max(self.limit_per_s, _MIN_RATE_PER_S)
-        age_s = now_s - self.answered_s
         if self.has_ended:
-            return rate_per_s * 2 ** (age_s / _RETURN_STEP_S)
-        late_s = max(0.0, age_s - _UNCONFIRMED_S)
-        return rate_per_s * 2 ** (late_s / _UNCONFIRMED_STEP_S)
+            steps = (now_s - self.answered_s) / _RETURN_STEP_S
+            return rate_per_s * 2**steps
+        return rate_per_s
 
     def sent_count(self, now_s: float) -> int:
         """Return the requests that this host has sent in the last window."""
--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -21,6 +21,7 @@
 _SLACK = 5
 # Part of the allowance that is used at least if all targets are limited.
 _USED_PART = 0.8
+_ODD_LIMITS = ('-5', 'nan', 'inf', '1e400', 'soon', '9' * 30, '2, 3', ' ')
 # Callers without an answer by then would have been kept waiting.
 _AT_ONCE_S = 1.0
 
@@ -194,6 +195,43 @@
         await self._send('/calls/1', _WINDOW_S)
         self._check_limits(targets[:1], 0.5, since_s)
 
+    async def test_limits_that_cannot_be(self) -> None:
+        """Guards against a daemon that an odd header ends or blocks."""
+        target = await self.deployment.add_service('r1')
+        for text in _ODD_LIMITS:
+            target.limit.name(text)
+            for _ in range(3):
+                answer = await self._call(0, '/calls/1')
+                self.assertEqual(answer.status, 200, text)
+        self.assertEqual(len(self.deployment.events('limit_invalid')), 1)
+        self.assertEqual(self.deployment.events('target_names_limit'), [])
+
+    async def test_the_end(self) -> None:
+        """Guards against limits that outlast the answers that name them.
+
+        One host hears of the end from a target; the others from that host.
+        """
+        target = await self.deployment.add_service('r1')
+        await self._know_targets()
+        target.limit.name('0.5')
+        await self._call(0, '/calls/1')
+        for host in self.hosts:
+            await host.until(lambda host=host: self._knows_limit(host))
+        target.limit.name('')
+        while (await self._call(0, '/calls/1')).status != 200:
+            self._number += 1
+        for host in self.hosts:
+            self.assertTrue(
+                await host.is_within(
+                    _AT_ONCE_S, lambda host=host: not self._knows_limit(host)
+                )
+            )
+
+    def _knows_limit(self, host: Deployment) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        limits = host.daemon.view.conditions.limits
+        return limits.find('r1', now_s) is not None
+
 
 class EngineLimitTest(LimitCase):
     """Engines that drafts are sent to name a limit."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -183,6 +183,35 @@
             self.assertEqual(facts.pause_s, pause_s, text)
         self.assertEqual(headers.read_answer(503, []).pause_s, 0.0)
 
+    def test_reads_limits(self) -> None:
+        """Guards against limits that can't be true, and answers without one."""
+        limits = (
+            (b'0', 0.0),
+            (b'2', 2.0),
+            (b' 11.5 ', 11.5),
+            (b'', None),
+            (b'-5', None),
+            (b'nan', None),
+            (b'inf', None),
+            (b'1e400', None),
+            (b'1e3', None),
+            (b'soon', None),
+            (b'9' * 30, None),
+            (b'2, 3', None),
+            ('\u0663'.encode(), None),
+        )
+        for text, limit_per_s in limits:
+            facts = headers.read_answer(200, [(b'Server-Limit', text)])
+            self.assertEqual(facts.limit_per_s, limit_per_s, text)
+            self.assertEqual(bool(facts.invalid_limit), limit_per_s is None)
+        twice = [(b'Server-Limit', b'2'), (b'server-limit', b'3')]
+        facts = headers.read_answer(200, twice)
+        self.assertIsNone(facts.limit_per_s)
+        self.assertTrue(facts.invalid_limit)
+        facts = headers.read_answer(200, [])
+        self.assertIsNone(facts.limit_per_s)
+        self.assertFalse(facts.invalid_limit)
+
     def test_tells_stray_answers(self) -> None:
         """An answer with another id is not accepted."""
         self.assertTrue(
