--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -108,16 +108,18 @@
     def _choose_target(
         self, context: RequestContext, now_s: float
     ) -> TargetEntry | None:
-        live = open_targets(self._view, context.pool.name, now_s)
+        closed = closed_by_limits(self._view, context, now_s)
+        live = [
+            entry
+            for entry in open_targets(self._view, context.pool.name, now_s)
+            if entry.name not in closed
+        ]
         usable = [
             entry
             for entry in live
             if not self._view.faults.is_left_out(entry.name, now_s)
         ]
-        closed = closed_by_limits(self._view, context, now_s)
-        return self._loads.choose(
-            usable or live, context.avoided | closed, now_s
-        )
+        return self._loads.choose(usable or live, context.avoided, now_s)
 
     async def _send(
         self, context: RequestContext, target: TargetEntry
--- a/nutmegspoke/edge/target_notices.py
+++ b/nutmegspoke/edge/target_notices.py
@@ -127,12 +127,12 @@
     view: View, context: RequestContext, now_s: float
 ) -> list[TargetEntry]:
     """Return the limited targets that a request could be sent to otherwise."""
-    pool = context.pool
+    pool, limits = context.pool, view.conditions.limits
+    if limits.are_none:
+        return []
     return [
         entry
-        for entry in view.conditions.limits.limited(
-            open_targets(view, pool.name, now_s), now_s
-        )
+        for entry in limits.limited(open_targets(view, pool.name, now_s), now_s)
         if entry.name not in context.avoided
         and not view.faults.is_left_out(entry.name, now_s)
         and (pool.profile is None or _may_be_first(entry))
@@ -151,11 +151,16 @@
 
 
 def find_demand(view: View, pool: str, now_s: float) -> Demand:
-    """Return the requests for a pool at all hosts, in the window of retries."""
+    """Return the requests for a pool at all hosts, in the window of retries.
+
+    Hosts that have become silent lately may only be cut off from this one. If
+    none was heard, it is this host that is cut off from all.
+    """
     own_count, _ = view.retry_budgets.for_pool(pool).usage(now_s)
     updates = view.load_updates
     others = updates.usage(pool, now_s).requests
-    unheard = max(0, updates.relays.count_hosts() - updates.daemons(now_s))
+    known = updates.count_known_hosts(now_s) or updates.relays.count_hosts()
+    unheard = max(0, known - updates.daemons(now_s))
     total = own_count * (1 + unheard) + others
     return Demand(total / view.host.bounds.retry_window_s, unheard)
 
--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -184,6 +184,11 @@
         """Start without limits."""
         self._limits: dict[str, _Limit] = {}
 
+    @property
+    def are_none(self) -> bool:
+        """Return whether no target has named a limit lately."""
+        return not self._limits
+
     def record_answer(
         self, entry: TargetEntry, limit_per_s: float | None, now_s: float
     ) -> bool:
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -218,10 +218,6 @@
         host = request.headers.get('attempt-id', '').partition('/')[0]
         self.received_s.append((asyncio.get_running_loop().time(), host))
 
-    def count_since(self, start_s: float) -> int:
-        """Return the number of requests since a time of the loop."""
-        return sum(time_s >= start_s for time_s, _ in self.received_s)
-
     def most_in_window(self, start_s: float, window_s: float) -> int:
         """Return the most requests in a window that begins at a time or later."""
         times_s = [time_s for time_s, _ in self.received_s if time_s >= start_s]
--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import collections
+import random
 
 from nutmegspoke.standins.wire_target import WireTarget
 from tests.edge.test_daemon import DaemonCase
 from tests.edge.world import CallResult, Deployment
 
 _HOST_COUNT = 3
-_REQUESTS_PER_S = 45
+_REQUESTS_PER_S = 30
+_PATHS = ('/calls/1', '/drafts/1')
 # Tokens of a draft of which one engine has memory for many.
 _SMALL_DRAFT = '70,30'
 _WINDOW_S = 4.0
@@ -41,7 +43,8 @@
             await self._add_host(f'host-{number}')
         self._number = 0
         self.answers: list[CallResult] = []
-        self.durations_s: list[float] = []
+        self.refused_s: list[float] = []
+        self._source = random.Random(1)
 
     async def _add_host(self, name: str) -> Deployment:
         host = Deployment(shared=self.deployment, name=name)
@@ -77,21 +80,30 @@
                 )
             )
 
-    async def _send(
-        self, path: str, for_s: float, first_part: float | None = None
+    async def _send_all(
+        self, for_s: float, *paths: str, first_part: float | None = None
     ) -> collections.Counter[int]:
-        """Send requests at a steady rate, to each host in turn.
+        """Send requests for each path at the same time.
 
         :param first_part: part of the requests that the first host gets; the
             same as the others by default.
         :returns: number of answers by status.
         """
+        counts = await asyncio.gather(
+            *(self._send(path, for_s, first_part) for path in paths)
+        )
+        return sum(counts, collections.Counter())
+
+    async def _send(
+        self, path: str, for_s: float, first_part: float | None
+    ) -> collections.Counter[int]:
+        """Send requests at a steady rate, to each host in turn."""
         calls = []
         for _ in range(int(for_s * _REQUESTS_PER_S)):
             self._number += 1
             index = self._number % len(self.hosts)
             if first_part is not None:
-                is_first = self._number % 10 < first_part * 10
+                is_first = self._source.random() < first_part
                 index = 0 if is_first else 1 + index % (len(self.hosts) - 1)
             calls.append(asyncio.create_task(self._call(index, path)))
             await asyncio.sleep(1 / _REQUESTS_PER_S)
@@ -106,11 +118,16 @@
         answer = await self.hosts[index].call(
             path, **{'Attempt-Id': attempt, 'Token-Counts': _SMALL_DRAFT}
         )
-        self.durations_s.append(loop.time() - started_s)
+        if answer.status != 200:
+            self.refused_s.append(loop.time() - started_s)
         return answer
 
     async def _limit(
-        self, targets: list[WireTarget], limit_per_s: float, path: str
+        self,
+        targets: list[WireTarget],
+        limit_per_s: float,
+        *paths: str,
+        first_part: float | None = None,
     ) -> float:
         """Let targets name a limit, and send until all hosts should know it.
 
@@ -118,7 +135,7 @@
         """
         for target in targets:
             target.limit.name(str(limit_per_s))
-        await self._send(path, _NOTICE_S)
+        await self._send_all(_NOTICE_S, *paths, first_part=first_part)
         return asyncio.get_running_loop().time()
 
     def _check_limits(
@@ -130,58 +147,70 @@
         ]
         self.assertLessEqual(max(counts), _allowed(limit_per_s), counts)
 
+    def _check_use(
+        self, targets: list[WireTarget], limit_per_s: float, since_s: float
+    ) -> None:
+        """Check that most of what limits allow is used, mostly by one host."""
+        hosts = [
+            host
+            for target in targets
+            for time_s, host in target.limit.received_s
+            if time_s >= since_s
+        ]
+        allowed = len(targets) * limit_per_s * 1.25 * _WINDOW_S
+        self.assertGreaterEqual(len(hosts), _USED_PART * allowed)
+        self.assertGreaterEqual(hosts.count('0'), _USED_PART * 0.8 * allowed)
+
+
+class TargetLimitTest(LimitCase):
+    """Targets of a plain service and engines name a limit.
 
-class ServiceLimitTest(LimitCase):
-    """Targets of a plain service name a limit."""
+    Calls and drafts are sent at the same time, as they use different targets.
+    """
 
     async def test_one_of_three(self) -> None:
         """Guards against a limit that is kept by no host, or by each alone.
 
         The other targets have room for all requests.
         """
-        targets = await self._add_services()
-        since_s = await self._limit(targets[:1], 2.0, '/calls/1')
-        statuses = await self._send('/calls/1', 1.25 * _WINDOW_S)
-        self._check_limits(targets[:1], 2.0, since_s)
+        services, engines = (
+            await self._add_services(),
+            await self._add_engines(),
+        )
+        targets = [services[0], engines[0]]
+        since_s = await self._limit(targets, 1.0, *_PATHS)
+        statuses = await self._send_all(1.25 * _WINDOW_S, *_PATHS)
+        self._check_limits(targets, 1.0, since_s)
         self.assertEqual(set(statuses), {200})
 
     async def test_all(self) -> None:
         """Guards against use beyond the limits as there is no other target.
 
-        Most of what they allow is used, and the rest is refused at once.
+        Most of what they allow is used, and by the host that has most of the
+        requests; the rest is refused at once.
         """
-        targets = await self._add_services()
-        since_s = await self._limit(targets, 3.0, '/calls/1')
-        self.durations_s.clear()
-        statuses = await self._send('/calls/1', 1.25 * _WINDOW_S)
+        services, engines = (
+            await self._add_services(),
+            await self._add_engines(),
+        )
+        targets = [*services, *engines]
+        since_s = await self._limit(targets, 3.0, *_PATHS, first_part=0.8)
+        self.refused_s.clear()
+        statuses = await self._send_all(
+            1.25 * _WINDOW_S, *_PATHS, first_part=0.8
+        )
         self._check_limits(targets, 3.0, since_s)
-        used = sum(target.limit.count_since(since_s) for target in targets)
-        allowed = len(targets) * 3.0 * 1.25 * _WINDOW_S
-        self.assertGreaterEqual(used, _USED_PART * allowed)
+        for group in (services, engines):
+            self._check_use(group, 3.0, since_s)
         self.assertGreater(statuses[503], 0)
-        self.assertLess(max(self.durations_s), _AT_ONCE_S)
-
-    async def test_most_requests_at_one_host(self) -> None:
-        """Guards against shares of hosts that have no use for them."""
-        targets = await self._add_services()
-        since_s = asyncio.get_running_loop().time() + _NOTICE_S
-        for target in targets:
-            target.limit.name('3.0')
-        await self._send('/calls/1', _NOTICE_S, first_part=0.8)
-        await self._send('/calls/1', 1.25 * _WINDOW_S, first_part=0.8)
-        self._check_limits(targets, 3.0, since_s)
-        used = sum(
-            time_s >= since_s and host == '0'
-            for target in targets
-            for time_s, host in target.limit.received_s
-        )
-        allowed = len(targets) * 3.0 * 1.25 * _WINDOW_S
-        self.assertGreaterEqual(used, _USED_PART * 0.8 * allowed)
+        refusals = [each for each in self.answers if each.status == 503]
+        self.assertTrue(all('Retry-After' in each.headers for each in refusals))
+        self.assertLess(max(self.refused_s), _AT_ONCE_S)
 
     async def test_a_host_that_starts(self) -> None:
         """Guards against a host that does not know what the others know."""
         targets = await self._add_services()
-        await self._limit(targets[:1], 0.5, '/calls/1')
+        await self._limit(targets[:1], 0.5, _PATHS[0])
         host = await self._add_host('host-9')
         await self._know_targets()
         limits = host.daemon.view.conditions.limits
@@ -192,7 +221,7 @@
             )
         )
         since_s = clock.time()
-        await self._send('/calls/1', _WINDOW_S)
+        await self._send_all(_WINDOW_S, _PATHS[0])
         self._check_limits(targets[:1], 0.5, since_s)
 
     async def test_limits_that_cannot_be(self) -> None:
@@ -231,31 +260,3 @@
         now_s = asyncio.get_running_loop().time()
         limits = host.daemon.view.conditions.limits
         return limits.find('r1', now_s) is not None
-
-
-class EngineLimitTest(LimitCase):
-    """Engines that drafts are sent to name a limit."""
-
-    async def test_one_of_three(self) -> None:
-        """Guards against drafts beyond a limit, and needless refusals."""
-        targets = await self._add_engines()
-        since_s = await self._limit(targets[:1], 1.0, '/drafts/1')
-        statuses = await self._send('/drafts/1', 1.25 * _WINDOW_S)
-        self._check_limits(targets[:1], 1.0, since_s)
-        self.assertEqual(set(statuses), {200})
-
-    async def test_all(self) -> None:
-        """Guards against drafts beyond the limits as there is no other engine.
-
-        Most of what they allow is used, and the rest is refused at once.
-        """
-        targets = await self._add_engines()
-        since_s = await self._limit(targets, 3.0, '/drafts/1')
-        statuses = await self._send('/drafts/1', 1.25 * _WINDOW_S)
-        self._check_limits(targets, 3.0, since_s)
-        used = sum(target.limit.count_since(since_s) for target in targets)
-        allowed = len(targets) * 3.0 * 1.25 * _WINDOW_S
-        self.assertGreaterEqual(used, _USED_PART * allowed)
-        self.assertGreater(statuses[503], 0)
-        refusals = [each for each in self.answers if each.status == 503]
-        self.assertTrue(all('Retry-After' in each.headers for each in refusals))
