--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -25,10 +25,19 @@
 WINDOW_S = 4.0
 # Requests that may have been sent in the window: a multiple of what the limit
 # allows, and some more, as requests don't come at regular intervals.
-_WINDOW_FACTOR = 1.2
+_WINDOW_FACTOR = 1.1
 _WINDOW_SLACK = 2
 # Factor on the probability that a repeat opens a target.
 _REPEAT_WEIGHT = 3
+# Part of a limit that is used while hosts don't hear of each other's requests.
+_UNHEARD_PART = 0.75
+# An open target is often not chosen. Its probability rises while less is sent than
+# the limit allows, by this rate at most, up to the factor.
+_GAIN_PER_S = 0.3
+_MAX_GAIN = 3.0
+_MAX_GAIN_STEP_S = 1.0
+# Part of what a limit allows that the gain is to reach.
+_WANTED_PART = 0.9
 # Rate of requests that ask a target whether its limit of almost 0 still holds.
 _MIN_RATE_PER_S = 0.1
 # After the end of a limit the rate doubles with each step, until the return is
@@ -136,6 +145,8 @@
     :ivar since_s: since when this host knows of a limit of the target.
     :ivar sent_s: times of requests of this host in the last window.
     :ivar polled_s: time of its last poll of the target's report.
+    :ivar gain: factor on the probability that a request opens the target.
+    :ivar gained_s: time at which it was last changed.
     """
 
     started_ms: int
@@ -147,6 +158,8 @@
         default_factory=collections.deque
     )
     polled_s: float = float('-inf')
+    gain: float = 1.0
+    gained_s: float = float('-inf')
 
     def is_known(self, now_s: float) -> bool:
         """Return whether there was an answer in the last time."""
@@ -171,6 +184,16 @@
             self.sent_s.popleft()
         return len(self.sent_s)
 
+    def adjust_gain(self, sent_count: int, now_s: float) -> None:
+        """Raise the gain if too little is sent, and lower it otherwise."""
+        limit_count = max(self.limit_per_s, _MIN_RATE_PER_S) * WINDOW_S
+        lack = _WANTED_PART * limit_count - sent_count
+        step_s = min(_MAX_GAIN_STEP_S, now_s - self.gained_s)
+        # The slack damps the noise of small counts.
+        change = _GAIN_PER_S * step_s * lack / (limit_count + _WINDOW_SLACK)
+        self.gain = min(_MAX_GAIN, max(1.0, self.gain * math.exp(change)))
+        self.gained_s = now_s
+
     def is_used_up(self, sent_count: int) -> bool:
         """Return whether the requests of the last window are all it takes."""
         allowed = _WINDOW_FACTOR * self.limit_per_s * WINDOW_S + _WINDOW_SLACK
@@ -318,10 +341,13 @@
             limit = self._limits[entry.name]
             sent_count = limit.sent_count(now_s) * (1 + demand.unheard_hosts)
             sent_count += others_sent.get(entry.name, 0)
+            limit.adjust_gain(sent_count, now_s)
             if limit.is_used_up(sent_count):
                 closed.add(entry.name)
                 continue
-            rate_per_s = limit.rate_per_s(now_s)
+            rate_per_s = limit.rate_per_s(now_s) * limit.gain
+            if demand.unheard_hosts:
+                rate_per_s = limit.rate_per_s(now_s) * _UNHEARD_PART
             if draw.is_repeat:
                 rate_per_s *= _REPEAT_WEIGHT
             chance = rate_per_s / max(demand.requests_per_s, rate_per_s)
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -11,6 +11,9 @@
 _MUTE_TESTS = ('tests.edge.test_mute_connections.MuteBesideChangesTest',)
 _PAUSE_TESTS = ('tests.edge.test_target_pauses',)
 _PAUSE_UNIT = ('tests.retries.test_target_pauses',)
+_LIMITS = 'nutmegspoke/retries/target_limits.py'
+_LIMIT_TESTS = ('tests.edge.test_target_limits',)
+_LIMIT_UNIT = ('tests.retries.test_target_limits',)
 _STALE_TESTS = ('tests.edge.test_stale_refusals',)
 
 PATH_MUTATIONS: tuple[Mutation, ...] = (
@@ -87,15 +90,17 @@
     Mutation(
         'pauses: drafts are sent all the same',
         'nutmegspoke/edge/view.py',
-        'for entry in self.pauses.filter_open(self.targets.live(pool), now_s):',
+        'for entry in self.conditions.pauses.filter_open(\n'
+        '            self.targets.live(pool), now_s\n'
+        '        ):',
         'for entry in self.targets.live(pool):',
         _PAUSE_TESTS,
     ),
     Mutation(
         'pauses: the retry time ignores them',
         _PLAIN,
-        'if math.isfinite(left_s) and not open_targets',
-        'if not math.isfinite(left_s) and not open_targets',
+        'if math.isfinite(left_s):\n            return left_s',
+        'if not math.isfinite(left_s):\n            return left_s',
         _PAUSE_TESTS,
     ),
     Mutation(
@@ -119,6 +124,83 @@
         'and entry.name',
         _PAUSE_TESTS,
     ),
+    Mutation(
+        'limits: calls are sent all the same',
+        _PLAIN,
+        'if entry.name not in closed\n',
+        'if entry.name\n',
+        _LIMIT_TESTS,
+    ),
+    Mutation(
+        'limits: drafts are sent all the same',
+        'nutmegspoke/edge/chain_choice.py',
+        '                not_first=not_first,\n',
+        '',
+        _LIMIT_TESTS,
+    ),
+    Mutation(
+        'limits: others are not told',
+        'nutmegspoke/edge/update_receiver.py',
+        '        self._view.conditions.limits.receive(update.limits, now_s)\n',
+        '',
+        _LIMIT_TESTS,
+    ),
+    Mutation(
+        'limits: each host counts its own requests only',
+        'nutmegspoke/edge/target_notices.py',
+        'total = own_count * (1 + unheard) + others',
+        'total = own_count',
+        _LIMIT_TESTS,
+    ),
+    Mutation(
+        'limits: what was sent does not bound them',
+        _LIMITS,
+        'return not self.has_ended and sent_count >= allowed',
+        'return False',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: targets open independently of each other',
+        _LIMITS,
+        'place = math.fmod(place + chance, 1)',
+        'place = 0.0',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: they never end',
+        _LIMITS,
+        'return known is not None and self._end(known, now_s)',
+        'return False',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: all requests at once after the end',
+        _LIMITS,
+        'return rate_per_s * 2**steps',
+        'return 10.0**6',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: older news bring them back',
+        _LIMITS,
+        'if order <= (known.started_ms, known.answered_s):',
+        'if not order:',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: they outlive their target',
+        _LIMITS,
+        'return limit if limit.started_ms == entry.started_ms else None',
+        'return limit',
+        _LIMIT_UNIT,
+    ),
+    Mutation(
+        'limits: odd ones are believed',
+        'nutmegspoke/platform/headers.py',
+        'if len(named) == 1 and _LIMIT.fullmatch(text):',
+        'if text:',
+        ('tests.platform.test_headers',),
+    ),
     Mutation(
         'odd rows: nested too deeply',
         'nutmegspoke/untrusted.py',
