--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -146,7 +146,7 @@
     :ivar sent_s: times of requests of this host in the last window.
     :ivar polled_s: time of its last poll of the target's report.
     :ivar gain: factor on the probability that a request opens the target.
-    :ivar gained_s: time at which it was last changed.
+    :ivar gained_s: time at which it was last changed; ``None`` for never.
     """
 
     started_ms: int
@@ -159,7 +159,7 @@
     )
     polled_s: float = float('-inf')
     gain: float = 1.0
-    gained_s: float = float('-inf')
+    gained_s: float | None = None
 
     def is_known(self, now_s: float) -> bool:
         """Return whether there was an answer in the last time."""
@@ -188,7 +188,8 @@
         """Raise the gain if too little is sent, and lower it otherwise."""
         limit_count = max(self.limit_per_s, _MIN_RATE_PER_S) * WINDOW_S
         lack = _WANTED_PART * limit_count - sent_count
-        step_s = min(_MAX_GAIN_STEP_S, now_s - self.gained_s)
+        last_s = now_s if self.gained_s is None else self.gained_s
+        step_s = min(_MAX_GAIN_STEP_S, now_s - last_s)
         # The slack damps the noise of small counts.
         change = _GAIN_PER_S * step_s * lack / (limit_count + _WINDOW_SLACK)
         self.gain = min(_MAX_GAIN, max(1.0, self.gain * math.exp(change)))
--- a/tests/retries/test_target_limits.py
+++ b/tests/retries/test_target_limits.py
@@ -107,6 +107,18 @@
                 _open_part(self.limits, 1.0), limit_per_s / 10, places=2
             )
 
+    def test_an_open_target_that_is_not_chosen(self) -> None:
+        """Guards against an allowance that is lost as others are chosen."""
+        parts = [_open_part(self.limits, second) for second in range(1, 9)]
+        self.assertEqual(parts, sorted(parts))
+        self.assertGreater(parts[-1], 2 * parts[0])
+        for _ in range(10):
+            self.limits.sent('t', 9.0)
+        parts = [
+            _open_part(self.limits, 9.0 + step / 4) for step in range(1, 9)
+        ]
+        self.assertLess(parts[-1], 2 * parts[0])
+
     def test_the_end(self) -> None:
         """Guards against limits that never end, or end with all at once."""
         self.limits.record_answer(_TARGET, None, 1.0)
