--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -11,6 +11,7 @@
 from nutmegspoke.membership.received_updates import ReceivedUpdates
 from nutmegspoke.membership.relays import SUMMARY_INTERVAL_S, Relays
 from nutmegspoke.membership.summaries import new_summaries
+from nutmegspoke.retries.target_limits import TargetLimits
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -36,8 +37,9 @@
     number: int = 0
     is_paused: bool = False
     sent: int = 0
+    limits: TargetLimits = dataclasses.field(default_factory=TargetLimits)
 
-    def new_update(self) -> LoadUpdate:
+    def new_update(self, now_s: float) -> LoadUpdate:
         """Return an update with a request on each of some engines."""
         self.number += 1
         relays = self.received.relays
@@ -49,6 +51,7 @@
             used={'pool': (1, 0, 1)},
             group=relays.group,
             asks_summary=relays.is_relayed,
+            limits=self.limits.outgoing(now_s),
         )
 
 
@@ -164,6 +167,8 @@
         is_new = member.received.receive(update, self.now_s)
         if is_new and update.daemons > 1:
             member.received.relays.record_summary(update.host, self.now_s)
+        if is_new:
+            member.limits.receive(update.limits, self.now_s)
 
     def _run_timers(self, member: Member) -> None:
         received = member.received
@@ -171,12 +176,12 @@
             others = len(self.members) - 1
             member.next_update_s = self.now_s + update_interval_s(others)
             hosts = received.relays.update_receivers(self.now_s)
-            self._send(member, hosts, member.new_update())
+            self._send(member, hosts, member.new_update(self.now_s))
         if self.now_s < member.next_summary_s:
             return
         member.next_summary_s = self.now_s + SUMMARY_INTERVAL_S
         if received.is_relay(self.now_s):
-            own = member.new_update()
+            own = member.new_update(self.now_s)
             for hosts, update in new_summaries(own, received, self.now_s):
                 self._send(member, hosts, update)
 
--- a/tests/membership/test_relayed_updates.py
+++ b/tests/membership/test_relayed_updates.py
@@ -98,7 +98,7 @@
                 notices=(notice,),
             )
             self.received.receive(update, now_s)
-        own = self.fleet.members[self.relay].new_update()
+        own = self.fleet.members[self.relay].new_update(0.0)
         for _, summary in self._new_summaries(own):
             (crash,) = summary.notices
             self.assertEqual(len(crash.passengers), len(members))
@@ -118,7 +118,7 @@
             and host not in selected
         )
         relays.record_summary(other, self.fleet.now_s)
-        own = self.fleet.members[self.relay].new_update()
+        own = self.fleet.members[self.relay].new_update(0.0)
         receivers, _ = self._new_summaries(own)[0]
         self.assertIn(other, receivers)
 
