--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -38,6 +39,8 @@
 _LINK_SHARE = 0.5
 # Events in this time are sent together, as many engines may end at once.
 _EVENT_DELAY_S = 0.01
+# Requests to limited targets in this time are told together.
+_SENT_DELAY_S = 0.02
 
 
 class UpdateExchange(asyncio.DatagramProtocol):
@@ -91,6 +94,9 @@
         self._send_summaries()
         self._view.lost_engines.subscribe(self._send_loss)
         self._view.crashes.subscribe(self._send_crashes)
+        self._view.conditions.limits.on_sent = functools.partial(
+            self._send_soon, 'sent', _SENT_DELAY_S, self._send_sent
+        )
 
     async def stop(self) -> None:
         """Stop the timers and close the endpoint."""
@@ -123,7 +129,7 @@
         """Send an update at once if this daemon found that an engine ended."""
         now_s = self._clock.now_s()
         if target in self._view.lost_engines.recent_losses(now_s):
-            self._send_now()
+            self._send_soon('event', _EVENT_DELAY_S, self._send_event)
 
     def _send_crashes(self) -> None:
         """Send the crashes that this daemon found, at once if it uses no relays.
@@ -132,12 +138,14 @@
         they send with their next updates.
         """
         if not self._relays.is_relayed:
-            self._send_now()
+            self._send_soon('event', _EVENT_DELAY_S, self._send_event)
 
-    def _send_now(self) -> None:
-        """Send the events of this daemon to all others shortly."""
-        if 'event' not in self._timers:
-            self._schedule('event', _EVENT_DELAY_S, self._send_event)
+    def _send_soon(
+        self, name: str, delay_s: float, send: Callable[[], None]
+    ) -> None:
+        """Send something to all others shortly, with what comes until then."""
+        if name not in self._timers:
+            self._schedule(name, delay_s, send)
 
     def _send_event(self) -> None:
         self._timers.pop('event')
@@ -146,6 +154,16 @@
             event = msgspec.structs.replace(event, notices=())
         self._send(event, self._daemons.addresses)
 
+    def _send_sent(self) -> None:
+        """Tell all others what was sent to limited targets.
+
+        Summaries would tell it too late for limits of few requests a second.
+        """
+        self._timers.pop('sent')
+        sent = self._view.conditions.limits.take_untold()
+        event = EventUpdate(self._view.host.name, sent=sent)
+        self._send(event, self._daemons.addresses)
+
     def _send_load_update(self) -> None:
         pause_s = update_interval_s(self._daemons.count())
         self._schedule('load', pause_s, self._send_load_update)
@@ -155,7 +173,7 @@
         update = self._contents.new_update(now_s)
         if update.lost and self._relays.is_relayed:
             # Summaries contain no losses, as they would arrive too late.
-            self._send_now()
+            self._send_soon('event', _EVENT_DELAY_S, self._send_event)
         # Without host, started_ms and number, which don't count as changes.
         content = (receivers, *msgspec.structs.astuple(update)[3:])
         is_same = content == self._last_content
--- a/nutmegspoke/edge/update_receiver.py
+++ b/nutmegspoke/edge/update_receiver.py
@@ -11,6 +11,7 @@
     EventUpdate,
     LoadUpdate,
     Scope,
+    check_event,
     check_update,
 )
 from nutmegspoke.membership.table_news import TableUpdate
@@ -81,6 +82,7 @@
         if isinstance(update, TableUpdate):
             self._receive_table_update(update)
         elif isinstance(update, EventUpdate):
+            check_event(update)
             self._receive_event(update, now_s)
         else:
             check_update(update)
@@ -109,6 +111,7 @@
             self._view.faults.add_peer_fault(fault.target, fault.left_s, now_s)
         self._view.lost_engines.receive(event.lost, now_s)
         self._view.crashes.receive(event.notices, now_s)
+        self._view.conditions.limits.sent_elsewhere(event.sent, now_s)
 
     def _receive_load_update(self, update: LoadUpdate, now_s: float) -> None:
         if not self._view.load_updates.receive(update, now_s):
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -29,6 +29,8 @@
 _INTERVAL_PER_RECEIVER_S = 0.01
 # Largest believable number of daemons.
 _MAX_DAEMONS = 100_000
+# Largest believable number of requests between two events.
+_MAX_SENT = 10_000
 # Interval between updates to relays, which receive those of a whole group.
 _RELAYED_INTERVAL_S = 0.25
 # Age of the last update from which a daemon is ignored. Several updates in a
@@ -146,12 +148,23 @@
     :param faults: targets that the sender avoids because of faults.
     :param lost: engines that it has recently detected as ended.
     :param notices: crashes of targets, and requests quarantined for them.
+    :param sent: requests sent to limited targets since the last event.
     """
 
     host: str
     faults: tuple[TargetFault, ...] = ()
     lost: tuple[str, ...] = ()
     notices: tuple[Notice, ...] = ()
+    sent: dict[str, int] = {}
+
+
+def check_event(event: EventUpdate) -> None:
+    """Check that the numbers of an event can be true.
+
+    :raises ValueError: if they can't.
+    """
+    if not all(0 < count <= _MAX_SENT for count in event.sent.values()):
+        raise ValueError('impossible number of requests')
 
 
 def check_update(update: LoadUpdate) -> None:
--- a/nutmegspoke/retries/target_limits.py
+++ b/nutmegspoke/retries/target_limits.py
@@ -11,13 +11,14 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from nutmegspoke.entry_host import TargetEntry
 
@@ -145,6 +146,8 @@
     :ivar since_s: since when this host knows of a limit of the target.
     :ivar sent_s: times of requests of this host in the last window.
     :ivar polled_s: time of its last poll of the target's report.
+    :ivar sent_elsewhere_s: the same of other hosts, as they tell at once.
+    :ivar untold_count: requests of this host that others are not told of yet.
     :ivar gain: factor on the probability that a request opens the target.
     :ivar gained_s: time at which it was last changed; ``None`` for never.
     """
@@ -158,6 +161,10 @@
         default_factory=collections.deque
     )
     polled_s: float = float('-inf')
+    sent_elsewhere_s: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    untold_count: int = 0
     gain: float = 1.0
     gained_s: float | None = None
 
@@ -180,9 +187,19 @@
 
     def sent_count(self, now_s: float) -> int:
         """Return the requests that this host has sent in the last window."""
-        while self.sent_s and self.sent_s[0] <= now_s - WINDOW_S:
-            self.sent_s.popleft()
-        return len(self.sent_s)
+        return _count_recent(self.sent_s, now_s)
+
+    def total_count(
+        self, told_count: int, unheard_hosts: int, now_s: float
+    ) -> int:
+        """Return the requests that all hosts have sent in the last window.
+
+        :param told_count: those of others, as they tell from time to time. It
+            is late, but nothing is missing if updates are lost.
+        """
+        own_count = self.sent_count(now_s) * (1 + unheard_hosts)
+        elsewhere = _count_recent(self.sent_elsewhere_s, now_s)
+        return own_count + max(told_count, elsewhere)
 
     def adjust_gain(self, sent_count: int, now_s: float) -> None:
         """Raise the gain if too little is sent, and lower it otherwise."""
@@ -201,12 +218,23 @@
         return not self.has_ended and sent_count >= allowed
 
 
+def _count_recent(times_s: collections.deque[float], now_s: float) -> int:
+    """Return the number of times in the last window; drop the older ones."""
+    while times_s and times_s[0] <= now_s - WINDOW_S:
+        times_s.popleft()
+    return len(times_s)
+
+
 class TargetLimits:
-    """Limits of targets that this host or others know of."""
+    """Limits of targets that this host or others know of.
+
+    :ivar on_sent: called with each request that is sent to a limited target.
+    """
 
     def __init__(self) -> None:
         """Start without limits."""
         self._limits: dict[str, _Limit] = {}
+        self.on_sent: Callable[[], None] = _ignore
 
     @property
     def are_none(self) -> bool:
@@ -268,8 +296,27 @@
     def sent(self, target: str, now_s: float) -> None:
         """Count a request that is sent to a target."""
         limit = self._limits.get(target)
-        if limit is not None:
-            limit.sent_s.append(now_s)
+        if limit is None or limit.has_ended:
+            return
+        limit.sent_s.append(now_s)
+        limit.untold_count += 1
+        self.on_sent()
+
+    def take_untold(self) -> dict[str, int]:
+        """Return the requests that others must be told of, by target."""
+        untold: dict[str, int] = {}
+        for target, limit in self._limits.items():
+            if limit.untold_count:
+                untold[target] = limit.untold_count
+                limit.untold_count = 0
+        return untold
+
+    def sent_elsewhere(self, sent: Mapping[str, int], now_s: float) -> None:
+        """Count the requests that another daemon has just sent."""
+        for target, count in sent.items():
+            limit = self._limits.get(target)
+            if limit is not None:
+                limit.sent_elsewhere_s.extend(itertools.repeat(now_s, count))
 
     def find(self, target: str, now_s: float) -> float | None:
         """Return the limit of a target, in requests a second."""
@@ -292,7 +339,7 @@
         limit = self._limits.get(target)
         if limit is not None:
             limit.polled_s = now_s
-            limit.sent_s.append(now_s)
+            self.sent(target, now_s)
 
     def uses(self, now_s: float) -> dict[str, LimitUse]:
         """Return the limits in force by target."""
@@ -340,8 +387,9 @@
             self.limited(entries, now_s), key=lambda each: each.name
         ):
             limit = self._limits[entry.name]
-            sent_count = limit.sent_count(now_s) * (1 + demand.unheard_hosts)
-            sent_count += others_sent.get(entry.name, 0)
+            sent_count = limit.total_count(
+                others_sent.get(entry.name, 0), demand.unheard_hosts, now_s
+            )
             limit.adjust_gain(sent_count, now_s)
             if limit.is_used_up(sent_count):
                 closed.add(entry.name)
@@ -413,3 +461,7 @@
         known.has_ended = news.has_ended
         known.answered_s = answered_s
         return not is_same
+
+
+def _ignore() -> None:
+    """Do nothing; default of ``on_sent``."""
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -159,6 +159,13 @@
         'return False',
         _LIMIT_UNIT,
     ),
+    Mutation(
+        'limits: others are told of requests late',
+        _LIMITS,
+        'return own_count + max(told_count, elsewhere)',
+        'return own_count + told_count',
+        _LIMIT_UNIT,
+    ),
     Mutation(
         'limits: targets open independently of each other',
         _LIMITS,
