--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -106,6 +106,7 @@
             self._paced.stop()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: Any) -> None:
         """Store the transport.
--- a/nutmegspoke/edge/target_notices.py
+++ b/nutmegspoke/edge/target_notices.py
@@ -99,11 +99,20 @@
     A draft is sent to the first engine of its chain only.
     """
     limits = view.conditions.limits
-    entries = _limited_targets(view, context, now_s)
-    if not entries:
+    if limits.are_none:
         return frozenset()
-    return limits.closed(
-        entries,
+    limited = limits.limited(
+        open_targets(view, context.pool.name, now_s), now_s
+    )
+    usable = _usable_targets(view, context, limited, now_s)
+    # One that is left out gets no request as the last choice, either.
+    left_out = frozenset(
+        entry.name
+        for entry in limited
+        if view.faults.is_left_out(entry.name, now_s)
+    )
+    return left_out | limits.closed(
+        usable,
         Draw(_place(context), is_repeat=context.sends > 0),
         find_demand(view, context.pool.name, now_s),
         requests_to_limited(view.load_updates.others(now_s)),
@@ -116,26 +125,30 @@
 
     :returns: infinity without limited targets.
     """
-    return view.conditions.limits.wait_s(
-        _limited_targets(view, context, now_s),
+    limits = view.conditions.limits
+    limited = limits.limited(
+        open_targets(view, context.pool.name, now_s), now_s
+    )
+    return limits.wait_s(
+        _usable_targets(view, context, limited, now_s) or limited,
         find_demand(view, context.pool.name, now_s),
         now_s,
     )
 
 
-def _limited_targets(
-    view: View, context: RequestContext, now_s: float
+def _usable_targets(
+    view: View,
+    context: RequestContext,
+    limited: list[TargetEntry],
+    now_s: float,
 ) -> list[TargetEntry]:
     """Return the limited targets that a request could be sent to otherwise."""
-    pool, limits = context.pool, view.conditions.limits
-    if limits.are_none:
-        return []
     return [
         entry
-        for entry in limits.limited(open_targets(view, pool.name, now_s), now_s)
+        for entry in limited
         if entry.name not in context.avoided
         and not view.faults.is_left_out(entry.name, now_s)
-        and (pool.profile is None or _may_be_first(entry))
+        and (context.pool.profile is None or _may_be_first(entry))
     ]
 
 
--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -207,6 +207,15 @@
         self.assertTrue(all('Retry-After' in each.headers for each in refusals))
         self.assertLess(max(self.refused_s), _AT_ONCE_S)
 
+    async def test_all_refuse(self) -> None:
+        """Guards against use of a limited target as all are left out."""
+        targets = await self._add_services()
+        for target in targets:
+            target.faults.refusals = 10**6
+        since_s = await self._limit(targets, 1.0, _PATHS[0])
+        await self._send_all(_WINDOW_S, _PATHS[0])
+        self._check_limits(targets, 1.0, since_s)
+
     async def test_a_host_that_starts(self) -> None:
         """Guards against a host that does not know what the others know."""
         targets = await self._add_services()
