--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -6,9 +6,10 @@
 import collections
 import random
 
+from nutmegspoke.edge.target_notices import find_demand
 from nutmegspoke.standins.wire_target import WireTarget
 from tests.edge.test_daemon import DaemonCase
-from tests.edge.world import CallResult, Deployment
+from tests.edge.world import WAIT_S, CallResult, Deployment
 
 _HOST_COUNT = 3
 _REQUESTS_PER_S = 30
@@ -161,6 +162,13 @@
         self.assertGreaterEqual(len(hosts), _USED_PART * allowed)
         self.assertGreaterEqual(hosts.count('0'), _USED_PART * 0.8 * allowed)
 
+    def _check_demand(self) -> None:
+        """Check that each host knows the requests of all for the service."""
+        now_s = asyncio.get_running_loop().time()
+        for host in self.hosts:
+            demand = find_demand(host.daemon.view, 'records', now_s)
+            self.assertGreater(demand.requests_per_s, _REQUESTS_PER_S / 2)
+
 
 class TargetLimitTest(LimitCase):
     """Targets of a plain service and engines name a limit.
@@ -202,6 +210,7 @@
         self._check_limits(targets, 3.0, since_s)
         for group in (services, engines):
             self._check_use(group, 3.0, since_s)
+        self._check_demand()
         self.assertGreater(statuses[503], 0)
         refusals = [each for each in self.answers if each.status == 503]
         self.assertTrue(all('Retry-After' in each.headers for each in refusals))
@@ -256,8 +265,9 @@
         for host in self.hosts:
             await host.until(lambda host=host: self._knows_limit(host))
         target.limit.name('')
-        while (await self._call(0, '/calls/1')).status != 200:
-            self._number += 1
+        async with asyncio.timeout(WAIT_S):
+            while (await self._call(0, _PATHS[0])).status != 200:
+                self._number += 1
         for host in self.hosts:
             self.assertTrue(
                 await host.is_within(
