--- a/tests/edge/test_target_limits.py
+++ b/tests/edge/test_target_limits.py
@@ -8,10 +8,9 @@
 
 from nutmegspoke.edge.target_notices import find_demand
 from nutmegspoke.standins.wire_target import WireTarget
-from tests.edge.test_daemon import DaemonCase
+from tests.edge.host_group import HostGroupCase
 from tests.edge.world import WAIT_S, CallResult, Deployment
 
-_HOST_COUNT = 3
 _REQUESTS_PER_S = 30
 _PATHS = ('/calls/1', '/drafts/1')
 # Tokens of a draft of which one engine has memory for many.
@@ -33,54 +32,19 @@
     return _FACTOR * limit_per_s * _WINDOW_S + _SLACK
 
 
-class LimitCase(DaemonCase):
+class LimitCase(HostGroupCase):
     """Base class with several daemons that use the same targets."""
 
+    host_count = 3
+
     async def asyncSetUp(self) -> None:
-        """Start the daemons."""
+        """Start the daemons, and count from 0."""
         await super().asyncSetUp()
-        self.hosts = [self.deployment]
-        for number in range(2, _HOST_COUNT + 1):
-            await self._add_host(f'host-{number}')
         self._number = 0
         self.answers: list[CallResult] = []
         self.refused_s: list[float] = []
         self._source = random.Random(1)
 
-    async def _add_host(self, name: str) -> Deployment:
-        host = Deployment(shared=self.deployment, name=name)
-        await host.start()
-        self.addAsyncCleanup(host.stop)
-        self.hosts.append(host)
-        return host
-
-    async def _add_services(self) -> list[WireTarget]:
-        targets = [
-            await self.deployment.add_service(name)
-            for name in ('r1', 'r2', 'r3')
-        ]
-        await self._know_targets()
-        return targets
-
-    async def _add_engines(self) -> list[WireTarget]:
-        """Start three engines of the first layers and one of the others."""
-        await self.deployment.add_engine('last', (40, 80))
-        targets = [
-            await self.deployment.add_engine(name, (0, 40))
-            for name in ('x1', 'x2', 'x3')
-        ]
-        await self._know_targets()
-        return targets
-
-    async def _know_targets(self) -> None:
-        for host in self.hosts:
-            await host.until(
-                lambda host=host: all(
-                    host.daemon.view.targets.find(name)
-                    for name in self.deployment.targets
-                )
-            )
-
     async def _send_all(
         self, for_s: float, *paths: str, first_part: float | None = None
     ) -> collections.Counter[int]:
--- a/tests/edge/test_target_pauses.py
+++ b/tests/edge/test_target_pauses.py
@@ -7,8 +7,8 @@
 
 from nutmegspoke.border.clock import SystemClock
 from nutmegspoke.standins.wire_target import WireTarget
-from tests.edge.test_daemon import DaemonCase
-from tests.edge.world import CallResult, Deployment
+from tests.edge.host_group import HostGroupCase
+from tests.edge.world import CallResult
 
 _REQUESTS_PER_S = 25
 # Tokens of a draft of which one engine has memory for many.
@@ -24,45 +24,14 @@
 _AT_ONCE_S = 1.0
 
 
-class PauseCase(DaemonCase):
+class PauseCase(HostGroupCase):
     """Base class with two daemons that use the same targets."""
 
     async def asyncSetUp(self) -> None:
         """Start the daemons."""
         await super().asyncSetUp()
-        other = Deployment(shared=self.deployment)
-        await other.start()
-        self.addAsyncCleanup(other.stop)
-        self.hosts = [self.deployment, other]
         self._number = 0
 
-    async def _add_services(self) -> list[WireTarget]:
-        targets = [
-            await self.deployment.add_service(name)
-            for name in ('r1', 'r2', 'r3')
-        ]
-        await self._know_targets()
-        return targets
-
-    async def _add_engines(self) -> list[WireTarget]:
-        """Start three engines of the first layers and one of the others."""
-        await self.deployment.add_engine('last', (40, 80))
-        targets = [
-            await self.deployment.add_engine(name, (0, 40))
-            for name in ('x1', 'x2', 'x3')
-        ]
-        await self._know_targets()
-        return targets
-
-    async def _know_targets(self) -> None:
-        for host in self.hosts:
-            await host.until(
-                lambda host=host: all(
-                    host.daemon.view.targets.find(name)
-                    for name in self.deployment.targets
-                )
-            )
-
     async def _send(self, path: str, for_s: float) -> collections.Counter[int]:
         """Send requests at a steady rate, to each host in turn.
 
