Review: engines that have left stay in use after a failure of the store

After a failure of the store, hosts that hear of a reader's recovery keep the store as failing and drop no entry that may have lapsed; when a reader was cut off and engines leave just after it, these hosts send to them until they exit (rule DRAIN).

--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -288,6 +288,12 @@
         self.stop()
         self.record.say(f'engine {self.name} exits; {self.active} requests ran')
 
+    def retire(self):
+        """Leave without a report: only the entry goes, requests are served."""
+        self._beats.cancel()
+        self.store.put('servers', self.name, None)
+        self.record.say(f'engine {self.name} leaves, its entry is removed')
+
     def own_headers(self, headers):
         own = {
             'Attempt-Id': headers.get('attempt-id', ''),
