Go on with streams only behind a known position

Cause: ids of more digits did not count as numbers. Events without a number were relayed and left the position of the stream where it was, so the next run was asked for from the beginning and relayed whole. The same held for missing and empty ids, texts, signs, and ids that do not rise.

Ruled out: engines that ignore the header, as it was not sent.

Fix: ids are compared as numbers of any length. A stream whose position can't be told is cut instead of being sent again, and a further run is joined behind the position only. What one run writes is relayed as it is: events whose ids did not rise were dropped from answers that ended as complete.

--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -184,6 +184,8 @@
         if not context.has_usable_target():
             # It would wait for memory in front of other drafts.
             return
+        if not search.stream.position.is_known:
+            return
         refusal = await self._runs.find_refusal(
             context, has_answer=search.stream.has_head
         )
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -48,6 +48,7 @@
     :param has_ended: whether connection and memory were given back.
     :param is_broken_off: whether its first engine ended the connection without
         a complete answer.
+    :param has_joined: whether the caller has received an event of this run.
     """
 
     chain: Chain
@@ -58,6 +59,7 @@
     splitter: EventSplitter = dataclasses.field(default_factory=EventSplitter)
     has_ended: bool = False
     is_broken_off: bool = False
+    has_joined: bool = False
 
 
 class DraftRuns:
@@ -250,10 +252,6 @@
     ) -> OutboundRequest:
         now_s = self._clock.now_s()
         left_s = context.left_s(now_s)
-        # An id that is not a number is forwarded until an event was sent.
-        resume_after = context.facts.resume_after
-        if stream.last_event_id >= 0:
-            resume_after = str(stream.last_event_id)
         dispatch = Dispatch(
             target=chain[0].target,
             team=context.team,
@@ -262,7 +260,7 @@
                 (stage.address, stage.layers.start, stage.layers.stop)
                 for stage in chain
             ),
-            resume_after=resume_after,
+            resume_after=stream.position.last_id,
         )
         return OutboundRequest(
             address=chain[0].address,
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -23,7 +23,7 @@
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S, EngineSilent
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind
-from nutmegspoke.pipelines.event_stream import parse_event_number
+from nutmegspoke.pipelines.stream_position import StreamPosition
 from nutmegspoke.routing.engine_loads import DraftNeed
 
 if TYPE_CHECKING:
@@ -74,13 +74,7 @@
         profile: ModelProfile,
     ) -> None:
         """Answer a draft."""
-        stream = DraftStream()
-        # A resume id that is not a number is not counted but forwarded.
-        resume_number = parse_event_number(
-            context.facts.resume_after.encode('latin-1')
-        )
-        if resume_number is not None:
-            stream.last_event_id = resume_number
+        stream = DraftStream(StreamPosition(context.facts.resume_after))
         try:
             reason = await self._run_until_answered(context, stream, profile)
         finally:
@@ -116,14 +110,16 @@
             if failure is None:
                 return None
             reason = failure
-            if not await self._may_run_again(context, reason):
+            if not await self._may_run_again(context, stream, reason):
                 return reason
 
     async def _may_run_again(
-        self, context: RequestContext, reason: str
+        self, context: RequestContext, stream: DraftStream, reason: str
     ) -> bool:
         if context.is_out_of_time(self._clock.now_s()):
             return False
+        if not stream.position.is_known:
+            return False
         await self._recheck_targets(context)
         return self._retries.allows(context, reason)
 
@@ -313,6 +309,8 @@
     ) -> dict[str, object]:
         """Return the log fields of a stream that is cut."""
         fields = _timing_fields(context, stream)
+        fields['last_event_id'] = stream.position.last_id
+        fields['is_position_known'] = stream.position.is_known
         if stream.first_event_s is not None:
             silent_s = self._clock.now_s() - stream.last_event_s
             fields['silent_s'] = round(silent_s, 3)
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -12,6 +12,7 @@
     AnswerStalled,
 )
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S, EngineSilent
+from nutmegspoke.pipelines.stream_position import Placement, StreamPosition
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -29,7 +30,7 @@
 class DraftStream:
     """The part of a draft's answer that was sent to its caller.
 
-    :param last_event_id: id of the last event sent; -1 for none.
+    :param position: position up to which it was sent.
     :param events: number of events sent.
     :param has_head: whether status and headers were sent.
     :param first_event_s: time of the first event; ``None`` before it.
@@ -37,7 +38,7 @@
     :param longest_pause_s: longest time between two writes of events.
     """
 
-    last_event_id: int = -1
+    position: StreamPosition = dataclasses.field(default_factory=StreamPosition)
     events: int = 0
     has_head: bool = False
     first_event_s: float | None = None
@@ -119,7 +120,10 @@
             if not isinstance(event, AnswerPart):
                 end = _relay_end(event, stream, run.splitter)
                 return await self._finish(context, stream, opened, end)
-            await self._relay_events(context, stream, run, opened, event)
+            if not await self._relay_events(
+                context, stream, run, opened, event
+            ):
+                return RelayEnd('event of unknown position')
             if run.splitter.is_too_long:
                 return RelayEnd('event without end')
 
@@ -170,22 +174,31 @@
         run: DraftRun,
         opened: OpenedAnswer,
         part: AnswerPart,
-    ) -> None:
+    ) -> bool:
+        """Relay the events in a part of an answer.
+
+        :returns: ``False`` if it is unknown where one belongs in the stream.
+        """
         received = run.splitter.feed(part.body)
         if received:
             self._runs.record_events(run)
-        events = [
-            event
-            for event in received
-            if event.number is None or event.number > stream.last_event_id
-        ]
-        if not events:
-            return
-        await self._send_head(context, stream, opened)
-        await context.answer.send(b''.join(event.raw for event in events))
-        stream.record_events(len(events), self._clock.now_s())
-        if events[-1].number is not None:
-            stream.last_event_id = events[-1].number
+        events = []
+        is_placed = True
+        for event in received:
+            placement = stream.position.place(event, has_joined=run.has_joined)
+            if placement == Placement.UNKNOWN:
+                is_placed = False
+                break
+            if placement == Placement.NEXT:
+                run.has_joined |= event.has_data
+                events.append(event)
+        if events:
+            await self._send_head(context, stream, opened)
+            await context.answer.send(b''.join(event.raw for event in events))
+        count = sum(event.has_data for event in events)
+        if count:
+            stream.record_events(count, self._clock.now_s())
+        return is_placed
 
     async def _send_head(
         self,
--- a/nutmegspoke/pipelines/event_stream.py
+++ b/nutmegspoke/pipelines/event_stream.py
@@ -5,23 +5,36 @@
 import dataclasses
 
 _EVENT_SEPARATOR = b'\n\n'
-_ID_FIELD = b'id:'
+_BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 # An event holds a few tokens; longer data is not an event.
 MAX_EVENT_BYTES = 262_144
-# An id with more digits does not count as a number.
-_MAX_ID_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One event.
+    """One event, or bytes between two events that have no meaning.
 
-    :param number: its id; ``None`` if it has no numeric id.
     :param raw: its bytes, including the empty line at the end.
+    :param event_id: its id as the engine wrote it; ``None`` without one.
+    :param has_data: whether it has data; others are comments, for instance.
     """
 
-    number: int | None
     raw: bytes
+    event_id: bytes | None
+    has_data: bool
+
+    @classmethod
+    def from_bytes(cls, raw: bytes) -> StreamEvent:
+        """Read the fields of an event."""
+        event_id = None
+        has_data = False
+        for line in raw.removeprefix(_BYTE_ORDER_MARK).splitlines():
+            name, _, text = line.partition(b':')
+            if name == b'data':
+                has_data = True
+            elif name == b'id':
+                event_id = text.strip()
+        return cls(raw, event_id, has_data)
 
 
 class EventSplitter:
@@ -36,8 +49,7 @@
         *complete, rest = (self._buffer + received).split(_EVENT_SEPARATOR)
         self._buffer = rest
         return [
-            StreamEvent(_event_number(raw), raw + _EVENT_SEPARATOR)
-            for raw in complete
+            StreamEvent.from_bytes(raw + _EVENT_SEPARATOR) for raw in complete
         ]
 
     @property
@@ -49,16 +61,3 @@
     def is_too_long(self) -> bool:
         """Return whether the buffered data is longer than any event."""
         return len(self._buffer) > MAX_EVENT_BYTES
-
-
-def _event_number(raw: bytes) -> int | None:
-    for line in raw.split(b'\n'):
-        if line.startswith(_ID_FIELD):
-            return parse_event_number(line[len(_ID_FIELD) :].strip())
-    return None
-
-
-def parse_event_number(text: bytes) -> int | None:
-    """Return the id of an event as a number; ``None`` if it is none."""
-    is_number = text.isdigit() and len(text) <= _MAX_ID_DIGITS
-    return int(text) if is_number else None
