Pass on streams whose lines end with CR LF or CR

Fix: events end at an empty line with any of the three line ends, also where CR and LF arrive apart; the bytes are passed on unchanged. Further empty lines after the last event no longer count as the beginning of an event that was broken off.

--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -119,7 +119,7 @@
                 return event
             if not isinstance(event, AnswerPart):
                 end = _relay_end(event, stream, run.splitter)
-                return await self._finish(context, stream, opened, end)
+                return await self._finish(context, stream, run, opened, end)
             if not await self._relay_events(
                 context, stream, run, opened, event
             ):
@@ -131,12 +131,16 @@
         self,
         context: RequestContext,
         stream: DraftStream,
+        run: DraftRun,
         opened: OpenedAnswer,
         end: RelayEnd | EngineSilent | None,
     ) -> RelayEnd | EngineSilent | None:
-        """Send the head if a complete answer had no events."""
+        """Send what is left of a complete answer: its head without events."""
         if end is None:
             await self._send_head(context, stream, opened)
+            line_ends = run.splitter.take_line_ends()
+            if line_ends:
+                await context.answer.send(line_ends)
         return end
 
     async def next_event(
--- a/nutmegspoke/pipelines/event_stream.py
+++ b/nutmegspoke/pipelines/event_stream.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
-_EVENT_SEPARATOR = b'\n\n'
+# Two line ends in a row; a CR and the LF after it are one.
+_EVENT_END = re.compile(rb'(?>\r\n|\r|\n)(?>\r\n|\r|\n)')
+_LINE_ENDS = b'\r\n'
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 # An event holds a few tokens; longer data is not an event.
 MAX_EVENT_BYTES = 262_144
@@ -43,19 +46,38 @@
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
         self._buffer = b''
+        self._ends_with_cr = False
 
     def feed(self, received: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are complete now."""
-        *complete, rest = (self._buffer + received).split(_EVENT_SEPARATOR)
-        self._buffer = rest
-        return [
-            StreamEvent.from_bytes(raw + _EVENT_SEPARATOR) for raw in complete
-        ]
+        events = []
+        if self._ends_with_cr and received.startswith(b'\n'):
+            # The second half of the line end that completed the last event.
+            events.append(StreamEvent(b'\n', None, has_data=False))
+            received = received[1:]
+        self._buffer += received
+        start = 0
+        for end in _EVENT_END.finditer(self._buffer):
+            events.append(
+                StreamEvent.from_bytes(self._buffer[start : end.end()])
+            )
+            start = end.end()
+        if received:
+            is_at_end = start == len(self._buffer)
+            self._ends_with_cr = is_at_end and received.endswith(b'\r')
+        self._buffer = self._buffer[start:]
+        return events
+
+    def take_line_ends(self) -> bytes:
+        """Return the empty lines after the last event, at the end."""
+        line_ends = self._buffer
+        self._buffer = b''
+        return line_ends
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds the beginning of an event."""
-        return bool(self._buffer)
+        return bool(self._buffer.strip(_LINE_ENDS))
 
     @property
     def is_too_long(self) -> bool:
--- a/tests/edge/test_stream_ids.py
+++ b/tests/edge/test_stream_ids.py
@@ -1,4 +1,4 @@
-"""Tests of streams whose engines end, by the ids of their events."""
+"""Tests of streams whose engines end, by the ids and lines of their events."""
 
 from __future__ import annotations
 
@@ -36,6 +36,7 @@
     'empty': ('',) * _COUNT,
     'none': (None,) * _COUNT,
 }
+_LINE_ENDS = ('\n', '\r\n', '\r')
 
 
 class StreamIdsTest(DaemonCase):
@@ -59,6 +60,14 @@
                 with self.subTest(ids=name, break_after=break_after):
                     await self._assert_resumed(EventFormat(ids), break_after)
 
+    async def test_streams_of_any_line_end_go_on(self) -> None:
+        """Guards against failures of streams whose lines end with CR LF."""
+        for line_end in _LINE_ENDS:
+            events = EventFormat(_numbers(1), line_end)
+            with self.subTest(line_end=line_end):
+                await self._assert_resumed(events, None)
+                await self._assert_resumed(events, 3)
+
     async def test_streams_of_unknown_position_are_cut(self) -> None:
         """Guards against a second run that is joined from its beginning."""
         for name, ids in _CUT.items():
