Let readers end a failure of the store, and tell the age of what they know

Causes: a host that is kept current by readers makes no calls, so that a failure of its own was never ended, and while it lasts no lapsed entry is dropped. The failure of one reader counted as one of the store, so that removed entries were taken for lapsed. And the time for which these are kept began when the removal was heard of, up to 0.8 s late.

Ruled out: lost updates, as the same hosts apply later changes.

Fix: updates tell when the store has confirmed their version to the reader. A later answer to any reader ends a failure; a failure of one reader is no outage if another was answered around it; a removed entry lapses from the last confirmation before.

--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -301,7 +301,7 @@
         self.metrics.observe_tables(self.view.version)
         for follower in self._followers:
             self.metrics.observe_feed_age(
-                follower.table, now_s - follower.last_current_s
+                follower.table, now_s - follower.results.confirmed_s
             )
 
     def _log_relays(self, now_s: float) -> None:
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -85,7 +85,7 @@
         self._target_limits.set({}, count)
 
     def observe_feed_age(self, table: str, age_s: float) -> None:
-        """Record the time since a table was last known to be current."""
+        """Record the time since the store has confirmed a table."""
         self._feed_ages.set({'table': table}, age_s)
 
     def count_event(self, kind: str) -> None:
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -79,8 +79,14 @@
     def failed(self, reason: str, now_s: float) -> None:
         """Record that a call to the store failed."""
 
-    def answered(self, now_s: float) -> None:
-        """Record that a call to the store succeeded."""
+    def answered(self, answered_s: float, now_s: float) -> None:
+        """Record that a call to the store succeeded, here or elsewhere.
+
+        :param answered_s: when it did.
+        """
+
+    def confirmed(self, confirmed_s: float) -> None:
+        """Record that the rows are those that the store had at a time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,8 +132,7 @@
     :param clock: clock of the process.
     :param health: state of the store, shared by all followers of this daemon.
     :param sharing: how daemons share the reads of the table.
-    :ivar last_current_s: time at which the table was last known to be current;
-        minus infinity before the first answer.
+    :ivar results: what calls and readers have shown of the store.
     :ivar era: era of the store in which the versions hold; 0 before the first
         answer.
     """
@@ -148,11 +153,11 @@
         self._count_daemons = count_daemons
         self.sharing = sharing
         self._recent_changes = RecentChanges()
-        self.last_current_s = float('-inf')
+        self._heard_s = float('-inf')
         self.table = table
         self._listener = listener
         self._log = log
-        self._results = CallResults(table, listener, log, health)
+        self.results = CallResults(table, listener, log, health)
         self._clock = clock
         # Version up to which the table is known, by calls or by updates.
         self._version: int | None = None
@@ -212,8 +217,10 @@
         if self._version is None or self._health.is_failing:
             return None
         now_s = self._clock.now_s()
-        age_s = self._results.reported_age_s(now_s)
-        return self._recent_changes.build_update(host, self.table, age_s, now_s)
+        age_s = self.results.reported_age_s(now_s)
+        return self._recent_changes.build_update(
+            host, self.table, age_s, self.results.confirmed_s, now_s
+        )
 
     def receive_update(self, update: TableUpdate) -> None:
         """Apply an update from a reader.
@@ -231,16 +238,17 @@
         elif update.newest_change_version > self._newest_change:
             self._is_behind = True
             return
-        self.last_current_s = now_s
-        if update.failure_age_s >= 0:
-            self._listener.failed_elsewhere(now_s - update.failure_age_s)
+        self._heard_s = now_s
+        answered_s = self.results.hear(update, now_s)
         changes = find_new_changes(update, self._version)
-        if changes is None:
-            return
-        try:
-            self._apply(self._version, changes, now_s)
-        except Exception as error:  # noqa: BLE001 -- the table is read anew
-            self._discard_table(error)
+        if changes is not None:
+            try:
+                self._apply(self._version, changes, now_s)
+            except Exception as error:  # noqa: BLE001 -- the table is read anew
+                self._discard_table(error)
+                return
+        if update.version >= self._version:
+            self.results.confirm(answered_s)
 
     async def restart(self) -> None:
         """Cancel the pending call and read the whole table again."""
@@ -265,7 +273,7 @@
         if wait_s > 0:
             # The store fails for another follower of this daemon. That
             # counts as a failure here, too, although no call is made.
-            self._results.failed_elsewhere('another call failed', now_s)
+            self.results.failed_elsewhere('another call failed', now_s)
             await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
             return
         if 0 < self.era < self._health.era:
@@ -296,7 +304,7 @@
         """Return whether updates from readers keep this daemon current."""
         if self._version is None or self._is_behind or self.is_reader():
             return False
-        return self._clock.now_s() - self.last_current_s < _UPDATE_TIMEOUT_S
+        return self._clock.now_s() - self._heard_s < _UPDATE_TIMEOUT_S
 
     def _pause_s(self) -> float:
         """Return the pause in seconds that batches changes into one call."""
@@ -323,10 +331,11 @@
         now_s = self._clock.now_s()
         if isinstance(result, Unavailable):
             took_s = now_s - self._polls.called_s
-            self._results.failed(result, took_s, now_s)
+            self.results.failed(result, took_s, now_s)
             return False
         is_new_era = self._enter_era(result, now_s)
-        self._results.answered(now_s)
+        confirmed_s = self._polls.answered_s(result, now_s)
+        self.results.answered(confirmed_s, now_s)
         if is_new_era and since is not None:
             return False
         if isinstance(result, TableChanges):
@@ -348,7 +357,8 @@
             self._listener.listed(result, now_s)
         elif self._version is not None:
             self._apply(self._version, result, now_s)
-        self.last_current_s = now_s
+        self._heard_s = now_s
+        self.results.confirm(confirmed_s)
         self._is_behind = False
         return True
 
@@ -377,7 +387,7 @@
         self._last_version = 0
         self._newest_change = 0
         # Entries that the copy lacks are written again, as after an outage.
-        self._results.failed_elsewhere('store went back', now_s)
+        self.results.failed_elsewhere('store went back', now_s)
         return True
 
     def _apply(self, since: int, result: TableChanges, now_s: float) -> None:
--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -69,9 +69,12 @@
     def failed(self, reason: str, now_s: float) -> None:
         """Ignore this: the known tables stay in force."""
 
-    def answered(self, now_s: float) -> None:
+    def answered(self, answered_s: float, now_s: float) -> None:
         """Ignore this: there is no failure state to reset."""
 
+    def confirmed(self, confirmed_s: float) -> None:
+        """Ignore this: tables stay in force until there are others."""
+
     def _apply_row(self, row: StoredRow, era: int, now_s: float) -> None:
         try:
             tables = self._decode(row.body)
@@ -153,10 +156,14 @@
         self._is_lost = True
         self._view.targets.store_failed(now_s)
 
-    def answered(self, now_s: float) -> None:
+    def answered(self, answered_s: float, now_s: float) -> None:
         """Record the recovery; entries still missing expire later."""
         self._is_lost = False
-        self._view.targets.store_answered(now_s)
+        self._view.targets.store_answered(answered_s, now_s)
+
+    def confirmed(self, confirmed_s: float) -> None:
+        """Record that the targets are those of the store."""
+        self._view.targets.confirmed(confirmed_s)
 
     def _remove_target(self, name: str, now_s: float) -> bool:
         """Remove a target; ``False`` if it was not known."""
@@ -320,5 +327,8 @@
     def failed(self, reason: str, now_s: float) -> None:
         """Ignore this: the known addresses stay in use."""
 
-    def answered(self, now_s: float) -> None:
+    def answered(self, answered_s: float, now_s: float) -> None:
         """Ignore this: there is no failure state to reset."""
+
+    def confirmed(self, confirmed_s: float) -> None:
+        """Ignore this: the known addresses stay in use."""
--- a/nutmegspoke/edge/table_polls.py
+++ b/nutmegspoke/edge/table_polls.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from nutmegspoke.metadata_store import TableChanges
+
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.metadata_store import (
         ChangeFeed,
         HistoryLost,
-        TableChanges,
         Unavailable,
     )
 
@@ -31,6 +32,7 @@
         self._clock = clock
         self._call: asyncio.Future[object] | None = None
         self.called_s = clock.now_s()
+        self._wait_s = 0.0
 
     async def read(
         self, since: int | None, wait_s: float
@@ -42,6 +44,7 @@
         :returns: ``None`` if the call must be repeated.
         """
         self.called_s = self._clock.now_s()
+        self._wait_s = 0.0 if since is None else wait_s
         if since is None:
             return await self._feed.snapshot(self._table)
         call = asyncio.create_task(
@@ -54,6 +57,22 @@
             call.cancel()
         return None if call.cancelled() else call.result()
 
+    def answered_s(
+        self, result: TableChanges | HistoryLost, now_s: float
+    ) -> float:
+        """Return the earliest time at which the store can have answered.
+
+        An answer may have been on its way for long. One without changes was
+        given after the wait.
+
+        :param result: the answer to the last call.
+        """
+        if isinstance(result, TableChanges) and not (
+            result.rows or result.removed
+        ):
+            return min(now_s, self.called_s + self._wait_s)
+        return self.called_s
+
     def repeat(self, lost_s: float) -> None:
         """End the call in progress if it was made before a time.
 
--- a/nutmegspoke/membership/table_news.py
+++ b/nutmegspoke/membership/table_news.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import math
 
 import msgspec
 
@@ -42,6 +43,8 @@
     :param failure_age_s: time since a call of the store by the reader last
         failed; negative if none has failed recently.
     :param era: era of the store in which the versions hold.
+    :param confirmed_age_s: time since the store has confirmed ``version`` to the
+        reader; infinite if it is not told.
     """
 
     host: str
@@ -52,6 +55,7 @@
     changes: tuple[tuple[str, int, bytes | None], ...]
     failure_age_s: float = -1.0
     era: int = 0
+    confirmed_age_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +125,7 @@
         host: str,
         table: str,
         failure_age_s: float,
+        confirmed_s: float,
         now_s: float,
     ) -> TableUpdate | None:
         """Return the update; ``None`` before the table was read completely.
@@ -133,6 +138,7 @@
         :param table: name of the table.
         :param failure_age_s: time since a call of the store last failed;
             negative if none has failed recently.
+        :param confirmed_s: when the store has last confirmed the table.
         """
         if self._version is None:
             return None
@@ -154,6 +160,7 @@
             changes=changes,
             failure_age_s=failure_age_s,
             era=self._era,
+            confirmed_age_s=now_s - confirmed_s,
         )
 
 
--- a/nutmegspoke/membership/target_entries.py
+++ b/nutmegspoke/membership/target_entries.py
@@ -40,6 +40,7 @@
         self._last_outage_s = float('-inf')
         self._store_recovered_s = float('-inf')
         self._is_store_failing = False
+        self._confirmed_s = float('-inf')
 
     def set_drain_time(self, drain_s: float) -> None:
         """Change the time within which a leaving target must be out of use."""
@@ -50,13 +51,20 @@
         self._is_store_failing = True
         self._last_outage_s = now_s
 
-    def store_answered(self, now_s: float) -> None:
-        """Record that a call of the store was answered."""
+    def store_answered(self, answered_s: float, now_s: float) -> None:
+        """Record that a call of the store was answered, here or elsewhere.
+
+        :param answered_s: when it was answered.
+        """
         if self._is_store_failing:
             self._is_store_failing = False
-            self._store_recovered_s = now_s
+            self._store_recovered_s = answered_s
             self._last_outage_s = now_s
 
+    def confirmed(self, confirmed_s: float) -> None:
+        """Record that the entries are those that the store had at a time."""
+        self._confirmed_s = confirmed_s
+
     def record_failure_elsewhere(self, failed_s: float) -> None:
         """Record that a call of the store by another daemon failed.
 
@@ -100,7 +108,8 @@
             return True
         may_have_lapsed = now_s - self._last_outage_s < _LAPSE_WINDOW_S
         if entry.state == TargetState.LIVE and may_have_lapsed:
-            self._lapsed.setdefault(name, now_s)
+            # It left after the entries were last confirmed.
+            self._lapsed.setdefault(name, min(now_s, self._confirmed_s))
             return False
         self._drop(name)
         return True
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -54,6 +54,7 @@
         self.known: set[str] = set()
         self.failures = 0
         self.failures_elsewhere: list[float] = []
+        self.answers: list[float] = []
         # Number of calls that raise an error before changes are applied.
         self.errors_left = 0
 
@@ -70,7 +71,10 @@
     def failed(self, reason: str, now_s: float) -> None:
         self.failures += 1
 
-    def answered(self, now_s: float) -> None:
+    def answered(self, answered_s: float, now_s: float) -> None:
+        self.answers.append(answered_s)
+
+    def confirmed(self, confirmed_s: float) -> None:
         pass
 
     def failed_elsewhere(self, failed_s: float) -> None:
@@ -86,9 +90,11 @@
     known = {
         'newest_change_version': version,
         'changes': (),
+        'confirmed_age_s': 0.0,
+        'host': 'h',
         **changes,
     }
-    return TableUpdate('h', 't', since, version, **known)
+    return TableUpdate(table='t', since=since, version=version, **known)
 
 
 class UpdatedFollowerCase(unittest.IsolatedAsyncioTestCase):
@@ -183,6 +189,35 @@
         self.follower.receive_update(_new_update(9, 10, failure_age_s=1.0))
         self.assertEqual(len(self.listener.failures_elsewhere), 1)
 
+    async def test_a_failure_of_a_reader_that_was_cut_off(self) -> None:
+        """Guards against targets that left and are kept as lapsed entries.
+
+        The other readers were answered all the while.
+        """
+        for _ in range(8):
+            self.follower.receive_update(_new_update(9, 10, host='sound'))
+            await asyncio.sleep(0.2)
+        cut = _new_update(9, 10, host='cut', failure_age_s=0.1)
+        self.follower.receive_update(cut)
+        self.assertEqual(self.listener.failures_elsewhere, [])
+
+    async def test_a_reader_ends_a_failure(self) -> None:
+        """Guards against a store that counts as failing for good.
+
+        A daemon that is kept current makes no call that could show that the
+        store answers again, so that no lapsed entry was ever dropped.
+        """
+        self.feed.fails = True
+        self.listener.answers.clear()
+        await self._until(lambda: self.listener.failures)
+        self.follower.receive_update(_new_update(9, 10, confirmed_age_s=9.0))
+        self.assertEqual(self.listener.answers, [])
+        self.follower.receive_update(_new_update(9, 10))
+        self.assertEqual(len(self.listener.answers), 1)
+        self.assertEqual(self.events, ['store_lost', 'store_regained'])
+        self.follower.receive_update(_new_update(9, 10))
+        self.assertEqual(len(self.listener.answers), 1)
+
     async def test_a_reader_sends_nothing_while_the_store_fails(self) -> None:
         """Guards against updates from a reader whose store fails."""
         self.is_reader = True
--- a/tests/membership/test_table_news.py
+++ b/tests/membership/test_table_news.py
@@ -51,7 +51,7 @@
         self.recent.add_answer(since, changes, _row_names(changes), now_s)
 
     def _current_update(self, now_s: float = 2.5) -> TableUpdate:
-        update = self.recent.build_update('h', 't', -1.0, now_s)
+        update = self.recent.build_update('h', 't', -1.0, now_s, now_s)
         assert update is not None
         return update
 
@@ -94,7 +94,9 @@
         update = self._current_update(60.0)
         self.assertEqual((update.since, update.version), (20, 20))
         self.assertIsNone(find_new_changes(update, 20))
-        self.assertIsNone(RecentChanges().build_update('h', 't', -1.0, 0.0))
+        self.assertIsNone(
+            RecentChanges().build_update('h', 't', -1.0, 0.0, 0.0)
+        )
 
     def test_changes_that_exceed_a_datagram(self) -> None:
         """Guards against oversized datagrams when a whole zone is lost.
@@ -137,7 +139,7 @@
                 store[name] = version
                 changes = _changes(version, {name: version})
             recent.add_answer(since, changes, _row_names(changes), step * 0.4)
-            update = recent.build_update('h', 't', -1.0, step * 0.4)
+            update = recent.build_update('h', 't', -1.0, step * 0.4, step * 0.4)
             if source.random() < 0.6 or update is None:
                 continue
             found = find_new_changes(update, receiver_version)
--- a/tests/membership/test_target_entries.py
+++ b/tests/membership/test_target_entries.py
@@ -38,7 +38,7 @@
         The leases of their entries expire during the outage.
         """
         self.entries.store_failed(10.0)
-        self.entries.store_answered(14.0)
+        self.entries.store_answered(14.0, 14.0)
         self.assertFalse(self.entries.remove('x', 14.1))
         self.assertEqual(self.entries.drop_lapsed(15.0), ())
         self.entries.put(build.target('x'), 1)
@@ -48,24 +48,36 @@
     def test_a_lapsed_entry_that_stays_missing_is_dropped(self) -> None:
         """It is dropped before the time to drain ends."""
         self.entries.store_failed(10.0)
-        self.entries.store_answered(14.0)
+        self.entries.store_answered(14.0, 14.0)
         self.entries.remove('x', 14.1)
         self.assertEqual(self.entries.drop_lapsed(15.8), ('x',))
         self.assertEqual(self._live(), ['y'])
 
+    def test_a_removal_that_is_told_late(self) -> None:
+        """Guards against targets in use after their time to drain.
+
+        A reader tells of a removal up to a second late; the target left after
+        the entries were last confirmed.
+        """
+        self.entries.store_failed(10.0)
+        self.entries.store_answered(13.5, 14.0)
+        self.entries.confirmed(14.0)
+        self.assertFalse(self.entries.remove('x', 14.9))
+        self.assertEqual(self.entries.drop_lapsed(15.7), ('x',))
+
     def test_a_removal_long_after_an_outage_is_final(self) -> None:
         """Guards against keeping an engine that left after an outage.
 
         It left seconds after the store had recovered.
         """
         self.entries.store_failed(10.0)
-        self.entries.store_answered(11.5)
+        self.entries.store_answered(11.5, 11.5)
         self.assertTrue(self.entries.remove('x', 15.0))
 
     def test_nothing_is_dropped_while_the_store_is_away(self) -> None:
         """Targets that may still be running stay in use."""
         self.entries.store_failed(10.0)
-        self.entries.store_answered(11.0)
+        self.entries.store_answered(11.0, 11.0)
         self.entries.remove('x', 11.1)
         self.entries.store_failed(11.5)
         self.assertEqual(self.entries.drop_lapsed(30.0), ())
