Rely on readers only for what the store has confirmed to them

Cause: a relay told "no change up to version N" while its own call was unanswered, and each such update kept the receivers from asking the store. What ended it, the versions that other zones had read, was acted on after more than 2 s from 40 hosts on. Where all readers of the list of targets are cut off, nothing ended it but their failed calls.

Ruled out: lost updates between zones, as the hosts that were late had heard the newer version.

Fix: a daemon relies on updates while they show that the store has confirmed the table to a reader in the last 1.4 s. Readers for others have urgent tables confirmed each 0.8 s, daemons that read for themselves each 1.5 s. A daemon counts as behind by the pause that readers really make.

--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -14,6 +14,7 @@
 
 from nutmegspoke.edge.call_results import CallResults
 from nutmegspoke.edge.table_polls import TablePolls
+from nutmegspoke.membership import table_delays
 from nutmegspoke.membership.feed_versions import FeedVersion
 from nutmegspoke.membership.table_news import RecentChanges, find_new_changes
 from nutmegspoke.metadata_store import HistoryLost, TableChanges, Unavailable
@@ -29,35 +30,10 @@
 
 logger = logging.getLogger(__name__)
 
-# Timeout of a long poll, which waits for a change. A stale feed is noticed
-# sooner, from the updates of daemons whose feeds are current.
-FEED_WAIT_S = 10.0
-# The same for tables whose changes must be applied within two seconds. A poll
-# that the store or the network has lost is noticed only when it ends.
-URGENT_FEED_WAIT_S = 1.2
-# A daemon that relies on updates reads the store itself after this time without
-# any. Readers send several updates per second, and a target that leaves must
-# be out of use two seconds later.
-_UPDATE_TIMEOUT_S = 1.2
-_POLL_INTERVAL_S = 0.1
-# Longest pause of a reader between two calls, as many others depend on it.
-_MAX_READER_PAUSE_S = 0.4
-# Pause after changes, so that several changes in a row cost one call. It grows
-# with the number of daemons, whose calls add up, and is short compared to the
-# drain time of a target.
-_PAUSE_PER_DAEMON_S = 0.02
-_MIN_PAUSE_S = 0.2
-_MAX_PAUSE_S = 1.0
 # Pause after an unexpected error, which may occur again with each read.
 _ERROR_PAUSE_S = 1.0
 
 
-def batch_pause_s(daemons: int) -> float:
-    """Return the pause in seconds between two calls that return changes."""
-    wanted_s = _PAUSE_PER_DAEMON_S * daemons
-    return min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, wanted_s))
-
-
 class TableListener(Protocol):
     """Receiver of the changes that a follower reads."""
 
@@ -116,6 +92,17 @@
         """Return whether other daemons rely on this one for the table."""
         return self.is_used() and self.is_reader()
 
+    def role(self) -> table_delays.ReadRole:
+        """Return how this daemon reads the table."""
+        is_used = self.is_used()
+        reads_store = not is_used or self.is_reader()
+        return table_delays.ReadRole(
+            is_urgent=self.is_urgent,
+            is_busy=self.is_busy,
+            reads_store=reads_store,
+            has_receivers=is_used and reads_store,
+        )
+
 
 class TableFollower:
     """Follower that keeps a listener up to date with one table.
@@ -266,7 +253,7 @@
 
     async def _run_once(self) -> None:
         if self._is_kept_current():
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            await asyncio.sleep(table_delays.CHECK_INTERVAL_S)
             return
         now_s = self._clock.now_s()
         wait_s = self._health.wait_s(self.table, now_s)
@@ -274,14 +261,15 @@
             # The store fails for another follower of this daemon. That
             # counts as a failure here, too, although no call is made.
             self.results.failed_elsewhere('another call failed', now_s)
-            await asyncio.sleep(min(wait_s, _POLL_INTERVAL_S))
+            await asyncio.sleep(min(wait_s, table_delays.CHECK_INTERVAL_S))
             return
         if 0 < self.era < self._health.era:
             self._version = None
         since = self._version
-        result = await self._polls.read(since, self._wait_s())
+        result = await self._polls.read(since, self._wait_s(now_s))
         if result is not None and self._handle_read(since, result):
-            await asyncio.sleep(self._pause_s())
+            role = self.sharing.role()
+            await asyncio.sleep(role.pause_s(self._count_daemons()))
 
     def _discard_table(self, error: Exception) -> None:
         """Log an unexpected error and read the whole table again.
@@ -294,28 +282,24 @@
         )
         self._version = None
 
-    def _wait_s(self) -> float:
+    def _wait_s(self, now_s: float) -> float:
         """Return how long a call waits if there is no change yet."""
         if self._health.is_failing or not self.is_reader():
             return 0.0
-        return URGENT_FEED_WAIT_S if self.sharing.is_urgent else FEED_WAIT_S
+        confirmed_age_s = now_s - self.results.confirmed_s
+        return self.sharing.role().wait_s(confirmed_age_s)
 
     def _is_kept_current(self) -> bool:
         """Return whether updates from readers keep this daemon current."""
         if self._version is None or self._is_behind or self.is_reader():
             return False
-        return self._clock.now_s() - self._heard_s < _UPDATE_TIMEOUT_S
-
-    def _pause_s(self) -> float:
-        """Return the pause in seconds that batches changes into one call."""
-        pause_s = batch_pause_s(self._count_daemons())
-        if (
-            self.sharing.has_receivers()
-            or self.sharing.is_busy
-            and self.is_reader()
-        ):
-            return min(_MAX_READER_PAUSE_S, pause_s)
-        return pause_s
+        now_s = self._clock.now_s()
+        if now_s - self._heard_s >= table_delays.UPDATE_TIMEOUT_S:
+            return False
+        confirmed_age_s = now_s - self.results.confirmed_s
+        return confirmed_age_s < table_delays.confirmed_limit_s(
+            is_urgent=self.sharing.is_urgent
+        )
 
     def _handle_read(
         self,
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -14,13 +14,11 @@
     HEARTBEAT_INTERVAL_S,
     UpdateContents,
 )
-from nutmegspoke.edge.update_receiver import (
-    TABLE_UPDATE_INTERVAL_S,
-    UpdateReceiver,
-)
+from nutmegspoke.edge.update_receiver import UpdateReceiver
 from nutmegspoke.membership import summaries
 from nutmegspoke.membership.load_news import EventUpdate, update_interval_s
 from nutmegspoke.membership.relays import SUMMARY_INTERVAL_S
+from nutmegspoke.membership.table_delays import TABLE_UPDATE_INTERVAL_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/nutmegspoke/edge/update_receiver.py
+++ b/nutmegspoke/edge/update_receiver.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.followers import batch_pause_s
 from nutmegspoke.membership.feed_versions import FeedVersion, FeedVersions
 from nutmegspoke.membership.load_news import (
     EventUpdate,
@@ -27,8 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A reader reads tables at the same interval.
-TABLE_UPDATE_INTERVAL_S = 0.4
 # Interval at which datagrams that were dropped are logged.
 _DROPPED_LOG_INTERVAL_S = 5.0
 
@@ -147,16 +144,7 @@
             if self._feed_versions.must_restart(
                 follower.table,
                 follower.feed_version,
-                self._lag_s(follower),
+                follower.sharing.role().update_lag_s(self._daemons.count()),
                 now_s,
             )
         ]
-
-    def _lag_s(self, follower: TableFollower) -> float:
-        """Return the normal delay of a follower in seconds."""
-        lag_s = batch_pause_s(self._daemons.count())
-        return (
-            lag_s
-            if follower.is_reader()
-            else lag_s + 2 * TABLE_UPDATE_INTERVAL_S
-        )
--- a/nutmegspoke/membership/feed_versions.py
+++ b/nutmegspoke/membership/feed_versions.py
@@ -62,7 +62,7 @@
         self,
         table: str,
         own: FeedVersion | None,
-        batch_pause_s: float,
+        lag_s: float,
         now_s: float,
     ) -> bool:
         """Return whether this daemon must restart its feed of a table now.
@@ -70,14 +70,14 @@
         ``True`` also records the restart, which delays the next one.
 
         :param own: version that it has read; ``None`` if it has none yet.
-        :param batch_pause_s: pause between two calls of the feed.
+        :param lag_s: usual delay of the feed's newest change.
         """
         if own is None:
             return False
         known = self._reported.get(table)
         while known and known[0][1] <= own:
             known.popleft()
-        if not known or now_s - known[0][0] < BEHIND_LIMIT_S + batch_pause_s:
+        if not known or now_s - known[0][0] < BEHIND_LIMIT_S + lag_s:
             return False
         restarted_s = self._restarted_s.get(table, float('-inf'))
         if now_s - restarted_s < _RESTART_PAUSE_S:
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -8,13 +8,18 @@
 from unittest import mock
 
 from nutmegspoke.border.clock import SystemClock
-from nutmegspoke.edge import followers
 from nutmegspoke.edge.decision_log import DecisionLog
 from nutmegspoke.edge.followers import TableFollower, TableSharing
+from nutmegspoke.membership import table_delays
 from nutmegspoke.membership.store_health import StoreHealth
+from nutmegspoke.membership.table_delays import (
+    CONFIRMED_LIMIT_S,
+    READER_CYCLE_S,
+)
 from nutmegspoke.membership.table_news import TableUpdate
 from nutmegspoke.metadata_store import StoredRow, TableChanges, Unavailable
 
+_WAIT_S = 20.0
 _SNAPSHOT = TableChanges(10, (StoredRow('t/x', 9, b'x'),), (), 9)
 
 
@@ -25,6 +30,8 @@
         self.calls: list[str] = []
         self.positions: list[int] = []
         self.fails = False
+        self.is_mute = False
+        self.asked: asyncio.Event | None = None
 
     async def snapshot(self, table: str) -> TableChanges | Unavailable:
         return self._answer('snapshot', _SNAPSHOT)
@@ -36,6 +43,10 @@
         wait_s: float,
     ) -> TableChanges | Unavailable:
         self.positions.append(after)
+        if self.asked is not None:
+            self.asked.set()
+        while self.is_mute:
+            await asyncio.sleep(0.01)
         if wait_s and not self.fails:
             await asyncio.sleep(wait_s)
         return self._answer('changes', TableChanges(after))
@@ -101,6 +112,7 @@
     """Many daemons: most of them rely on updates from a few readers."""
 
     forwards_rows = True
+    is_urgent = False
 
     async def asyncSetUp(self) -> None:
         """Follow a table that other daemons read."""
@@ -128,6 +140,7 @@
                 lambda: True,
                 lambda: self.is_reader,
                 is_busy=True,
+                is_urgent=self.is_urgent,
                 forwards_rows=self.forwards_rows,
             ),
         )
@@ -140,7 +153,7 @@
         return log
 
     async def _until(self, predicate: object) -> None:
-        async with asyncio.timeout(20.0):
+        async with asyncio.timeout(_WAIT_S):
             while not predicate():
                 await asyncio.sleep(0.01)
 
@@ -267,6 +280,57 @@
         self.assertEqual(self.events, ['follower_failed'])
 
 
+class UrgentTableTest(UpdatedFollowerCase):
+    """Changes of the table must be applied within two seconds."""
+
+    is_urgent = True
+
+    async def test_a_reader_that_is_cut_off(self) -> None:
+        """Guards against a reader that vouches for a table it can't read.
+
+        Its call is unanswered, and the others ask nobody while it says that
+        nothing has changed.
+        """
+        self.is_reader = True
+        await self.follower.restart()
+        await self._until(lambda: self.feed.positions)
+        ages = [self._told_age_s()]
+        self.feed.is_mute = True
+        await asyncio.sleep(CONFIRMED_LIMIT_S + READER_CYCLE_S)
+        ages.append(self._told_age_s())
+        self.assertLess(ages[0], CONFIRMED_LIMIT_S)
+        self.assertGreater(ages[1], CONFIRMED_LIMIT_S)
+
+    async def test_an_old_confirmation_is_no_reason_to_wait(self) -> None:
+        """Guards against daemons that ask nobody as their readers are cut off."""
+        calls = len(self.feed.calls)
+        asked = asyncio.Event()
+        self.feed.asked = asked
+        loop = asyncio.get_running_loop()
+        cut_s = loop.time()
+        async with asyncio.timeout(_WAIT_S):
+            while not asked.is_set():
+                age_s = loop.time() - cut_s
+                update = _new_update(9, 10, confirmed_age_s=age_s)
+                self.follower.receive_update(update)
+                await asyncio.sleep(0.05)
+        self.assertEqual(len(self.feed.calls), calls + 1)
+
+    async def test_delayed_and_repeated_updates(self) -> None:
+        """Guards against a copy that looks newer after an older update."""
+        ages = []
+        for age_s in (0.1, 1.0, 0.5):
+            update = _new_update(9, 10, confirmed_age_s=age_s)
+            self.follower.receive_update(update)
+            ages.append(self.follower.results.confirmed_s)
+        self.assertEqual(len(set(ages)), 1)
+
+    def _told_age_s(self) -> float:
+        update = self.follower.new_update('h')
+        assert update is not None
+        return update.confirmed_age_s
+
+
 class LargeRowsTest(UpdatedFollowerCase):
     """Readers tell of changes of large rows without forwarding them."""
 
@@ -274,7 +338,9 @@
 
     async def test_a_change_is_read(self) -> None:
         """Guards against tables that come into force a timeout later."""
-        patch = mock.patch.object(followers, '_UPDATE_TIMEOUT_S', 1_000.0)
+        patch = mock.patch.multiple(
+            table_delays, UPDATE_TIMEOUT_S=1_000.0, CONFIRMED_LIMIT_S=1_000.0
+        )
         patch.start()
         self.addCleanup(patch.stop)
         calls = len(self.feed.calls)
--- a/tests/edge/test_silent_store.py
+++ b/tests/edge/test_silent_store.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from nutmegspoke.edge import followers
+from nutmegspoke.membership import table_delays
 from tests.edge.world import Deployment
 
 # Longer than a test: a poll that the store has lost would end with it.
@@ -18,7 +18,7 @@
 
     async def asyncSetUp(self) -> None:
         """Put tables into force; polls without a change take long."""
-        patch = mock.patch.object(followers, 'FEED_WAIT_S', _LONG_WAIT_S)
+        patch = mock.patch.object(table_delays, 'FEED_WAIT_S', _LONG_WAIT_S)
         patch.start()
         self.addCleanup(patch.stop)
         self.deployment = Deployment()
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from nutmegspoke.edge import followers
+from nutmegspoke.membership import table_delays
 from nutmegspoke.edge.listeners import DaemonRow
 from nutmegspoke.membership.load_news import LoadUpdate
 from nutmegspoke.platform import configuration, discovery
@@ -147,7 +147,7 @@
 
     async def asyncSetUp(self) -> None:
         """Let polls without a change take longer than the test."""
-        patch = mock.patch.object(followers, 'FEED_WAIT_S', _LONG_WAIT_S)
+        patch = mock.patch.object(table_delays, 'FEED_WAIT_S', _LONG_WAIT_S)
         patch.start()
         self.addCleanup(patch.stop)
         await super().asyncSetUp()
@@ -167,7 +167,11 @@
 
         None of its own calls is answered.
         """
-        patch = mock.patch.object(followers, 'URGENT_FEED_WAIT_S', _LONG_WAIT_S)
+        patch = mock.patch.multiple(
+            table_delays,
+            URGENT_FEED_WAIT_S=_LONG_WAIT_S,
+            URGENT_CYCLE_S=_LONG_WAIT_S,
+        )
         patch.start()
         self.addCleanup(patch.stop)
         await self.deployment.add_daemon('host-2')
--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -10,9 +10,9 @@
 
 EDGE_MUTATIONS: tuple[Mutation, ...] = (
     Mutation(
-        'edge: a feed counts as behind without the batch pause',
+        'edge: a feed counts as behind without its usual delay',
         f'{_MEMBERSHIP}/feed_versions.py',
-        'BEHIND_LIMIT_S + batch_pause_s:',
+        'BEHIND_LIMIT_S + lag_s:',
         'BEHIND_LIMIT_S:',
         ('tests.membership.test_feed_versions',),
     ),
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -54,9 +54,9 @@
     ),
     Mutation(
         'paths: polls of urgent tables take long',
-        'nutmegspoke/edge/followers.py',
-        'URGENT_FEED_WAIT_S = 1.2',
-        'URGENT_FEED_WAIT_S = 10.0',
+        'nutmegspoke/membership/table_delays.py',
+        'if not self.is_urgent:',
+        'if not self.has_receivers:',
         _MUTE_TESTS,
     ),
     Mutation(
