Limit what engines may send in reports

They have a client of their own now, with 256 KB for each answer.

test_a_limit_for_small_answers fails without the limit.

--- a/nutmegspoke/cmd/entry_daemon.py
+++ b/nutmegspoke/cmd/entry_daemon.py
@@ -15,7 +15,10 @@
 from nutmegspoke.edge.platform_parts import PlatformParts
 from nutmegspoke.http_calls import HttpCalls
 from nutmegspoke.platform import configuration, discovery, headers
-from nutmegspoke.platform.engine_calls import EngineClient
+from nutmegspoke.platform.engine_calls import (
+    MAX_ENGINE_ANSWER_BYTES,
+    EngineClient,
+)
 from nutmegspoke.platform.store_client import StoreClient
 
 if TYPE_CHECKING:
@@ -43,10 +46,11 @@
     clock = SystemClock()
     log = decision_log.configure(host.name, clock, logging.INFO)
     http = HttpCalls()
+    engine_http = HttpCalls(MAX_ENGINE_ANSWER_BYTES)
     parts = PlatformParts(
         read_host=settings.read,
         store=StoreClient(host.store_address, http),
-        engines=EngineClient(http),
+        engines=EngineClient(engine_http),
         header_codec=headers,
         tables_table=configuration.TABLE,
         tables_row=configuration.ROW,
@@ -60,6 +64,7 @@
     await stopping.wait()
     await daemon.stop()
     await http.close()
+    await engine_http.close()
 
 
 def _install_signal_handlers(daemon: EdgeDaemon) -> asyncio.Event:
--- a/nutmegspoke/http_calls.py
+++ b/nutmegspoke/http_calls.py
@@ -25,7 +25,8 @@
 # Idle time after which a connection is not used again.
 _IDLE_TIMEOUT_S = 20.0
 _MAX_IDLE_PER_ADDRESS = 16
-# Limits on the received bytes of an answer, and on those of its body.
+# Limits on the received bytes of an answer of the store, and on those of its
+# body.
 _MAX_ANSWER_BYTES = 33_554_432
 _MAX_BODY_BYTES = 16_777_216
 _INTERIM = range(100, 200)
@@ -58,8 +59,12 @@
     connection.
     """
 
-    def __init__(self) -> None:
-        """Start without connections."""
+    def __init__(self, max_answer_bytes: int = _MAX_ANSWER_BYTES) -> None:
+        """Start without connections.
+
+        :param max_answer_bytes: limit on the received bytes of an answer.
+        """
+        self._max_answer_bytes = max_answer_bytes
         self._idle: dict[str, list[_Connection]] = {}
         self._open: set[_Connection] = set()
         self._doubts = PathDoubts()
@@ -162,7 +167,8 @@
         try:
             await loop.sock_connect(opened, (ip, int(port)))
             _, connection = await loop.create_connection(
-                lambda: _Connection(self._open), sock=opened
+                lambda: _Connection(self._open, self._max_answer_bytes),
+                sock=opened,
             )
         except OSError as error:
             opened.close()
@@ -201,11 +207,13 @@
     """A connection with at most one request at a time.
 
     :param opened: set of open connections, to which this one is added.
+    :param max_answer_bytes: limit on the received bytes of an answer.
     """
 
-    def __init__(self, opened: set[_Connection]) -> None:
+    def __init__(self, opened: set[_Connection], max_answer_bytes: int) -> None:
         """Create a connection that waits for its transport."""
         self._opened = opened
+        self._max_answer_bytes = max_answer_bytes
         self._transport: Any = None
         self._parser: Any = None
         self._answer: asyncio.Future[CallAnswer] | None = None
@@ -237,7 +245,7 @@
             httptools.HttpParserUpgrade,
         ) as error:
             self._fail(f'answer not parsed: {error}')
-        if self._received_bytes > _MAX_ANSWER_BYTES:
+        if self._received_bytes > self._max_answer_bytes:
             self._fail('answer too long')
 
     def eof_received(self) -> bool:
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -23,6 +23,8 @@
 # Engines answer from memory, so a few round trips are enough.
 _REPORT_TIMEOUT_S = 0.5
 _ORDER_TIMEOUT_S = 1.0
+# A report names each request that waits for a lost engine.
+MAX_ENGINE_ANSWER_BYTES = 262_144
 _ERRORS = (TimeoutError, OSError)
 _REPORT_ERRORS = (*_ERRORS, UndecodableError)
 
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -114,6 +114,19 @@
             async with asyncio.timeout(_LIMIT_S):
                 await self.http.call('GET', self.address, '/a')
 
+    async def test_a_limit_for_small_answers(self) -> None:
+        """Guards against many engines that fill the memory with reports.
+
+        Each call for a report could take as much as the largest of the store.
+        """
+        http = http_calls.HttpCalls(max_answer_bytes=1_000)
+        self.addAsyncCleanup(http.close)
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n'
+        self.answers = [head + bytes(1_000)]
+        with self.assertRaisesRegex(CallError, 'too long'):
+            async with asyncio.timeout(_LIMIT_S):
+                await http.call('GET', self.address, '/a')
+
     async def test_a_cancelled_call_closes_its_connection(self) -> None:
         """Guards against the answer of a call that timed out arriving later."""
         self.answers = [b'HTTP/1.1 200 OK\r\n', _ANSWER]
