Bound the memory of all held answers together

Here one call was bounded at 8 MiB, but a hundred at once took a daemon to 659 to 666 MB, at a limit of 300 MB.

Cause: answers to plain calls are held until they are complete, with a limit for each and none for all.

What an answer takes is given back when it has been forwarded.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.target_connections import (
@@ -26,10 +27,6 @@
     )
     from nutmegspoke.forwarded import AnswerFacts, HeaderCodec, Headers
 
-# Answers to plain requests are buffered up to this size, so that an
-# interrupted one can still be replaced by a retry.
-MAX_BUFFERED_BYTES = 8_388_608
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotSent:
@@ -159,10 +156,14 @@
         return connection
 
     async def receive(
-        self, connection: TargetConnection, timeout_s: float
+        self, connection: TargetConnection, held: HeldAnswer, timeout_s: float
     ) -> FetchResult:
         """Wait for the complete answer to a request that was sent.
 
+        An answer is held until it is complete, so that an interrupted one can
+        still be replaced by a retry.
+
+        :param held: memory that the answer takes.
         :param timeout_s: timeout, after which the connection is closed.
         """
         started_s = self._clock.now_s()
@@ -170,7 +171,7 @@
         if not isinstance(result, OpenedAnswer):
             return result
         used_s = self._clock.now_s() - started_s
-        return await self.read_body(result, timeout_s - used_s)
+        return await self.read_body(result, held, timeout_s - used_s)
 
     async def _open_answer(
         self, connection: TargetConnection, timeout_s: float
@@ -190,14 +191,19 @@
     async def read_body(
         self,
         opened: OpenedAnswer,
+        held: HeldAnswer,
         timeout_s: float,
     ) -> CompleteAnswer | Broken:
         """Read the body of an answer.
 
+        :param held: memory that the body takes; of an earlier answer to the
+            same request, nothing is held any more.
         :param timeout_s: timeout, after which the connection is closed.
         """
-        body = await self._read_body(opened, max(0.0, timeout_s))
+        held.release()
+        body = await self._read_body(opened, held, max(0.0, timeout_s))
         if isinstance(body, Broken):
+            held.release()
             return body
         self.release_connection(opened)
         head = opened.head
@@ -218,11 +224,11 @@
         )
 
     async def _read_body(
-        self, opened: OpenedAnswer, timeout_s: float
+        self, opened: OpenedAnswer, held: HeldAnswer, timeout_s: float
     ) -> bytes | Broken:
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._collect_body(opened.connection)
+                return await self._collect_body(opened.connection, held)
         except TimeoutError:
             opened.connection.close()
             return Broken('no whole answer in time', is_timeout=True)
@@ -231,18 +237,19 @@
             raise
 
     async def _collect_body(
-        self, connection: TargetConnection
+        self, connection: TargetConnection, held: HeldAnswer
     ) -> bytes | Broken:
         parts: list[bytes] = []
-        size = 0
-        while size <= MAX_BUFFERED_BYTES:
+        while True:
             event = await connection.next_event()
             if isinstance(event, AnswerEnd):
                 return b''.join(parts)
             if not isinstance(event, AnswerPart):
                 break
+            if not held.add(len(event.body)):
+                connection.close()
+                return Broken('answer too long to hold')
             parts.append(event.body)
-            size += len(event.body)
         connection.close()
         return Broken(_interrupted_reason(event))
 
@@ -292,4 +299,4 @@
 
 
 def _interrupted_reason(event: AnswerEvent) -> str:
-    return event.reason if isinstance(event, AnswerLost) else 'too long'
+    return event.reason if isinstance(event, AnswerLost) else 'no head'
--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -7,12 +7,14 @@
 import random
 from typing import TYPE_CHECKING
 
+from nutmegspoke.admission.answer_memory import HeldAnswer
 from nutmegspoke.edge.http_server import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
 from nutmegspoke.retries.suspects import request_fingerprint
 from nutmegspoke.routing.entry_routes import pick_pool
 
 if TYPE_CHECKING:
+    from nutmegspoke.admission.answer_memory import AnswerMemory
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.drafts import DraftHandler
     from nutmegspoke.edge.http_server import Answer
@@ -51,6 +53,7 @@
         plain_calls: PlainCalls,
         drafts: DraftHandler,
         answer_sender: AnswerSender,
+        answer_memory: AnswerMemory,
         clock: Clock,
     ) -> None:
         """Create a handler that dispatches to plain calls and drafts."""
@@ -59,6 +62,7 @@
         self._plain_calls = plain_calls
         self._drafts = drafts
         self._answer_sender = answer_sender
+        self._answer_memory = answer_memory
         self._clock = clock
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
@@ -130,6 +134,7 @@
             received_s=now_s,
             deadline_s=now_s + remaining_s,
             fingerprint=_fingerprint(request, facts, team_name),
+            held=HeldAnswer(self._answer_memory),
         )
 
     async def _serve(self, context: RequestContext) -> None:
@@ -157,6 +162,8 @@
         except Exception as error:
             logger.exception('callers: request failed')
             await self._answer_sender.send_error(context, error)
+        finally:
+            context.held.release()
 
 
 def _fingerprint(request: CallerRequest, facts: RequestFacts, team: str) -> str:
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -81,7 +81,7 @@
         self.metrics = EdgeMetrics()
         log.on_event = self.metrics.count_event
         self._connections = TargetConnections(
-            target_sockets(host.limits),
+            target_sockets(host.limits), host.limits.memory_bytes
         )
         self._ready = ConnectionSet(ReadyPage(self.is_ready))
         self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
@@ -256,6 +256,9 @@
 
     def _apply_socket_limits(self, host: EntryHost) -> None:
         self._connections.max_open = target_sockets(host.limits)
+        self._connections.answer_memory.set_memory_limit(
+            host.limits.memory_bytes
+        )
         self._callers.max_open = caller_sockets(host.limits)
 
     def _caller_closed(self, cause: CloseCause, unanswered: int) -> None:
@@ -285,6 +288,10 @@
         self._log_relays(now_s)
         self._limit_log.tick(now_s)
         self._measure_followers(now_s)
+        memory = self._connections.answer_memory
+        self.metrics.observe_held_answers(
+            memory.held_bytes, memory.refused_count
+        )
         for follower in self._update_exchange.receiver.find_stale_followers(
             now_s
         ):
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -245,7 +245,7 @@
         if stream.has_head:
             return f'engine answered {opened.head.status}'
         left_s = context.left_s(self._clock.now_s())
-        answer = await self._attempts.read_body(opened, left_s)
+        answer = await self._attempts.read_body(opened, context.held, left_s)
         # The connection may carry another request from now on.
         self._runs.forget(run)
         if isinstance(answer, Broken):
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -49,6 +49,16 @@
             'Time since a followed table was last known to be current.',
             registry=self.registry,
         )
+        self._held_answers = aioprometheus.Gauge(
+            'nutmegspoke_edge_held_answer_bytes',
+            'Bytes of answers that are held until they are complete.',
+            registry=self.registry,
+        )
+        self._refused_answers = aioprometheus.Gauge(
+            'nutmegspoke_edge_refused_answers',
+            'Answers so far that were too long to be held.',
+            registry=self.registry,
+        )
         self._events = aioprometheus.Counter(
             'nutmegspoke_edge_events_total',
             'Decisions and changes of belief by kind.',
@@ -80,6 +90,11 @@
         """Record the number of other daemons with recent updates."""
         self._daemons_heard.set({}, count)
 
+    def observe_held_answers(self, held_bytes: int, refused_count: int) -> None:
+        """Record what answers take that are held until they are complete."""
+        self._held_answers.set({}, held_bytes)
+        self._refused_answers.set({}, refused_count)
+
     def observe_limits(self, count: int) -> None:
         """Record the number of targets that name a limit."""
         self._target_limits.set({}, count)
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -187,7 +187,9 @@
     ) -> FetchResult:
         """Wait for an answer; give it up once another attempt can follow."""
         left_s = max(0.0, context.left_s(self._clock.now_s()))
-        answer = asyncio.create_task(self._attempts.receive(connection, left_s))
+        answer = asyncio.create_task(
+            self._attempts.receive(connection, context.held, left_s)
+        )
         try:
             if may_retry:
                 await asyncio.wait(
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -44,5 +44,6 @@
         PlainCalls(view, attempts, answer_sender, crashes, log, clock),
         DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
         answer_sender,
+        connections.answer_memory,
         clock,
     )
--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -8,6 +8,7 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
+from nutmegspoke.admission.answer_memory import AnswerMemory
 from nutmegspoke.edge.answer_reader import (
     AnswerEvent,
     AnswerLost,
@@ -240,11 +241,14 @@
     """Pool that opens connections to targets and reuses idle ones.
 
     :param max_open: limit on open connections to all targets together.
+    :param memory_bytes: memory limit of the process.
+    :ivar answer_memory: memory for answers that are held until complete.
     :ivar opened: number of connections opened so far.
     """
 
-    def __init__(self, max_open: int) -> None:
+    def __init__(self, max_open: int, memory_bytes: int) -> None:
         """Start without connections."""
+        self.answer_memory = AnswerMemory.from_memory_limit(memory_bytes)
         self._idle: dict[str, list[tuple[TargetConnection, float]]] = {}
         self._counts = OpenCounts()
         self.max_open = max_open
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.edge.http_server import Answer
     from nutmegspoke.entry_host import EntryPool, EntryRoute
     from nutmegspoke.forwarded import CallerRequest, RequestFacts
@@ -42,6 +43,7 @@
     :param deadline_s: deadline of the answer.
     :param fingerprint: digest of team, method, URL and body; the same when the
         caller sends the request again.
+    :param held: memory that its answer takes until it is forwarded.
     :param has_target: whether a target was selected; before that, nothing of
         the request was sent.
     :param may_have_run: whether a target may have run the request.
@@ -61,6 +63,7 @@
     received_s: float
     deadline_s: float
     fingerprint: str
+    held: HeldAnswer
     has_target: bool = False
     may_have_run: bool = False
     sends: int = 0
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -6,6 +6,7 @@
 import json
 import unittest
 
+from nutmegspoke.admission.answer_memory import AnswerMemory
 from nutmegspoke.edge.answer_reader import (
     AnswerEvent,
     AnswerHead,
@@ -21,9 +22,10 @@
 )
 from tests.edge.stream_loop_case import StreamLoopCase
 from tests.edge.test_daemon import DaemonCase
-from tests.edge.world import WAIT_S
+from tests.edge.world import WAIT_S, CallResult
 
 _PIECE_BYTES = 65_536
+_CALLS = 40
 # Well above the limits of the reader.
 _MAX_FED_BYTES = 33_554_432
 
@@ -120,6 +122,55 @@
                 async with asyncio.timeout(WAIT_S):
                     await target.has_ended.wait()
 
+    async def test_many_at_once(self) -> None:
+        """Guards against a daemon that runs out of memory with all its calls.
+
+        Each answer was bounded; a hundred together took twice its memory.
+        """
+        await self._serve_long_calls()
+        target = EndlessTarget()
+        server = await target.start()
+        self.addCleanup(server.close)
+        await self.deployment.list_target(
+            'r1', target.address, service='records', layers=None
+        )
+        await self.deployment.add_service('r2')
+        memory = self._answer_memory()
+        for name in ('body', 'chunks', 'long body'):
+            with self.subTest(name):
+                target.answer = ENDLESS_CALL_ANSWERS[name]
+                calls = [
+                    asyncio.create_task(self._call_slowly(number))
+                    for number in range(_CALLS)
+                ]
+                peak_bytes = await self._measure_peak(calls)
+                statuses = {(await call).status for call in calls}
+                self.assertLessEqual(statuses, {200, 502})
+                self.assertIn(200, statuses)
+                limit_bytes = self.deployment.host.limits.memory_bytes
+                self.assertLess(peak_bytes, limit_bytes / 2)
+                self.assertEqual(memory.held_bytes, 0)
+
+    def _answer_memory(self) -> AnswerMemory:
+        daemon = self.deployment.daemon
+        return daemon._connections.answer_memory  # noqa: SLF001
+
+    async def _call_slowly(self, number: int) -> CallResult:
+        """Send a call that may run once, with much time."""
+        return await self.deployment.call(
+            f'/calls/{number}', **{'Deadline-Ms': '60000'}
+        )
+
+    async def _measure_peak(self, calls: list[asyncio.Task[CallResult]]) -> int:
+        """Return the most bytes that are held until all calls have ended."""
+        memory = self._answer_memory()
+        peak_bytes = 0
+        async with asyncio.timeout(WAIT_S):
+            while not all(call.done() for call in calls):
+                peak_bytes = max(peak_bytes, memory.held_bytes)
+                await asyncio.sleep(0)
+        return peak_bytes
+
     async def _serve_long_calls(self) -> None:
         document = json.loads(build.wire_configuration())
         for route in document['routes']:
--- a/tests/edge/test_target_connections.py
+++ b/tests/edge/test_target_connections.py
@@ -26,6 +26,9 @@
         writer.close()
 
 
+_MEMORY_BYTES = 300_000_000
+
+
 class TargetConnectionsTest(unittest.IsolatedAsyncioTestCase):
     """Connections to a target that answers each request with status 200."""
 
@@ -35,7 +38,7 @@
         self.addCleanup(server.close)
         port = server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
-        self.connections = TargetConnections(2)
+        self.connections = TargetConnections(2, _MEMORY_BYTES)
 
     async def _acquire(
         self, limit: int = 9, *, fresh: bool = True
@@ -111,7 +114,7 @@
         self.addCleanup(listening.close)
         ip, port = listening.getsockname()
         self.address = f'{ip}:{port}'
-        self.connections = TargetConnections(2)
+        self.connections = TargetConnections(2, _MEMORY_BYTES)
         self.idle = await self._acquire()
         self.peer, _ = listening.accept()
         self.addCleanup(self.peer.close)
