Read from targets' answers that they leave

Cause: the header was not read. Only the store told who leaves.

Fix: the header is read from answers, refusals, heads of streams and reports, and kept by name and start, apart from the entry of the store. Such a target is not live: it gets no first sends, repeats, resumed streams or layers. An entry that says ready does not end that, the next start does. The daemon that hears it first tells all others at once.

--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -9,7 +9,6 @@
 from nutmegspoke import outcomes
 from nutmegspoke.retries.notices import RunAtRisk
 from nutmegspoke.retries.quarantine import SendAlone
-from nutmegspoke.targets import TargetState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -192,7 +191,7 @@
     def _crashed(self, target: TargetEntry) -> None:
         """Record a crash; a target that is leaving ends as announced."""
         listed = self._view.targets.find(target.name)
-        if listed is not None and listed.state == TargetState.LEAVING:
+        if listed is not None and self._view.targets.is_leaving(listed):
             return
         now_s = self._clock.now_s()
         start = _start_name(target)
--- a/nutmegspoke/edge/engine_polls.py
+++ b/nutmegspoke/edge/engine_polls.py
@@ -8,6 +8,7 @@
 from nutmegspoke.admission.draft_room import NO_RESERVATION
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.edge.lifelines import LivenessConnections
+from nutmegspoke.edge.target_notices import record_departure
 from nutmegspoke.membership.common_work import rank
 from nutmegspoke.membership.engine_health import EngineState
 
@@ -118,6 +119,8 @@
         report = await self._calls.report(entry.address)
         if report is None:
             return
+        if report.is_leaving:
+            record_departure(self._view, self._log, entry, request_id='')
         now_s = self._clock.now_s()
         unknown = report.used_token_layers - reserved_token_layers
         min_unknown = _MIN_UNKNOWN_SHARE * report.total_token_layers
--- a/nutmegspoke/edge/news_exchange.py
+++ b/nutmegspoke/edge/news_exchange.py
@@ -37,8 +37,8 @@
 _LINK_SHARE = 0.5
 # Events in this time are sent together, as many engines may end at once.
 _EVENT_DELAY_S = 0.01
-# Requests to limited targets in this time are told together.
-_SENT_DELAY_S = 0.02
+# Requests to limited targets, and departures, in this time are told together.
+_UNTOLD_DELAY_S = 0.02
 
 
 class UpdateExchange(asyncio.DatagramProtocol):
@@ -92,9 +92,11 @@
         self._send_summaries()
         self._view.lost_engines.subscribe(self._send_loss)
         self._view.crashes.subscribe(self._send_crashes)
-        self._view.conditions.limits.on_sent = functools.partial(
-            self._send_soon, 'sent', _SENT_DELAY_S, self._send_sent
+        tell = functools.partial(
+            self._send_soon, 'untold', _UNTOLD_DELAY_S, self._send_untold
         )
+        self._view.conditions.limits.on_sent = tell
+        self._view.conditions.departures.on_announced = tell
 
     async def stop(self) -> None:
         """Stop the timers and close the endpoint."""
@@ -153,14 +155,18 @@
             event = msgspec.structs.replace(event, notices=())
         self._send(event, self._daemons.addresses)
 
-    def _send_sent(self) -> None:
-        """Tell all others what was sent to limited targets.
+    def _send_untold(self) -> None:
+        """Tell all others what was sent to limited targets, and who leaves.
 
         Summaries would tell it too late for limits of few requests a second.
         """
-        self._timers.pop('sent')
-        sent = self._view.conditions.limits.take_untold()
-        event = EventUpdate(self._view.host.name, sent=sent)
+        self._timers.pop('untold')
+        conditions = self._view.conditions
+        event = EventUpdate(
+            self._view.host.name,
+            sent=conditions.limits.take_untold(),
+            leaving=conditions.departures.take_untold(),
+        )
         self._send(event, self._daemons.addresses)
 
     def _send_load_update(self) -> None:
--- a/nutmegspoke/edge/target_notices.py
+++ b/nutmegspoke/edge/target_notices.py
@@ -1,4 +1,7 @@
-"""What targets say of themselves in their answers: pauses and limits."""
+"""What targets say of themselves in their answers.
+
+These are pauses, limits and departures.
+"""
 
 from __future__ import annotations
 
@@ -45,6 +48,15 @@
         """
         if not facts.is_other_target:
             self._record_limit(context, target, facts)
+        if facts.is_leaving and not facts.is_other_target:
+            entry = self._view.targets.find(target)
+            if entry is not None:
+                record_departure(
+                    self._view,
+                    self._log,
+                    entry,
+                    request_id=context.facts.request_id,
+                )
         if facts.pause_s <= 0:
             return
         self._view.conditions.pauses.begin(
@@ -86,6 +98,23 @@
         self._log.decided('limit_invalid', target=target, limit=invalid)
 
 
+def record_departure(
+    view: View, log: DecisionLog, entry: TargetEntry, *, request_id: str
+) -> None:
+    """Record that a target has said that it leaves.
+
+    :param request_id: id of the answered request; empty for a report.
+    """
+    if view.conditions.departures.announced(entry):
+        log.decided(
+            'target_says_leaving',
+            request=request_id,
+            target=entry.name,
+            address=entry.address,
+            listed_as=entry.state.value,
+        )
+
+
 def open_targets(view: View, pool: str, now_s: float) -> list[TargetEntry]:
     """Return the live targets of a pool that are not closed by a pause."""
     return view.conditions.pauses.filter_open(view.targets.live(pool), now_s)
--- a/nutmegspoke/edge/update_receiver.py
+++ b/nutmegspoke/edge/update_receiver.py
@@ -109,6 +109,7 @@
         self._view.lost_engines.receive(event.lost, now_s)
         self._view.crashes.receive(event.notices, now_s)
         self._view.conditions.limits.sent_elsewhere(event.sent, now_s)
+        self._view.conditions.departures.announced_elsewhere(event.leaving)
 
     def _receive_load_update(self, update: LoadUpdate, now_s: float) -> None:
         if not self._view.load_updates.receive(update, now_s):
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -63,7 +63,7 @@
     :ivar targets: targets that discovery lists.
     :ivar targets_version: version of the table of targets.
     :ivar faults: targets that are left out because of faults.
-    :ivar conditions: what targets ask of hosts.
+    :ivar conditions: what targets say of themselves.
     :ivar own_reservations: memory that this daemon has reserved on engines.
     :ivar load_updates: last updates of the other daemons.
     :ivar reports: state of engines, from their reports.
@@ -80,10 +80,12 @@
         self._tables_applied = asyncio.Event()
         self._tables_applied_s = 0.0
         self.routes = RouteIndex(())
-        self.targets = TargetEntries(host.bounds.drain_s)
+        self.conditions = TargetConditions()
+        self.targets = TargetEntries(
+            host.bounds.drain_s, self.conditions.departures
+        )
         self.targets_version = 0
         self.faults = TargetFaults()
-        self.conditions = TargetConditions()
         self.own_reservations = MemoryReservations()
         self.load_updates = ReceivedUpdates.from_host(host)
         self.reports = EngineReports()
--- a/nutmegspoke/engine_orders.py
+++ b/nutmegspoke/engine_orders.py
@@ -24,6 +24,7 @@
     :param slowness: multiplier of the usual step time; 1 is usual speed.
     :param stalled: ids of requests that wait for a lost engine, each with the
         address of that engine.
+    :param is_leaving: whether the engine says that it leaves.
     """
 
     layers: LayerRange | None
@@ -33,6 +34,7 @@
     total_token_layers: float
     slowness: float
     stalled: tuple[tuple[str, str], ...] = ()
+    is_leaving: bool = False
 
 
 class OrderAnswer(enum.StrEnum):
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -106,6 +106,7 @@
         together; ``None`` if it names no limit.
     :param invalid_limit: a limit that can't be true, as text; empty for none.
     :param is_other_target: whether another target answers at the address.
+    :param is_leaving: whether the target says that it leaves.
     """
 
     request_id: str
@@ -118,6 +119,7 @@
     limit_per_s: float | None = None
     invalid_limit: str = ''
     is_other_target: bool = False
+    is_leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -149,6 +149,8 @@
     :param lost: engines that it has recently detected as ended.
     :param notices: crashes of targets, and requests quarantined for them.
     :param sent: requests sent to limited targets since the last event.
+    :param leaving: time of the start in ms, by name, of targets that have said
+        that they leave.
     """
 
     host: str
@@ -156,6 +158,7 @@
     lost: tuple[str, ...] = ()
     notices: tuple[Notice, ...] = ()
     sent: dict[str, int] = {}
+    leaving: dict[str, int] = {}
 
 
 def check_event(event: EventUpdate) -> None:
--- a/nutmegspoke/membership/target_entries.py
+++ b/nutmegspoke/membership/target_entries.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.retries.target_departures import TargetDepartures
 from nutmegspoke.targets import TargetState
 
 if TYPE_CHECKING:
@@ -28,11 +29,15 @@
 class TargetEntries:
     """Entries of targets by name, including those that may have lapsed."""
 
-    def __init__(self, drain_s: float) -> None:
+    def __init__(
+        self, drain_s: float, departures: TargetDepartures | None = None
+    ) -> None:
         """Start without entries.
 
         :param drain_s: time within which a leaving target must be out of use.
+        :param departures: targets that have said themselves that they leave.
         """
+        self._departures = departures or TargetDepartures()
         self.set_drain_time(drain_s)
         self._entries: dict[str, TargetEntry] = {}
         self._versions: dict[str, int] = {}
@@ -107,7 +112,7 @@
         if entry is None:
             return True
         may_have_lapsed = now_s - self._last_outage_s < _LAPSE_WINDOW_S
-        if entry.state == TargetState.LIVE and may_have_lapsed:
+        if may_have_lapsed and not self.is_leaving(entry):
             # It left after the entries were last confirmed.
             self._lapsed.setdefault(name, min(now_s, self._confirmed_s))
             return False
@@ -150,9 +155,15 @@
         return tuple(
             entry
             for entry in self._entries.values()
-            if entry.pool == pool and entry.state == TargetState.LIVE
+            if entry.pool == pool and not self.is_leaving(entry)
         )
 
+    def is_leaving(self, entry: TargetEntry) -> bool:
+        """Return whether a target leaves, by its entry or by its own word."""
+        if entry.state == TargetState.LEAVING:
+            return True
+        return self._departures.has_announced(entry)
+
     def _drop(self, name: str) -> None:
         self._entries.pop(name, None)
         self._versions.pop(name, None)
--- a/nutmegspoke/platform/engine_calls.py
+++ b/nutmegspoke/platform/engine_calls.py
@@ -12,6 +12,7 @@
 from nutmegspoke.engine_orders import EngineReport, OrderAnswer
 from nutmegspoke.http_calls import NotSentError
 from nutmegspoke.platform.discovery import HeldLayers
+from nutmegspoke.platform.headers import SERVER_LEAVING
 from nutmegspoke.untrusted import UndecodableError, UntrustedDecoder
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
 _ORDER_TIMEOUT_S = 1.0
 # A report names each request that waits for a lost engine.
 MAX_ENGINE_ANSWER_BYTES = 262_144
+_LEAVING_HEADER = SERVER_LEAVING.decode()
 _ERRORS = (TimeoutError, OSError)
 _REPORT_ERRORS = (*_ERRORS, UndecodableError)
 
@@ -92,6 +94,7 @@
             total_token_layers=wire_report.kv_total,
             slowness=wire_report.pace,
             stalled=tuple((row.id, row.address) for row in wire_report.stalled),
+            is_leaving=answer.headers.get(_LEAVING_HEADER, '').strip() == '1',
         )
 
     async def order_layers(
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -41,6 +41,7 @@
 _SERVER_LOAD = b'server-load'
 _RETRY_AFTER = b'retry-after'
 _SERVER_LIMIT = b'server-limit'
+SERVER_LEAVING = b'server-leaving'
 
 _HOP_BY_HOP = frozenset(
     (
@@ -141,6 +142,7 @@
         limit_per_s=limit_per_s,
         invalid_limit=invalid_limit,
         is_other_target=status == _MISDIRECTED,
+        is_leaving=fields.get(SERVER_LEAVING, b'').strip() == b'1',
     )
 
 
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -62,6 +62,7 @@
         0 to resume it.
     :param pause: pause that refusals ask for, as the header's text; empty for
         none.
+    :param is_leaving: answers say that the target leaves.
     :param closes_port_after_s: time for which the port of a target that crashes
         stays open after its connections.
     """
@@ -87,6 +88,7 @@
     names_refused: bool = False
     error_status: int = 0
     pause: str = ''
+    is_leaving: bool = False
     closes_port_after_s: float = 0.0
 
 
@@ -401,7 +403,7 @@
         own_headers = {
             'Attempt-Id': request.headers.get('attempt-id', ''),
             'Response-Seal': f'seal-{self.name}',
-            **self.limit.headers(),
+            **_notice_headers(self),
         }
         if self.faults.failures:
             self.faults.failures -= 1
@@ -497,7 +499,7 @@
             'Not-Executed': '1',
             'Server-Load': '6,2,6',
             'Keep-Alive': 'timeout=10',
-            **self.limit.headers(),
+            **_notice_headers(self),
         }
         if pause:
             headers['Retry-After'] = pause
@@ -531,7 +533,9 @@
             'pace': 1.0,
             'stalled': stalled,
         }
-        return await _write_answer(writer, 200, {}, json.dumps(report).encode())
+        return await _write_answer(
+            writer, 200, _notice_headers(self), json.dumps(report).encode()
+        )
 
     async def _receive_order(
         self,
@@ -545,6 +549,12 @@
         return await _write_answer(writer, 202, {}, b'')
 
 
+def _notice_headers(target: WireTarget) -> dict[str, str]:
+    """Return what a target says of itself."""
+    leaving = {'Server-Leaving': '1'} if target.faults.is_leaving else {}
+    return {**target.limit.headers(), **leaving}
+
+
 def _wire_layers(held: tuple[int, int] | None) -> dict[str, int] | None:
     if held is None:
         return None
--- a/tests/membership/test_target_entries.py
+++ b/tests/membership/test_target_entries.py
@@ -5,6 +5,7 @@
 import unittest
 
 from nutmegspoke.membership.target_entries import TargetEntries
+from nutmegspoke.retries.target_departures import TargetDepartures
 from nutmegspoke.targets import TargetState
 from tests import builders_edge as build
 
@@ -53,6 +54,19 @@
         self.assertEqual(self.entries.drop_lapsed(15.8), ('x',))
         self.assertEqual(self._live(), ['y'])
 
+    def test_a_removal_of_a_target_that_said_it_leaves(self) -> None:
+        """Guards against a target that left and is kept as a lapsed entry."""
+        departures = TargetDepartures()
+        entries = TargetEntries(2.0, departures)
+        target = build.target('x')
+        entries.put(target, 1)
+        self.assertTrue(departures.announced(target))
+        self.assertEqual(entries.live('engines'), ())
+        entries.store_failed(10.0)
+        self.assertTrue(entries.remove('x', 10.5))
+        entries.put(target, 2)
+        self.assertEqual(entries.live('engines'), ())
+
     def test_a_removal_that_is_told_late(self) -> None:
         """Guards against targets in use after their time to drain.
 
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -75,4 +75,21 @@
         'tests.test_untrusted',
     ),
     'stale refusals': ('tests.edge.test_stale_refusals',),
+    'targets that leave': (
+        'tests.edge.test_leaving_targets',
+        'tests.retries.test_target_departures',
+    ),
+    'positions of streams': (
+        'tests.edge.test_stream_ids',
+        'tests.pipelines.test_stream_position',
+    ),
+    'what readers know': (
+        'tests.edge.test_followers',
+        'tests.membership.test_reader_words',
+        'tests.membership.test_table_delays',
+    ),
+    'memory for answers': (
+        'tests.edge.test_endless_answers',
+        'tests.admission.test_answer_memory',
+    ),
 }
