Let other feeds call a failing store if the one that may makes no call

While the store fails, one feed of a daemon calls it and the others wait for the result.

Fix: a feed that is kept current gives up its turn. The test test_a_feed_that_no_longer_needs_its_call failed before.

--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -253,6 +253,7 @@
 
     async def _run_once(self) -> None:
         if self._is_kept_current():
+            self._health.release(self.table)
             await asyncio.sleep(table_delays.CHECK_INTERVAL_S)
             return
         now_s = self._clock.now_s()
--- a/nutmegspoke/membership/store_health.py
+++ b/nutmegspoke/membership/store_health.py
@@ -91,6 +91,11 @@
         self._probing_caller = caller
         return 0.0
 
+    def release(self, caller: str) -> None:
+        """Let another caller call, as this one makes no call any more."""
+        if self._probing_caller == caller:
+            self._probing_caller = None
+
     def answered(self, caller: str) -> None:
         """Record that a call was answered."""
         self._failures = 0
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -256,6 +256,28 @@
             lambda: all(feed.newest_change is not None for feed in feeds),
         )
 
+    async def test_a_feed_that_no_longer_needs_its_call(self) -> None:
+        """Guards against feeds that wait for a call that is never made.
+
+        While the store fails only one feed calls it. If readers keep that one
+        current, it makes no call, and the others must not wait for it.
+        """
+        health = StoreHealth()
+        health.failed('t', 0.0)
+        self.assertEqual(health.wait_s('t', 1e9), 0.0)
+        self.assertGreater(health.wait_s('other', 1e9), 0.0)
+        feed = self._follower('t', health)
+        await feed.restart()
+        await self._until(lambda: feed.newest_change is not None)
+        health.failed('t', 0.0)
+        self.assertEqual(health.wait_s('t', 1e9), 0.0)
+        await self._until(
+            lambda: (
+                (feed.receive_update(_new_update(9, 10)) or True)
+                and not health.wait_s('other', 1e9)
+            )
+        )
+
     async def test_an_error_in_the_listener(self) -> None:
         """Guards against a follower that ends with an error of its listener.
 
