--- a/nutmegspoke/platform/store_client.py
+++ b/nutmegspoke/platform/store_client.py
@@ -149,12 +149,16 @@
         answer = await self._request_feed(query, wait_s)
         if isinstance(answer, HistoryLost | Unavailable):
             return answer
+        # A row that was removed and written again is listed once for each.
+        last = {row.key: row for row in answer.rows}
         return TableChanges(
             version=answer.ver,
             rows=tuple(
-                _to_stored_row(row) for row in answer.rows if not row.removed
+                _to_stored_row(row)
+                for row in answer.rows
+                if row is last[row.key] and not row.removed
             ),
-            removed=tuple(row.key for row in answer.rows if row.removed),
+            removed=tuple(row.key for row in last.values() if row.removed),
             newest_change=max((row.ver for row in answer.rows), default=0),
             era=answer.era,
         )
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -113,6 +113,22 @@
         self.assertEqual(fed_changes.rows, (StoredRow(_KEY, 2, b'a'),))
         self.assertEqual(fed_changes.newest_change, 2)
 
+    async def test_a_row_that_returned(self) -> None:
+        """Guards against a target that is dropped as it has come back.
+
+        One answer held its removal and its return, which were applied in the
+        wrong order.
+        """
+        for body in (b'1', None, b'2'):
+            await self.store.put('t', 'back', body)
+        for body in (b'1', None):
+            await self.store.put('t', 'gone', body)
+        changes = await self.client.changes('t', 0, 0.0)
+        assert isinstance(changes, TableChanges)
+        rows = [(row.key, row.body) for row in changes.rows]
+        self.assertEqual(rows, [('t/back', b'2')])
+        self.assertEqual(changes.removed, ('gone',))
+
     async def test_lost_history(self) -> None:
         """A feed from a version whose history was discarded fails."""
         await self.store.put('lease', 'layers', b'a')
