Forward the return of entries that a reader has kept

An entry that lapses in an outage is kept for a while.

Fix: the return of an entry that the store did not list is a change. test_its_return_is_forwarded failed before.

--- a/nutmegspoke/edge/listeners.py
+++ b/nutmegspoke/edge/listeners.py
@@ -196,6 +196,8 @@
         known = self._view.targets.find(name)
         if known is not None and _is_outdated(entry, known):
             return False
+        # Others may have dropped an entry that is kept here.
+        has_returned = self._view.targets.has_lapsed(name)
         if not self._view.targets.put(entry, row.version):
             self._log.decided(
                 'target_replaced',
@@ -205,7 +207,7 @@
             )
             return known is not None
         if known == entry:
-            return False
+            return has_returned
         if entry.state == TargetState.LEAVING:
             self._record_departure(name, now_s)
         self.changed_s = now_s if known is None else self.changed_s
--- a/nutmegspoke/membership/target_entries.py
+++ b/nutmegspoke/membership/target_entries.py
@@ -142,6 +142,10 @@
             self._drop(name)
         return dropped
 
+    def has_lapsed(self, name: str) -> bool:
+        """Return whether the store does not list an entry that is kept."""
+        return name in self._lapsed
+
     def all(self) -> tuple[TargetEntry, ...]:
         """Return all entries, leaving and lapsed ones included."""
         return tuple(self._entries.values())
