Restore two tests of event streams, and give reasons for changed ones

- test_pieces_of_any_size_give_the_same_events compared each event with that of the stream fed at once.
Its successor compared ids and the joined bytes, so that a wrong border between two events could pass.
It is back, with its stream and one with a byte order mark, a comment and empty fields.
- test_an_id_of_very_many_digits_is_no_number is back under its name.
The number of an event is now parsed by stream_position.parse_number, which is why its assertion reads otherwise.
A stream of such ids is relayed whole while nothing fails, which is what the test guards, and is now checked with a daemon, too (test_stream_ids).

--- a/nutmegspoke/pipelines/stream_position.py
+++ b/nutmegspoke/pipelines/stream_position.py
@@ -39,7 +39,7 @@
     def __init__(self, resume_after: str = '') -> None:
         """Start at the beginning of an answer."""
         self.last_id = resume_after
-        self._number = _parse_number(resume_after.encode('latin-1'))
+        self._number = parse_number(resume_after.encode('latin-1'))
         self._has_sent = False
         self._is_numbered = True
         self._is_last_numbered = True
@@ -59,7 +59,7 @@
         """
         if not event.has_data and event.event_id is None:
             return Placement.NEXT
-        number = _parse_number(event.event_id or b'')
+        number = parse_number(event.event_id or b'')
         if not has_joined:
             if number is None and self._has_sent:
                 return Placement.UNKNOWN
@@ -80,7 +80,7 @@
         self._has_sent = True
 
 
-def _parse_number(text: bytes) -> _Number | None:
+def parse_number(text: bytes) -> _Number | None:
     """Return a number; ``None`` if the text is none."""
     if not text.isdigit() or len(text) > _MAX_DIGITS:
         return None
--- a/tests/edge/test_stream_ids.py
+++ b/tests/edge/test_stream_ids.py
@@ -35,6 +35,9 @@
     'one for all': ('7',) * _COUNT,
     'empty': ('',) * _COUNT,
     'none': (None,) * _COUNT,
+    'more digits than int() accepts': tuple(
+        str(place) * 5_000 for place in range(1, _COUNT + 1)
+    ),
 }
 _LINE_ENDS = ('\n', '\r\n', '\r')
 
--- a/tests/pipelines/test_event_stream.py
+++ b/tests/pipelines/test_event_stream.py
@@ -5,7 +5,15 @@
 import unittest
 
 from nutmegspoke.pipelines.event_stream import EventSplitter, StreamEvent
+from nutmegspoke.pipelines.stream_position import parse_number
 
+# More digits than int() accepts.
+_LONG_ID = b'9' * 5_000
+_PLAIN_STREAM = (
+    b'id: 1\ndata: a\n\n'
+    b'weight-versions: 2\nid: 2\ndata: b\n\n'
+    b'data: without id\n\n'
+)
 _STREAM = (
     b'\xef\xbb\xbfid: 1\ndata: a\n\n'
     b'weight-versions: 2\nid:2\ndata: b\ndata: b\n\n'
@@ -30,6 +38,26 @@
 class EventSplitterTest(unittest.TestCase):
     """Returns complete events only, with unchanged bytes."""
 
+    def test_pieces_of_any_size_give_the_same_events(self) -> None:
+        """The size of the received pieces does not change the events."""
+        for stream in (_PLAIN_STREAM, _STREAM):
+            expected = EventSplitter().feed(stream)
+            for size in range(1, len(stream)):
+                events, splitter = _split(stream, size)
+                self.assertEqual(events, expected)
+                self.assertFalse(splitter.has_partial_event)
+            self.assertEqual(b''.join(event.raw for event in expected), stream)
+        plain = EventSplitter().feed(_PLAIN_STREAM)
+        self.assertEqual(
+            [event.event_id for event in plain], [b'1', b'2', None]
+        )
+
+    def test_an_id_of_very_many_digits_is_no_number(self) -> None:
+        """Guards against an error that cuts the stream of a caller."""
+        (event,) = EventSplitter().feed(b'id: %s\n\n' % _LONG_ID)
+        self.assertEqual(event.event_id, _LONG_ID)
+        self.assertIsNone(parse_number(_LONG_ID))
+
     def test_lines_of_any_end_in_pieces_of_any_size(self) -> None:
         """Guards against streams that are refused for the ends of their lines.
 
