Let the age up to which readers are relied on follow the settings

Cause: the times were those of deployments that allow 2 s for a change; readers had urgent tables confirmed each 0.8 s everywhere. Heartbeats of targets that started together come together, and a reader's call ended before the next ones.

Fix: the times follow from config_apply_ms and drain_ms, which the settings name. Where 3 or 4 s are allowed, readers wait as long as before; where 2 s are, nothing changes.

--- a/nutmegspoke/edge/feeds.py
+++ b/nutmegspoke/edge/feeds.py
@@ -87,20 +87,26 @@
     def is_relay() -> bool:
         return updates.is_relay(clock.now_s())
 
+    def apply_s() -> float:
+        return view.host.bounds.apply_s
+
+    def drain_s() -> float:
+        return view.host.bounds.drain_s
+
     health = StoreHealth()
     follows = (
         (
             parts.tables_table,
             listeners.tables,
             TableSharing(
-                uses_relays, is_relay, is_urgent=True, forwards_rows=False
+                uses_relays, is_relay, allowed_s=apply_s, forwards_rows=False
             ),
         ),
         (
             parts.targets_table,
             listeners.targets,
             TableSharing(
-                shares_targets, reads_targets, is_busy=True, is_urgent=True
+                shares_targets, reads_targets, is_busy=True, allowed_s=drain_s
             ),
         ),
         (
--- a/nutmegspoke/edge/followers.py
+++ b/nutmegspoke/edge/followers.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import logging
+import math
 from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke.edge.call_results import CallResults
@@ -65,6 +66,10 @@
         """Record that the rows are those that the store had at a time."""
 
 
+def _unlimited_s() -> float:
+    return math.inf
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableSharing:
     """How daemons share the reads of a table.
@@ -73,7 +78,8 @@
         for the others now; otherwise each reads it for itself.
     :param is_reader: returns whether this daemon is one of them.
     :param is_busy: whether the table always changes.
-    :param is_urgent: whether a change must be applied within two seconds.
+    :param allowed_s: returns the time that a change is allowed to take until it
+        is applied; infinity for a table that is not urgent.
     :param forwards_rows: whether readers forward changed rows. If not, as they
         are too large, the others read them when they hear of a change.
     """
@@ -81,7 +87,7 @@
     is_used: Callable[[], bool]
     is_reader: Callable[[], bool]
     is_busy: bool = False
-    is_urgent: bool = False
+    allowed_s: Callable[[], float] = _unlimited_s
     forwards_rows: bool = True
 
     def reads_store(self) -> bool:
@@ -97,7 +103,7 @@
         is_used = self.is_used()
         reads_store = not is_used or self.is_reader()
         return table_delays.ReadRole(
-            is_urgent=self.is_urgent,
+            allowed_s=self.allowed_s(),
             is_busy=self.is_busy,
             reads_store=reads_store,
             has_receivers=is_used and reads_store,
@@ -299,7 +305,7 @@
             return False
         confirmed_age_s = now_s - self.results.confirmed_s
         return confirmed_age_s < table_delays.confirmed_limit_s(
-            is_urgent=self.sharing.is_urgent
+            self.sharing.allowed_s()
         )
 
     def _handle_read(
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -49,6 +49,7 @@
     """Limits on recovery that the deployment guarantees to its users.
 
     :param drain_s: time after which a leaving target gets no more requests.
+    :param apply_s: time after which tables are in force on all hosts.
     :param stop_grace_s: time between SIGTERM and SIGKILL.
     :param retry_share: maximum retries as a share of a pool's requests, over
         all daemons.
@@ -57,6 +58,7 @@
     """
 
     drain_s: float = 2.0
+    apply_s: float = 2.0
     stop_grace_s: float = 8.0
     retry_share: float = 0.2
     retry_slack: float = 100.0
--- a/nutmegspoke/platform/boot_settings.py
+++ b/nutmegspoke/platform/boot_settings.py
@@ -37,6 +37,7 @@
 
 class _Bounds(msgspec.Struct):
     drain_ms: _Positive = 2_000
+    config_apply_ms: _Positive = 2_000
     # In seconds, unlike drain_ms.
     grace_s: _Positive = 8
     retry_ratio: float = 0.2
@@ -159,6 +160,7 @@
 def _build_bounds(bounds: _Bounds) -> RecoveryBounds:
     return RecoveryBounds(
         drain_s=bounds.drain_ms / _MS_PER_S,
+        apply_s=bounds.config_apply_ms / _MS_PER_S,
         stop_grace_s=bounds.grace_s,
         retry_share=bounds.retry_ratio,
         retry_slack=bounds.retry_slack,
--- a/tests/edge/test_followers.py
+++ b/tests/edge/test_followers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import unittest
 from unittest import mock
@@ -12,10 +13,6 @@
 from nutmegspoke.edge.followers import TableFollower, TableSharing
 from nutmegspoke.membership import table_delays
 from nutmegspoke.membership.store_health import StoreHealth
-from nutmegspoke.membership.table_delays import (
-    CONFIRMED_LIMIT_S,
-    READER_CYCLE_S,
-)
 from nutmegspoke.membership.table_news import TableUpdate
 from nutmegspoke.metadata_store import StoredRow, TableChanges, Unavailable
 
@@ -112,7 +109,7 @@
     """Many daemons: most of them rely on updates from a few readers."""
 
     forwards_rows = True
-    is_urgent = False
+    allowed_s = math.inf
 
     async def asyncSetUp(self) -> None:
         """Follow a table that other daemons read."""
@@ -140,7 +137,7 @@
                 lambda: True,
                 lambda: self.is_reader,
                 is_busy=True,
-                is_urgent=self.is_urgent,
+                allowed_s=lambda: self.allowed_s,
                 forwards_rows=self.forwards_rows,
             ),
         )
@@ -305,7 +302,7 @@
 class UrgentTableTest(UpdatedFollowerCase):
     """Changes of the table must be applied within two seconds."""
 
-    is_urgent = True
+    allowed_s = 2.0
 
     async def test_a_reader_that_is_cut_off(self) -> None:
         """Guards against a reader that vouches for a table it can't read.
@@ -318,10 +315,11 @@
         await self._until(lambda: self.feed.positions)
         ages = [self._told_age_s()]
         self.feed.is_mute = True
-        await asyncio.sleep(CONFIRMED_LIMIT_S + READER_CYCLE_S)
+        await asyncio.sleep(2 * self.allowed_s)
         ages.append(self._told_age_s())
-        self.assertLess(ages[0], CONFIRMED_LIMIT_S)
-        self.assertGreater(ages[1], CONFIRMED_LIMIT_S)
+        limit_s = table_delays.confirmed_limit_s(self.allowed_s)
+        self.assertLess(ages[0], limit_s)
+        self.assertGreater(ages[1], limit_s)
 
     async def test_an_old_confirmation_is_no_reason_to_wait(self) -> None:
         """Guards against daemons that ask nobody as their readers are cut off."""
@@ -361,7 +359,7 @@
     async def test_a_change_is_read(self) -> None:
         """Guards against tables that come into force a timeout later."""
         patch = mock.patch.multiple(
-            table_delays, UPDATE_TIMEOUT_S=1_000.0, CONFIRMED_LIMIT_S=1_000.0
+            table_delays, UPDATE_TIMEOUT_S=1_000.0, FEED_WAIT_S=1_000.0
         )
         patch.start()
         self.addCleanup(patch.stop)
--- a/tests/edge/test_store_goes_back.py
+++ b/tests/edge/test_store_goes_back.py
@@ -170,7 +170,7 @@
         patch = mock.patch.multiple(
             table_delays,
             URGENT_FEED_WAIT_S=_LONG_WAIT_S,
-            URGENT_CYCLE_S=_LONG_WAIT_S,
+            CALL_TIME_S=-_LONG_WAIT_S,
         )
         patch.start()
         self.addCleanup(patch.stop)
--- a/tests/mutation_list_knowledge.py
+++ b/tests/mutation_list_knowledge.py
@@ -18,8 +18,8 @@
     Mutation(
         'knowledge: old confirmations are relied on',
         'nutmegspoke/membership/table_delays.py',
-        'return CONFIRMED_LIMIT_S if is_urgent else',
-        'return 1e9 if is_urgent else',
+        'return max(_MIN_LIMIT_S, allowed_s - CHECK_INTERVAL_S - CALL_TIME_S)',
+        'return 1e9',
         _FOLLOWERS,
     ),
     Mutation(
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -55,7 +55,7 @@
     Mutation(
         'paths: polls of urgent tables take long',
         'nutmegspoke/membership/table_delays.py',
-        'if not self.is_urgent:',
+        'if math.isinf(self.allowed_s):',
         'if not self.has_receivers:',
         _MUTE_TESTS,
     ),
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -24,6 +24,7 @@
         self.assertEqual(host.limits.memory_bytes, 300_000_000)
         self.assertEqual(host.limits.max_sockets, 3_900)
         self.assertEqual(host.bounds.drain_s, 2.5)
+        self.assertEqual(host.bounds.apply_s, 2.0)
         self.assertEqual(host.bounds.stop_grace_s, 8.0)
         self.assertEqual(host.bounds.retry_slack, 202.0)
 
