Limit the number of headers in a head

Report of other operators: a faulty engine sends bytes that are no answer, without end, in a head or in a body. One head was bounded at 64 KB, but its headers were kept one by one: each of two characters takes some 150 bytes, so that 400 heads of such headers at once took a daemon to 562 MB at a limit of 300 MB (100: 147 MB, 200: 244 MB). Found by measuring each form of such bytes with many calls at once; noise, long status lines, single headers and interim answers took 44 MB or less with 100.

Fix: a head, or trailers, may have 256 headers; the same for the answers of the store and of reports.

test_many_headers of both modules failed before.

--- a/nutmegspoke/edge/answer_reader.py
+++ b/nutmegspoke/edge/answer_reader.py
@@ -19,6 +19,9 @@
 # Limit on received bytes in a row that are not part of a body: heads, interim
 # answers, trailers and the framing of chunks.
 _MAX_FRAMING_BYTES = 65_536
+# Limit on the headers of a head, or of trailers. A short one takes many times its
+# bytes in memory.
+_MAX_HEADERS = 256
 # Limit on the bodies that are skipped before the expected answer.
 _MAX_SKIPPED_BYTES = 1_048_576
 
@@ -87,6 +90,7 @@
         self._on_event = on_event
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
+        self._has_excess_headers = False
         self._parts: list[bytes] = []
         self._framing_bytes = 0
         self._skipped_bytes = 0
@@ -139,6 +143,8 @@
         self._emit_part()
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             fault = fault or 'answer without end'
+        if self._has_excess_headers:
+            fault = fault or 'too many headers'
         if fault:
             self.is_in_sync = False
         return fault
@@ -169,7 +175,10 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header."""
-        self._headers.append((name, text))
+        if len(self._headers) < _MAX_HEADERS:
+            self._headers.append((name, text))
+        else:
+            self._has_excess_headers = True
 
     def on_headers_complete(self) -> None:
         """Emit the head; skip interim answers and those to other requests."""
--- a/nutmegspoke/http_calls.py
+++ b/nutmegspoke/http_calls.py
@@ -29,6 +29,8 @@
 # body.
 _MAX_ANSWER_BYTES = 33_554_432
 _MAX_BODY_BYTES = 16_777_216
+# A short header takes many times its bytes in memory.
+_MAX_HEADERS = 256
 _INTERIM = range(100, 200)
 
 
@@ -313,6 +315,9 @@
         """Store a header."""
         decoded_name = name.decode('latin-1').lower()
         self._headers[decoded_name] = text.decode('latin-1')
+        if len(self._headers) > _MAX_HEADERS:
+            self._headers.clear()
+            self._fail('too many headers')
 
     def on_body(self, part: bytes) -> None:
         """Store a chunk of the body."""
--- a/tests/edge/test_endless_answers.py
+++ b/tests/edge/test_endless_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import tracemalloc
 import unittest
 
 from nutmegspoke.admission.answer_memory import AnswerMemory
@@ -59,6 +60,33 @@
                 self.assertLess(fed_bytes, _MAX_FED_BYTES)
                 self.assertFalse(self.reader.keep_alive)
 
+    def test_many_headers(self) -> None:
+        """Guards against short headers that take many times their bytes.
+
+        Four hundred heads of 64 KB took 500 MB.
+        """
+        for name in ('headers', 'trailers'):
+            with self.subTest(name):
+                self.setUp()
+                answer = ENDLESS_ANSWERS[name]
+                self.reader.feed(answer.start)
+                tracemalloc.start()
+                self.addCleanup(tracemalloc.stop)
+                fault = self.reader.feed(answer.repeated * 2_000)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                self.assertEqual(fault, 'too many headers')
+                self.assertLess(held_bytes, _PIECE_BYTES)
+
+    def test_an_answer_with_many_headers(self) -> None:
+        """Guards against a limit that true answers reach."""
+        headers = b'A: b\r\n' * 200
+        head = b'HTTP/1.1 200 OK\r\nId: 1\r\n' + headers
+        self.assertEqual(
+            self.reader.feed(head + b'Content-Length: 0\r\n\r\n'), ''
+        )
+        self.assertFalse(self.reader.is_expecting)
+
     def test_a_long_answer(self) -> None:
         """Guards against a limit on answers instead of on other bytes."""
         head = b'HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -114,6 +114,14 @@
             async with asyncio.timeout(_LIMIT_S):
                 await self.http.call('GET', self.address, '/a')
 
+    async def test_many_headers(self) -> None:
+        """Guards against short headers that take many times their bytes."""
+        lines = b''.join(b'%d: x\r\n' % number for number in range(2_000))
+        self.answers = [b'HTTP/1.1 200 OK\r\n' + lines]
+        with self.assertRaisesRegex(CallError, 'too many headers'):
+            async with asyncio.timeout(_LIMIT_S):
+                await self.http.call('GET', self.address, '/a')
+
     async def test_a_limit_for_small_answers(self) -> None:
         """Guards against many engines that fill the memory with reports.
 
