Test that a late answer does not confirm a table when it arrives

A mutation that takes the time of arrival was missed: no test had an answer that is on its way for long. test_table_polls.py has them, with a process that stood still in between, and catches it.

--- a/tests/mutation_list_knowledge.py
+++ b/tests/mutation_list_knowledge.py
@@ -78,6 +78,27 @@
         'announced_elsewhere({})',
         _LEAVING,
     ),
+    Mutation(
+        'knowledge: readers ask as often where more is allowed',
+        'nutmegspoke/membership/table_delays.py',
+        'limit_s = confirmed_limit_s(self.allowed_s)',
+        'limit_s = confirmed_limit_s(2.0)',
+        ('tests.membership.test_table_delays',),
+    ),
+    Mutation(
+        'knowledge: an answer confirms when it arrives',
+        'nutmegspoke/edge/table_polls.py',
+        '        return self.called_s\n',
+        '        return now_s\n',
+        ('tests.edge.test_table_polls',),
+    ),
+    Mutation(
+        'memory: heads may have any number of headers',
+        'nutmegspoke/edge/answer_reader.py',
+        'if len(self._headers) < _MAX_HEADERS:',
+        'if True:',
+        ('tests.edge.test_endless_answers.EndlessAnswerTest',),
+    ),
     Mutation(
         'memory: each answer is bounded, all together are not',
         'nutmegspoke/admission/answer_memory.py',
