--- a/nutmegspoke/cmd/cli.py
+++ b/nutmegspoke/cmd/cli.py
@@ -17,6 +17,7 @@
     cli_claims,
     cli_explain,
     cli_load,
+    cli_served,
     cli_wait,
 )
 from nutmegspoke.cmd.cli_options import (
@@ -133,6 +134,7 @@
 app.command()(cli_explain.status)
 app.command()(cli_explain.explain)
 app.command(name='load')(cli_load.load_command)
+app.command()(cli_served.served)
 
 
 def main() -> None:
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -268,7 +268,14 @@
         self._admission.retry_times.record_ended_draft(self._clock.now_s())
         status = opened.head.status
         self._answer_sender.record_end(
-            context, 'answered', status, '', _timing_fields(context, stream)
+            context,
+            'answered',
+            status,
+            '',
+            {
+                **_timing_fields(context, stream),
+                'is_late': stream.is_late(context.received_s, context.route),
+            },
         )
         await context.answer.end()
 
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -112,7 +112,14 @@
         self, context: RequestContext, target_answer: CompleteAnswer
     ) -> None:
         """Forward the answer of a target to the caller, unchanged."""
-        self.record_end(context, 'answered', target_answer.status, '')
+        took_s = self._clock.now_s() - context.received_s
+        self.record_end(
+            context,
+            'answered',
+            target_answer.status,
+            '',
+            {'is_late': 0 < context.route.goal_s < took_s},
+        )
         headers = self._header_codec.returned_headers(target_answer.headers)
         await context.answer.send_complete(
             target_answer.status, headers, target_answer.body
@@ -130,6 +137,9 @@
         now_s = self._clock.now_s()
         took_s = now_s - context.received_s
         fields = dict(log_fields or {})
+        if context.facts.prompt_tokens:
+            fields['prompt_tokens'] = context.facts.prompt_tokens
+            fields['max_answer_tokens'] = context.facts.max_answer_tokens
         if context.facts.shared_parts:
             fields['shared_parts'] = context.facts.shared_parts
         if outcome != 'answered':
@@ -140,6 +150,7 @@
             request=context.facts.request_id,
             route=context.route.name,
             team=context.team,
+            priority=context.priority,
             outcome=outcome,
             status=status,
             reason=reason,
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -22,6 +22,7 @@
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.work import RequestContext
+    from nutmegspoke.entry_host import EntryRoute
     from nutmegspoke.forwarded import HeaderCodec
     from nutmegspoke.pipelines.event_stream import EventSplitter
 
@@ -55,6 +56,17 @@
         self.last_event_s = now_s
         self.events += count
 
+    def is_late(self, received_s: float, route: EntryRoute) -> bool:
+        """Return whether the first event or a pause missed its goal.
+
+        :param received_s: time at which the request was received.
+        """
+        if self.first_event_s is None:
+            return True
+        if self.first_event_s - received_s > route.goal_s:
+            return True
+        return 0 < route.gap_goal_s < self.longest_pause_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayEnd:
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -114,6 +114,8 @@
     :param priority: priority of the requests; 0 is the highest.
     :param max_targets: maximum number of targets that a request is sent to.
     :param is_public: whether requests need no team key.
+    :param gap_goal_s: longest pause between two events of a stream that is on
+        time; 0 if the route has none.
     """
 
     name: str
@@ -126,6 +128,7 @@
     priority: int
     max_targets: int
     is_public: bool
+    gap_goal_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -43,6 +43,7 @@
     route_kind: str
     timeout_ms: float
     goal_ms: float = 0
+    gap_goal_ms: float = 0
     priority: int = 0
     service: str | None = None
     split: list[_Split] | None = None
@@ -163,6 +164,7 @@
         priority=route.priority,
         max_targets=max(1, route.max_attempts),
         is_public=route.public,
+        gap_goal_s=route.gap_goal_ms / _MS_PER_S,
     )
 
 
