--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.admission.answer_memory import HeldAnswer
+from nutmegspoke.admission.opening import opening_wait_s
 from nutmegspoke.edge.http_server import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
 from nutmegspoke.retries.suspects import request_fingerprint
@@ -33,9 +34,6 @@
 
 # A daemon that has just started receives the tables within some round trips.
 _FIRST_TABLES_S = 0.2
-# A daemon still without tables is disconnected from the store, which lasts
-# longer than the wait above.
-_NO_TABLES_RETRY_AFTER_S = 0.5
 # Answers are sent this long before the timeout of the route.
 _ANSWER_MARGIN_S = 0.02
 _DEFAULT_TEAM_PRIORITY = 9
@@ -64,6 +62,7 @@
         self._answer_sender = answer_sender
         self._answer_memory = answer_memory
         self._clock = clock
+        self._started_s = clock.now_s()
 
     async def handle(self, request: CallerRequest, answer: Answer) -> None:
         """Answer a request; the task is cancelled if the caller disconnects."""
@@ -77,7 +76,7 @@
                 facts.request_id,
                 OwnAnswer.NOT_RUN,
                 reason='no tables yet',
-                retry_after_s=_NO_TABLES_RETRY_AFTER_S,
+                retry_after_s=self._opening_wait_s(facts),
             )
             return
         route = self._view.routes.match(facts.host_name, facts.path)
@@ -92,6 +91,11 @@
             self._new_context(request, facts, route, team, answer)
         )
 
+    def _opening_wait_s(self, facts: RequestFacts) -> float:
+        """Return when a caller may return to a daemon without tables."""
+        closed_s = self._clock.now_s() - self._started_s
+        return opening_wait_s(closed_s, facts.deadline_s, facts.request_id)
+
     async def _refuse(
         self,
         answer: Answer,
