--- /dev/null
+++ b/nutmegspoke/contention/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on pools that requests of several ranks share."""
--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -11,6 +11,7 @@
 from nutmegspoke.admission.opening import opening_wait_s
 from nutmegspoke.edge.http_server import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
+from nutmegspoke.entry_host import DEFAULT_TEAM_PRIORITY
 from nutmegspoke.retries.suspects import request_fingerprint
 from nutmegspoke.routing.entry_routes import pick_pool
 
@@ -36,7 +37,6 @@
 _FIRST_TABLES_S = 0.2
 # Answers are sent this long before the timeout of the route.
 _ANSWER_MARGIN_S = 0.02
-_DEFAULT_TEAM_PRIORITY = 9
 # A handler is cancelled when its caller disconnects.
 _CALLER_GONE_ERRORS = (asyncio.CancelledError, CallerGoneError)
 
@@ -131,7 +131,7 @@
             pool=_pool(tables, pool_name),
             team=team_name,
             priority=(
-                team.priority if team else _DEFAULT_TEAM_PRIORITY,
+                team.priority if team else DEFAULT_TEAM_PRIORITY,
                 route.priority,
             ),
             answer=answer,
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -261,6 +261,11 @@
                 for stage in chain
             ),
             resume_after=stream.position.last_id,
+            urgency=self._view.contention.urgency(
+                context.pool.name,
+                context.priority,
+                has_answer=stream.has_head or bool(context.facts.resume_after),
+            ),
         )
         return OutboundRequest(
             address=chain[0].address,
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -138,7 +138,14 @@
         self, context: RequestContext, target: TargetEntry, *, may_retry: bool
     ) -> FetchResult:
         now_s = self._clock.now_s()
-        dispatch = Dispatch(target.name, context.team, context.left_s(now_s))
+        dispatch = Dispatch(
+            target.name,
+            context.team,
+            context.left_s(now_s),
+            urgency=self._view.contention.urgency(
+                context.pool.name, context.priority, has_answer=False
+            ),
+        )
         connection = await self._attempts.send(
             OutboundRequest(
                 address=target.address,
--- a/nutmegspoke/edge/view.py
+++ b/nutmegspoke/edge/view.py
@@ -11,9 +11,11 @@
     NO_RESERVATION,
     AnswerLengths,
     MemoryReservations,
+    Reservation,
     sum_reservations,
 )
 from nutmegspoke.admission.socket_shares import target_share
+from nutmegspoke.contention.pools import ContendedPools
 from nutmegspoke.membership.engine_health import EngineReports
 from nutmegspoke.membership.layer_moves import LayerReassignments
 from nutmegspoke.membership.lost_engines import LostEngines
@@ -36,7 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
-    from nutmegspoke.admission.draft_room import Reservation
     from nutmegspoke.entry_host import (
         EntryHost,
         EntryPool,
@@ -93,6 +94,7 @@
         self.lost_engines = LostEngines()
         self.retry_budgets = PoolBudgets(_window_settings(host.bounds))
         self.crashes = SharedQuarantine()
+        self._contention = ContendedPools()
         self._answer_lengths: dict[str, AnswerLengths] = {}
         self._profiles: dict[str, ModelProfile] = {}
         self._crossing_budgets: dict[str, CrossingBudget] = {}
@@ -105,7 +107,9 @@
         self._tables_applied_s = now_s
         self._tables_applied.set()
         self.routes = RouteIndex.from_tables(tables)
-        self._update_profiles(tables)
+        listed_pools = {entry.pool for entry in self.targets.all()}
+        self._profiles = _merge_profiles(self._profiles, tables, listed_pools)
+        self._contention.apply_tables(tables)
         return True
 
     async def wait_for_tables(self, timeout_s: float) -> None:
@@ -123,6 +127,11 @@
         self.targets.set_drain_time(host.bounds.drain_s)
         self.retry_budgets.update_settings(_window_settings(host.bounds))
 
+    @property
+    def contention(self) -> ContendedPools:
+        """Return ranks and own demand of pools that several ranks share."""
+        return self._contention
+
     @property
     def version(self) -> int:
         """Return the version of the tables; 0 without tables."""
@@ -289,24 +298,29 @@
                 return entry.name
         return None
 
-    def _update_profiles(self, tables: EntryTables) -> None:
-        """Store the profiles of the tables.
 
-        That of a pool without one in the tables is kept while targets of the
-        pool are listed, as requests matched before still run on them.
-        """
-        listed_pools = {entry.pool for entry in self.targets.all()}
-        kept_profiles = {
-            name: profile
-            for name, profile in self._profiles.items()
-            if name in listed_pools
-        }
-        profiles = {
-            pool.name: pool.profile
-            for pool in tables.pools.values()
-            if pool.profile is not None
-        }
-        self._profiles = {**kept_profiles, **profiles}
+def _merge_profiles(
+    known: Mapping[str, ModelProfile],
+    tables: EntryTables,
+    listed_pools: Collection[str],
+) -> dict[str, ModelProfile]:
+    """Return the profiles of the pools, after newer tables.
+
+    That of a pool without one in the tables is kept while targets of the pool
+    are listed, as requests matched before still run on them.
+
+    :param known: the profiles until now.
+    :param listed_pools: pools of the targets that are listed.
+    """
+    kept_profiles = {
+        name: profile for name, profile in known.items() if name in listed_pools
+    }
+    profiles = {
+        pool.name: pool.profile
+        for pool in tables.pools.values()
+        if pool.profile is not None
+    }
+    return {**kept_profiles, **profiles}
 
 
 def _window_settings(bounds: RecoveryBounds) -> WindowSettings:
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -241,6 +241,10 @@
     idle_timeout_s: float = 15.0
 
 
+# Priority of requests without a team.
+DEFAULT_TEAM_PRIORITY = 9
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Team:
     """A customer of the router; priority 0 is the highest."""
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -67,6 +67,8 @@
     :param chain: address, first layer and layer after the last one for each
         engine of the chain; empty for a service.
     :param resume_after: id of the last event that the caller has received.
+    :param urgency: class in which the target admits the request, from 0, the
+        first, to 9; ``None`` for the target's usual class.
     """
 
     target: str
@@ -74,6 +76,7 @@
     time_left_s: float
     chain: tuple[tuple[str, int, int], ...] = ()
     resume_after: str = ''
+    urgency: int | None = None
 
 
 class AnswerKind(enum.StrEnum):
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -35,6 +35,7 @@
 _RESUME_AFTER = b'last-event-id'
 _EXPECTED_TARGET = b'expect-instance'
 _CHAIN = b'hops'
+_URGENCY = b'urgency'
 _RESPONSE_SEAL = b'response-seal'
 _NOT_RUN = b'not-executed'
 _TARGET_AT_FAULT = b'at-server'
@@ -67,7 +68,7 @@
         _RESUME_AFTER,
         _EXPECTED_TARGET,
         _CHAIN,
-        b'urgency',
+        _URGENCY,
         b'expect-version',
     )
 )
@@ -183,6 +184,8 @@
     if dispatch.chain:
         hops = chain_text(dispatch.chain).encode('latin-1')
         lines.append(b'Hops: %s' % hops)
+    if dispatch.urgency is not None:
+        lines.append(b'Urgency: %d' % dispatch.urgency)
     return lines
 
 
--- /dev/null
+++ b/tests/contention/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of contention by rank."""
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -123,6 +123,17 @@
         ):
             self.assertEqual(lines.count(line), 1, line)
 
+    def test_urgency_only_if_given(self) -> None:
+        """Guards against other bytes to targets where no ranks compete."""
+        plain = headers.write_request(_request(), Dispatch('i-1', '', 0.75))
+        self.assertNotIn(b'urgency', plain.lower())
+        urgent = headers.write_request(
+            _request(), Dispatch('i-1', '', 0.75, urgency=0)
+        )
+        line = b'Urgency: 0\r\n'
+        self.assertEqual(urgent.count(line), 1)
+        self.assertEqual(urgent.replace(line, b''), plain)
+
 
 class AnswerHeadersTest(unittest.TestCase):
     """Parsing of the status and headers of a target's answer."""
