--- a/nutmegspoke/contention/pools.py
+++ b/nutmegspoke/contention/pools.py
@@ -1,9 +1,10 @@
-"""Ranks of the pools that several ranks share."""
+"""Ranks and own demand of the pools that several ranks share."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.contention.own_demand import OwnDemand
 from nutmegspoke.contention.ranks import contended_pools
 
 if TYPE_CHECKING:
@@ -12,11 +13,15 @@
 
 
 class ContendedPools:
-    """Ranks of the pools in the tables."""
+    """Ranks of the pools in the tables, and the demand of own drafts.
+
+    :ivar own: demand of this daemon's drafts in these pools.
+    """
 
     def __init__(self) -> None:
         """Start without tables."""
         self._ranks: dict[str, PoolRanks] = {}
+        self.own = OwnDemand()
 
     def apply_tables(self, tables: EntryTables) -> None:
         """Take the ranks of newer tables."""
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from nutmegspoke.contention.demand import DemandNews, is_possible
 from nutmegspoke.membership.relays import RELAYED_FROM, SUMMARY_INTERVAL_S
 from nutmegspoke.retries.notices import Notice  # noqa: TC001 -- a field's type
 from nutmegspoke.retries.target_limits import (
@@ -115,6 +116,8 @@
     :param known_daemons: the same, with those that have become silent lately.
     :param first_hosts: hosts of some of these daemons, the first in rank.
     :param limits: limits of targets, and requests sent to these lately.
+    :param demand: by pool with several ranks, and by rank, the room that drafts
+        hold, ask for and free.
     """
 
     host: str
@@ -139,6 +142,7 @@
     known_daemons: int = 1
     first_hosts: tuple[str, ...] = ()
     limits: dict[str, LimitNews] = {}
+    demand: DemandNews = {}
 
 
 class EventUpdate(msgspec.Struct, frozen=True, array_like=True, tag='event'):
@@ -187,3 +191,5 @@
         raise ValueError('impossible duration of a fault')
     if not all(limit.is_possible() for limit in update.limits.values()):
         raise ValueError('impossible limit of a target')
+    if not is_possible(update.demand):
+        raise ValueError('impossible demand')
--- a/nutmegspoke/membership/received_updates.py
+++ b/nutmegspoke/membership/received_updates.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.admission.draft_room import Reservation, sum_reservations
+from nutmegspoke.contention.demand import DemandNews, sum_demand
 from nutmegspoke.membership.load_news import (
     SILENCE_LIMIT_S,
     LoadUpdate,
@@ -247,6 +248,11 @@
     return total
 
 
+def demand_elsewhere(updates: Iterable[ReceivedUpdate]) -> DemandNews:
+    """Return the demand of other daemons by pool and rank."""
+    return sum_demand(received.update.demand for received in updates)
+
+
 def hosts_of(update: LoadUpdate) -> tuple[str, ...]:
     """Return the hosts that an update names as those of its daemons."""
     if update.scope == Scope.HOST:
--- a/nutmegspoke/membership/summaries.py
+++ b/nutmegspoke/membership/summaries.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from nutmegspoke.contention.demand import sum_demand, without_part
 from nutmegspoke.membership.common_work import READER_COUNT, rank_key
 from nutmegspoke.membership.load_news import LoadUpdate, Scope, TargetFault
 from nutmegspoke.membership.received_updates import hosts_of
@@ -104,6 +105,7 @@
         known_daemons=known_daemons,
         first_hosts=tuple(sorted(hosts, key=rank_key)[:READER_COUNT]),
         limits=_merge_limits(updates),
+        demand=sum_demand(update.demand for update in updates),
     )
 
 
@@ -128,6 +130,7 @@
             else limit
             for target, limit in summary.limits.items()
         },
+        demand=without_part(summary.demand, member.demand),
     )
 
 
--- a/tests/builders_fleet.py
+++ b/tests/builders_fleet.py
@@ -7,6 +7,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from nutmegspoke.contention.demand import RankDemand
 from nutmegspoke.membership.load_news import LoadUpdate, update_interval_s
 from nutmegspoke.membership.received_updates import ReceivedUpdates
 from nutmegspoke.membership.relays import SUMMARY_INTERVAL_S, Relays
@@ -52,6 +53,7 @@
             group=relays.group,
             asks_summary=relays.is_relayed,
             limits=self.limits.outgoing(now_s),
+            demand={'pool': {'1.0': RankDemand(10.0, 1.0)}},
         )
 
 
