--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -13,6 +13,7 @@
     QueuePosition,
     RetryTimes,
 )
+from nutmegspoke.edge.rank_admission import RankAdmission
 from nutmegspoke.edge.target_notices import (
     closed_by_limits,
     limit_wait_s,
@@ -74,6 +75,7 @@
         self._reserve_chain = reserve_chain
         self._clock = clock
         self._queue = DraftQueue()
+        self._ranks = RankAdmission(view, clock)
         self.retry_times = RetryTimes(random.Random())  # noqa: S311
 
     async def admit(
@@ -88,6 +90,20 @@
         :param is_new: whether no part of the answer was sent yet.
         :returns: the chain; ``None`` if none has enough free memory in time.
         """
+        if is_new:
+            self._ranks.arrived(context, need)
+        chain = await self._find_chain(context, need, is_new=is_new)
+        if chain is not None:
+            self._ranks.admitted(context, need)
+        return chain
+
+    def ended(self, context: RequestContext) -> None:
+        """Record that a draft needs no chain any more."""
+        self._ranks.ended(context)
+
+    async def _find_chain(
+        self, context: RequestContext, need: DraftNeed, *, is_new: bool
+    ) -> Chain | None:
         # Interrupted drafts, for which ``is_new`` is false, sort first.
         position = QueuePosition(
             is_new,
@@ -95,6 +111,8 @@
             context.received_s,
             context.reservation_key,
         )
+        if is_new and self._ranks.is_held_back(context):
+            return None
         if self._queue.is_next(position):
             chain = self._reserve_chain(context, need)
             if chain is not None:
@@ -131,9 +149,14 @@
             )
             earliest_s = left_s if math.isfinite(left_s) else _LAYER_RELOAD_S
         log_fields = self._refusal_log_fields(context, need, now_s)
+        self._ranks.refused(context)
         return Refusal(
             self.retry_times.retry_after_s(earliest_s, now_s),
-            {**log_fields, 'layers_held': has_layers},
+            {
+                **log_fields,
+                **self._ranks.log_fields(context),
+                'layers_held': has_layers,
+            },
         )
 
     def _refusal_log_fields(
@@ -178,12 +201,21 @@
             deadline_s = min(deadline_s, context.received_s + timeout_s)
         while self._clock.now_s() < deadline_s:
             await asyncio.sleep(_POLL_INTERVAL_S)
-            if self._queue.is_next(position):
-                chain = self._reserve_chain(context, need)
-                if chain is not None:
-                    return chain
+            chain = self._reserve_next(context, need, position)
+            if chain is not None:
+                return chain
         return None
 
+    def _reserve_next(
+        self, context: RequestContext, need: DraftNeed, position: QueuePosition
+    ) -> Chain | None:
+        """Reserve a chain for a waiting draft if it is its turn."""
+        if not self._queue.is_next(position):
+            return None
+        if position.is_new and self._ranks.is_held_back(context):
+            return None
+        return self._reserve_chain(context, need)
+
     def _has_layers(self, context: RequestContext, need: DraftNeed) -> bool:
         """Return whether an otherwise idle chain could run the draft.
 
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -79,6 +79,7 @@
             reason = await self._run_until_answered(context, stream, profile)
         finally:
             self._runs.release_reservation(context)
+            self._admission.ended(context)
         if reason is not None:
             await self._answer_failure(context, stream, profile, reason)
 
--- /dev/null
+++ b/nutmegspoke/edge/rank_admission.py
@@ -0,0 +1,119 @@
+"""Holds drafts back whose room more urgent ones need.
+
+Reads the room of the pool and the demand of all daemons, for the decision in
+:mod:`nutmegspoke.contention.protection`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from nutmegspoke.contention import protection
+from nutmegspoke.contention.demand import NO_DEMAND, rank_text, sum_demand
+from nutmegspoke.contention.free_room import find_narrowest_room
+from nutmegspoke.membership.received_updates import demand_elsewhere
+
+if TYPE_CHECKING:
+    from nutmegspoke.border.clock import Clock
+    from nutmegspoke.contention.free_room import FreeRoom
+    from nutmegspoke.contention.ranks import PoolRanks
+    from nutmegspoke.edge.view import View
+    from nutmegspoke.edge.work import RequestContext
+    from nutmegspoke.routing.engine_loads import DraftNeed
+
+
+class RankAdmission:
+    """Admission of drafts by rank, in pools that several ranks share."""
+
+    def __init__(self, view: View, clock: Clock) -> None:
+        """Create an instance on a view."""
+        self._view = view
+        self._clock = clock
+
+    def arrived(self, context: RequestContext, need: DraftNeed) -> None:
+        """Count a draft, unless it was sent before."""
+        if self._find_ranks(context) is None or context.sends:
+            return
+        self._view.contention.own.arrived(
+            context.pool.name,
+            context.priority,
+            need.memory_tokens,
+            self._clock.now_s(),
+        )
+
+    def admitted(self, context: RequestContext, need: DraftNeed) -> None:
+        """Record the room of a draft that has a chain."""
+        if self._find_ranks(context) is None:
+            return
+        self._view.contention.own.admitted(
+            context.reservation_key,
+            context.pool.name,
+            context.priority,
+            need.memory_tokens,
+            self._clock.now_s(),
+        )
+
+    def ended(self, context: RequestContext) -> None:
+        """Record that a draft has left; ignored if it had no chain."""
+        self._view.contention.own.ended(
+            context.reservation_key, self._clock.now_s()
+        )
+
+    def refused(self, context: RequestContext) -> None:
+        """Count a draft that was refused."""
+        if self._find_ranks(context) is not None:
+            self._view.contention.own.refused(
+                context.pool.name, context.priority, self._clock.now_s()
+            )
+
+    def is_held_back(self, context: RequestContext) -> bool:
+        """Return whether a draft must leave its room to more urgent ones."""
+        ranks = self._find_ranks(context)
+        if ranks is None or ranks.index(context.priority) == 0:
+            return False
+        return protection.is_held_back(
+            self._demand(context.pool.name, ranks),
+            ranks.index(context.priority),
+            context.reservation_key,
+            self._room(context),
+        )
+
+    def log_fields(self, context: RequestContext) -> dict[str, object]:
+        """Return the values that led to a refusal, for the log."""
+        room = self._room(context)
+        fields: dict[str, object] = {
+            'narrowest_used': round(room.used_share, 3),
+            'free_tokens': round(room.free_tokens),
+        }
+        ranks = self._find_ranks(context)
+        if ranks is not None:
+            index = ranks.index(context.priority)
+            demand = self._demand(context.pool.name, ranks)
+            fields['protected_tokens'] = round(
+                protection.protected_tokens(demand, index, room)
+            )
+            fields['admitted_share'] = round(
+                protection.admitted_share(demand, index, room), 3
+            )
+        return fields
+
+    def _find_ranks(self, context: RequestContext) -> PoolRanks | None:
+        return self._view.contention.ranks(context.pool.name)
+
+    def _room(self, context: RequestContext) -> FreeRoom:
+        pool = context.pool
+        engines = self._view.engine_loads(
+            pool.name, pool.profile, (), self._clock.now_s()
+        )
+        return find_narrowest_room(engines, pool.profile.layer_count)
+
+    def _demand(self, pool: str, ranks: PoolRanks) -> protection.PoolDemand:
+        now_s = self._clock.now_s()
+        updates = self._view.load_updates
+        others = updates.others(now_s)
+        own = self._view.contention.own.outgoing(now_s)
+        by_rank = sum_demand((own, demand_elsewhere(others))).get(pool, {})
+        return protection.PoolDemand(
+            [by_rank.get(rank_text(rank), NO_DEMAND) for rank in ranks.ranks],
+            updates.max_load_age_s(now_s),
+        )
