--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -23,13 +23,13 @@
     stop_listening,
 )
 from nutmegspoke.edge.layer_keeper import LayerController
-from nutmegspoke.edge.limit_log import LimitLog
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
     TablesListener,
     TargetsListener,
 )
 from nutmegspoke.edge.news_exchange import new_exchange
+from nutmegspoke.edge.room_log import LoadLogs
 from nutmegspoke.edge.serving import new_caller_handler
 from nutmegspoke.edge.settings_watch import SettingsWatch
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
@@ -149,7 +149,7 @@
         )
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._last_tick_s = clock.now_s()
-        self._limit_log = LimitLog(self.view, self.metrics, log)
+        self._load_logs = LoadLogs(self.view, self.metrics, log)
         self._reported_rejections = 0
         self._logged_relays: tuple[str, ...] = ()
 
@@ -286,7 +286,7 @@
         self._connections.close_idle(now_s)
         self._log_rejections()
         self._log_relays(now_s)
-        self._limit_log.tick(now_s)
+        self._load_logs.tick(now_s)
         self._measure_followers(now_s)
         memory = self._connections.answer_memory
         self.metrics.observe_held_answers(
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -44,6 +44,16 @@
             'Targets that name a limit on requests of all hosts together.',
             registry=self.registry,
         )
+        self._free_tokens = aioprometheus.Gauge(
+            'nutmegspoke_edge_pool_free_tokens',
+            'Free memory of the layer of a pool with the least, in tokens.',
+            registry=self.registry,
+        )
+        self._used_shares = aioprometheus.Gauge(
+            'nutmegspoke_edge_pool_narrowest_used',
+            'Share of the memory of that layer that is reserved.',
+            registry=self.registry,
+        )
         self._feed_ages = aioprometheus.Gauge(
             'nutmegspoke_edge_feed_answer_age_seconds',
             'Time since a followed table was last known to be current.',
@@ -99,6 +109,13 @@
         """Record the number of targets that name a limit."""
         self._target_limits.set({}, count)
 
+    def observe_room(
+        self, pool: str, free_tokens: float, used_share: float
+    ) -> None:
+        """Record the room that whole chains of a pool can still use."""
+        self._free_tokens.set({'pool': pool}, free_tokens)
+        self._used_shares.set({'pool': pool}, used_share)
+
     def observe_feed_age(self, table: str, age_s: float) -> None:
         """Record the time since the store has confirmed a table."""
         self._feed_ages.set({'table': table}, age_s)
--- a/nutmegspoke/edge/rank_admission.py
+++ b/nutmegspoke/edge/rank_admission.py
@@ -9,9 +9,7 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.contention import protection
-from nutmegspoke.contention.demand import NO_DEMAND, rank_text, sum_demand
-from nutmegspoke.contention.free_room import find_narrowest_room
-from nutmegspoke.membership.received_updates import demand_elsewhere
+from nutmegspoke.edge.pool_rooms import find_demand, find_room
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
@@ -102,18 +100,9 @@
 
     def _room(self, context: RequestContext) -> FreeRoom:
         pool = context.pool
-        engines = self._view.engine_loads(
-            pool.name, pool.profile, (), self._clock.now_s()
+        return find_room(
+            self._view, pool.name, pool.profile, self._clock.now_s()
         )
-        return find_narrowest_room(engines, pool.profile.layer_count)
 
     def _demand(self, pool: str, ranks: PoolRanks) -> protection.PoolDemand:
-        now_s = self._clock.now_s()
-        updates = self._view.load_updates
-        others = updates.others(now_s)
-        own = self._view.contention.own.outgoing(now_s)
-        by_rank = sum_demand((own, demand_elsewhere(others))).get(pool, {})
-        return protection.PoolDemand(
-            [by_rank.get(rank_text(rank), NO_DEMAND) for rank in ranks.ranks],
-            updates.max_load_age_s(now_s),
-        )
+        return find_demand(self._view, pool, ranks, self._clock.now_s())
--- a/tests/edge/test_contended_pools.py
+++ b/tests/edge/test_contended_pools.py
@@ -105,6 +105,14 @@
         ]
         self.assertLess(refused['admitted_share'], 1.0)
         self.assertGreater(refused['narrowest_used'], 0.29)
+        await self.deployment.until(
+            lambda: any(
+                line['event'] == 'ranks_held_back'
+                for line in self.deployment.log_lines
+            )
+        )
+        metrics = await self.deployment.metrics()
+        self.assertIn('nutmegspoke_edge_pool_free_tokens', metrics)
 
     async def test_one_rank(self) -> None:
         """Guards against drafts held back where no ranks compete."""
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.mutation_list_claims import CLAIM_MUTATIONS
+from tests.mutation_list_contention import CONTENTION_MUTATIONS
 from tests.mutation_list_edge import EDGE_MUTATIONS
 from tests.mutation_list_knowledge import KNOWLEDGE_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
@@ -47,6 +48,7 @@
         ('tests.cmd.test_cli_processes',),
     ),
     *CLAIM_MUTATIONS,
+    *CONTENTION_MUTATIONS,
     *EDGE_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *RELAY_MUTATIONS,
