--- a/nutmegspoke/contention/own_demand.py
+++ b/nutmegspoke/contention/own_demand.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+from typing import TYPE_CHECKING
 
 from nutmegspoke.contention.demand import (
     NO_DEMAND,
@@ -12,6 +13,9 @@
     rank_text,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 # Window in which arrivals, ends and refusals are counted.
 _WINDOW_S = 2.0
 # Share of the remembered hold times that remains after each ended draft.
@@ -64,6 +68,14 @@
         self._hold_times: dict[_Key, _HoldTime] = {}
         self._changes: dict[_Key, collections.deque[_Change]] = {}
 
+    def keep_pools(self, pools: Collection[str]) -> None:
+        """Forget the hold times of all other pools."""
+        self._hold_times = {
+            key: hold_time
+            for key, hold_time in self._hold_times.items()
+            if key[0] in pools
+        }
+
     def arrived(
         self, pool: str, rank: tuple[int, int], tokens: float, now_s: float
     ) -> None:
--- a/nutmegspoke/contention/pools.py
+++ b/nutmegspoke/contention/pools.py
@@ -26,6 +26,7 @@
     def apply_tables(self, tables: EntryTables) -> None:
         """Take the ranks of newer tables."""
         self._ranks = contended_pools(tables)
+        self.own.keep_pools(self._ranks)
 
     def ranks(self, pool: str) -> PoolRanks | None:
         """Return the ranks of a pool; ``None`` if it has one only."""
--- a/nutmegspoke/edge/rank_admission.py
+++ b/nutmegspoke/edge/rank_admission.py
@@ -29,8 +29,8 @@
         self._clock = clock
 
     def arrived(self, context: RequestContext, need: DraftNeed) -> None:
-        """Count a draft, unless it was sent before."""
-        if self._find_ranks(context) is None or context.sends:
+        """Count a draft, unless it had a chain before."""
+        if self._find_ranks(context) is None or context.has_target:
             return
         self._view.contention.own.arrived(
             context.pool.name,
--- a/tests/contention/test_demand.py
+++ b/tests/contention/test_demand.py
@@ -57,6 +57,16 @@
         self.assertEqual(self._demand(12.0).refused_per_s, 0.5)
         self.assertEqual(self.own.outgoing(13.0), {})
 
+    def test_hold_times_of_pools_that_are_gone(self) -> None:
+        """Guards against state that grows with each pool there has been."""
+        for key in ('r', 's'):
+            self.own.admitted(key, 'engines', _RANK, 600.0, 10.0)
+        self.own.ended('r', 12.0)
+        self.own.keep_pools(('engines',))
+        self.assertEqual(self._demand(12.0).freed_tokens_per_s, 300.0)
+        self.own.keep_pools(('others',))
+        self.assertEqual(self._demand(12.0).freed_tokens_per_s, 0.0)
+
     def test_an_end_without_a_chain(self) -> None:
         """Guards against errors for drafts that never had room."""
         self.own.ended('unknown', 1.0)
