--- a/tests/edge/test_contended_pools.py
+++ b/tests/edge/test_contended_pools.py
@@ -119,3 +119,5 @@
         await self._hear_of_urgent_drafts()
         answer = await self.deployment.call('/drafts/1')
         self.assertEqual(answer.status, 200)
+        own = self.deployment.daemon.view.contention.own
+        self.assertEqual(own.outgoing(self._now_s()), {})
