--- a/nutmegspoke/contention/protection.py
+++ b/nutmegspoke/contention/protection.py
@@ -81,13 +81,14 @@
     """
     urgent_per_s = demand.total(index).arrived_tokens_per_s
     wanted_per_s = demand.by_rank[index].arrived_tokens_per_s
-    if urgent_per_s <= 0 or wanted_per_s <= 0:
+    if min(urgent_per_s, wanted_per_s, room.total_tokens) <= 0:
         return 1.0
     spare_tokens = room.free_tokens - protected_tokens(demand, index, room)
     everyone = demand.total()
     freed_per_s = everyone.freed_tokens_per_s
     left_per_s = freed_per_s + spare_tokens / demand.correction_s - urgent_per_s
-    equal_share = freed_per_s / everyone.arrived_tokens_per_s
+    # Until drafts have ended, nobody knows how much room frees itself.
+    equal_share = freed_per_s / everyone.arrived_tokens_per_s or 1.0
     floor = _FLOOR_SHARE * min(1.0, equal_share)
     return min(1.0, max(floor, left_per_s / wanted_per_s))
 
--- a/tests/contention/test_protection.py
+++ b/tests/contention/test_protection.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from nutmegspoke.contention.demand import DemandNews
+from nutmegspoke.contention.demand import DemandNews, RankDemand
+from nutmegspoke.contention.free_room import FreeRoom
+from nutmegspoke.contention.protection import PoolDemand, admitted_share
 from tests.contention.room_model import Counts, RoomModel
 
 _SEEDS = (7, 8, 9)
@@ -91,6 +93,18 @@
         model.run(0.2)
         self.assertEqual(model.admitted_share(2), 1.0)
 
+    def test_a_pool_without_chains(self) -> None:
+        """Guards against a decision on room that does not exist."""
+        demand = _demand(freed_tokens_per_s=10.0)
+        self.assertEqual(admitted_share(demand, 1, FreeRoom(0.0, 0.0, 1.0)), 1)
+
+    def test_no_draft_has_ended(self) -> None:
+        """Guards against a rank that is closed out after a start."""
+        demand = _demand(freed_tokens_per_s=0.0)
+        self.assertEqual(
+            admitted_share(demand, 1, FreeRoom(0.0, 1e5, 1.0)), 0.5
+        )
+
     def test_hosts_that_die(self) -> None:
         """Guards against demand that goes on after its hosts have gone."""
         model = _model(7)
@@ -119,6 +133,12 @@
         self.assertEqual(shares, sorted(shares, reverse=True))
 
 
+def _demand(freed_tokens_per_s: float) -> PoolDemand:
+    """Return the demand of two ranks, the first of which takes all."""
+    urgent = RankDemand(9e4, 1e6, 1e9, freed_tokens_per_s)
+    return PoolDemand((urgent, RankDemand(1e4, 1e4, 1e7)), 0.5)
+
+
 def _tokens(ranks: list[Counts]) -> float:
     return sum(counts.served_tokens for counts in ranks)
 
