--- /dev/null
+++ b/nutmegspoke/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that balance drafts over engines of unlike speed."""
--- /dev/null
+++ b/nutmegspoke/balance/read_waits.py
@@ -0,0 +1,167 @@
+"""Expected waits of prompts at engines, and the share that hosts can't see.
+
+An engine reads a limited number of prompt tokens in a pass, and a pass that
+also generates tokens lasts for a whole event. So prompts queue at an engine
+long before its memory is full, and the first events of drafts come late.
+
+The work of other daemons is known with an age. Daemons that all send to the
+engine that was idle then build up the queue that they avoid. Each draft thus
+assumes that the other daemons have sent a part of what they can have sent
+meanwhile to an engine; this part differs between drafts and engines.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+import zlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from nutmegspoke.entry_host import ModelProfile
+    from nutmegspoke.routing.engine_loads import DraftNeed, EngineLoad
+
+# Ratio of the duration of a pass with prompts to that of its work alone: pieces
+# of prompts are smaller than an engine may read at once, and passes wait for
+# those of the engines before.
+_PASS_OVERHEAD = 2.0
+# Utilization up to which the wait is that of a queue in balance.
+_STABLE_UTILIZATION = 0.8
+# Time for which an engine with a higher utilization is assumed to stay there.
+_OVERLOAD_S = 1.0
+# Cost of a second of waiting before the first event, in seconds of a draft.
+_WAIT_WEIGHT = 4.0
+# Tokens of a draft take longer than the steps for them: they wait for a step.
+_TOKEN_OVERHEAD = 1.5
+_CRC_RANGE = 2.0**32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnseenSends:
+    """Drafts that other daemons may have sent since their last updates.
+
+    :param count: drafts that they have sent to the whole pool meanwhile.
+    :param salt: seed; it differs between drafts.
+    """
+
+    count: float = 0.0
+    salt: int = 0
+
+    def sent_to(self, engine: EngineLoad) -> float:
+        """Return the drafts assumed to have been sent to an engine."""
+        if not self.count:
+            return 0.0
+        zone_share = self._share(engine.availability_zone)
+        return self.count * (zone_share + self._share(engine.name)) / 2
+
+    def _share(self, name: str) -> float:
+        # A CRC alone shifts all names alike when only the seed differs.
+        mixed = zlib.crc32(f'{self.salt}/{name}'.encode())
+        return zlib.crc32(mixed.to_bytes(4)) / _CRC_RANGE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadWaits:
+    """Waits of prompts at the engines of a pool.
+
+    :param profile: speed of the model on engines.
+    :param draft_time_s: usual time of a draft in this pool, in seconds.
+    :param unseen: drafts that are not in the engines' loads.
+    """
+
+    profile: ModelProfile
+    draft_time_s: float
+    unseen: UnseenSends = UnseenSends()
+
+    @classmethod
+    def from_engines(
+        cls,
+        engines: Sequence[EngineLoad],
+        profile: ModelProfile,
+        news_age_s: float = 0.0,
+        salt: int = 0,
+    ) -> ReadWaits:
+        """Return the waits for the engines' present load.
+
+        :param engines: all engines of the pool.
+        :param news_age_s: longest expected age of the other daemons' load, in
+            seconds.
+        :param salt: seed; it differs between drafts.
+        """
+        step_factor = statistics.fmean(
+            (engine.accelerator.step_factor for engine in engines),
+            [max(1, len(engine.layers)) for engine in engines],
+        )
+        draft_time_s = max(
+            profile.usual_answer_tokens
+            * profile.step_s
+            * step_factor
+            * _TOKEN_OVERHEAD,
+            profile.step_s,
+        )
+        running = sum(engine.first_stage_count for engine in engines)
+        unseen = UnseenSends(running / draft_time_s * news_age_s, salt)
+        return cls(profile, draft_time_s, unseen)
+
+    def costs_s(
+        self, engines: Sequence[EngineLoad], need: DraftNeed
+    ) -> dict[str, float]:
+        """Return the cost of the wait at each engine, in seconds of a draft."""
+        return {
+            engine.name: _WAIT_WEIGHT
+            * self.wait_s(engine, need, self.unseen.sent_to(engine))
+            for engine in engines
+        }
+
+    def wait_s(
+        self, engine: EngineLoad, need: DraftNeed, unseen: float = 0.0
+    ) -> float:
+        """Return the time until an engine has read a prompt, in seconds.
+
+        :param unseen: drafts to add to those that the engine is known to have.
+        """
+        profile = self.profile
+        piece_s = self._piece_s(engine)
+        usual_s = piece_s * self._pieces(profile.usual_prompt_tokens)
+        requests = engine.request_count + unseen
+        utilization = requests * usual_s / self.draft_time_s
+        stable = min(_STABLE_UTILIZATION, utilization)
+        queue_s = usual_s * stable / (1 - stable)
+        overload_s = (utilization - stable) * _OVERLOAD_S
+        return piece_s * self._pieces(need.prompt_tokens) + queue_s + overload_s
+
+    def _pieces(self, prompt_tokens: float) -> float:
+        return prompt_tokens / self.profile.read_chunk_tokens + 0.5
+
+    def _piece_s(self, engine: EngineLoad) -> float:
+        """Return the time of a pass that reads a piece of a prompt."""
+        profile = self.profile
+        share = len(engine.layers) / profile.layer_count
+        step_s = (
+            profile.step_s
+            + profile.step_per_request_s * engine.request_count * share
+        )
+        decode_s = (
+            profile.tokens_per_event * step_s * engine.accelerator.step_factor
+        )
+        read_s = (
+            profile.read_chunk_tokens
+            / profile.read_tokens_per_s
+            * engine.accelerator.read_factor
+        )
+        return _PASS_OVERHEAD * share * (decode_s + read_s) * engine.slowness
+
+
+def is_needed(
+    engines: Sequence[EngineLoad], profile: ModelProfile, gap_goal_s: float
+) -> bool:
+    """Return whether engines have to be balanced by their waits.
+
+    :param gap_goal_s: goal of the route for pauses, in seconds; 0 if none.
+    :returns: ``False`` where all engines are of the same speed.
+    """
+    if gap_goal_s <= 0 or profile.read_chunk_tokens <= 0:
+        return False
+    return len({engine.accelerator.step_factor for engine in engines}) > 1
--- a/nutmegspoke/edge/chain_choice.py
+++ b/nutmegspoke/edge/chain_choice.py
@@ -6,6 +6,7 @@
 import zlib
 from typing import TYPE_CHECKING
 
+from nutmegspoke.balance import read_waits
 from nutmegspoke.edge.target_notices import closed_by_limits
 from nutmegspoke.membership.load_news import max_load_age_s
 from nutmegspoke.routing.engine_loads import event_interval_s
@@ -53,6 +54,15 @@
             daemons,
             now_s,
         )
+        news_age_s = max_load_age_s(daemons - 1)
+        salt = zlib.crc32(context.reservation_key.encode()) + context.sends
+        waits = None
+        if read_waits.is_needed(
+            engines, pool.profile, context.route.gap_goal_s
+        ):
+            waits = read_waits.ReadWaits.from_engines(
+                engines, pool.profile, news_age_s, salt
+            )
         chain = self._view.chain_finder(pool.profile).find_preferring_one_zone(
             engines,
             need,
@@ -60,11 +70,8 @@
                 blocked_pairs=blocked_pairs,
                 first_engines=context.allowed_targets(),
                 not_first=not_first,
-                jitter=CostJitter.from_age(
-                    zlib.crc32(context.reservation_key.encode())
-                    + context.sends,
-                    max_load_age_s(daemons - 1),
-                ),
+                jitter=CostJitter.from_age(salt, news_age_s),
+                visit_costs_s=waits.costs_s(engines, need) if waits else {},
             ),
         )
         if chain is None:
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -173,6 +173,8 @@
     :param usual_prompt_tokens: mean length of a prompt.
     :param usual_answer_tokens: mean length of an answer.
     :param kinds: accelerator kinds by name.
+    :param read_chunk_tokens: maximum number of prompt tokens that an engine
+        reads in a step; 0 if unknown.
     """
 
     model: str
@@ -192,6 +194,7 @@
     usual_prompt_tokens: float
     usual_answer_tokens: float
     kinds: Mapping[str, AcceleratorKind]
+    read_chunk_tokens: float = 0.0
 
     def capacity_token_layers(self, kind: str, layers: int) -> float:
         """Return the total memory for requests, in tokens times layers.
--- a/nutmegspoke/platform/configuration.py
+++ b/nutmegspoke/platform/configuration.py
@@ -85,6 +85,8 @@
     # Limits only the requests that an engine gets as first engine of a chain.
     slots: int = 96
     stride: int = 1
+    # Most prompt tokens that an engine reads in a step; 0 if unknown.
+    chunk: float = 0
     layers: Annotated[int, msgspec.Meta(ge=1)] = 1
     layer_mb: float = 0
     act_bytes: float = 0
@@ -210,6 +212,7 @@
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
         kinds={kind.name: _build_accelerator(kind) for kind in engine.kinds},
+        read_chunk_tokens=max(0.0, engine.chunk),
     )
 
 
--- a/nutmegspoke/routing/room_chains.py
+++ b/nutmegspoke/routing/room_chains.py
@@ -15,7 +15,7 @@
 from nutmegspoke.layers import LayerRange, Stage
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from nutmegspoke.entry_host import ModelProfile
     from nutmegspoke.layers import Chain
@@ -104,12 +104,15 @@
         for any.
     :param not_first: names of engines at which it must not begin.
     :param jitter: variation of the costs of engines.
+    :param visit_costs_s: additional cost of a stage by engine, in seconds,
+        however many of its layers are used; none for engines not listed.
     """
 
     blocked_pairs: frozenset[ZonePair] = frozenset()
     first_engines: frozenset[str] | None = None
     not_first: frozenset[str] = frozenset()
     jitter: CostJitter = CostJitter()
+    visit_costs_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
 
 
 class ChainFinder:
@@ -117,7 +120,7 @@
 
     The cost is the time of the draft on each engine, weighted by how full the
     engine is and varied by the jitter, plus costs of the first stage, of zone
-    crossings and of each stage.
+    crossings and of each stage, and those that the options add.
 
     :param profile: speed and memory use of the model on engines.
     :param home_zone: availability zone of this daemon; may be empty.
@@ -217,12 +220,16 @@
             return
         cost_s, stages = predecessor
         zone = engine.availability_zone
+        entered_s = (
+            cost_s
+            + _STAGE_DELAY_S
+            + self._options.visit_costs_s.get(engine.name, 0.0)
+        )
         for stop in self._find_stops(boundary, engine):
             if not engine.fits(need, stop - boundary):
                 continue
             total_s = (
-                cost_s
-                + _STAGE_DELAY_S
+                entered_s
                 + engine.cost_s(
                     need,
                     stop - boundary,
