--- a/nutmegspoke/balance/read_waits.py
+++ b/nutmegspoke/balance/read_waits.py
@@ -13,15 +13,17 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import statistics
 import zlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from nutmegspoke.entry_host import ModelProfile
-    from nutmegspoke.routing.engine_loads import DraftNeed, EngineLoad
+    from nutmegspoke.layers import Chain
+    from nutmegspoke.routing.engine_loads import EngineLoad
 
 # Ratio of the duration of a pass with prompts to that of its work alone: pieces
 # of prompts are smaller than an engine may read at once, and passes wait for
@@ -32,10 +34,12 @@
 # Time for which an engine with a higher utilization is assumed to stay there.
 _OVERLOAD_S = 1.0
 # Cost of a second of waiting before the first event, in seconds of a draft.
-_WAIT_WEIGHT = 4.0
+_WAIT_WEIGHT = 16.0
 # Tokens of a draft take longer than the steps for them: they wait for a step.
 _TOKEN_OVERHEAD = 1.5
-_CRC_RANGE = 2.0**32
+_CRC_MASK = 2**32 - 1
+# An odd number near the golden ratio of the range.
+_MIXER = 0x9E3779B1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,9 +61,9 @@
         return self.count * (zone_share + self._share(engine.name)) / 2
 
     def _share(self, name: str) -> float:
-        # A CRC alone shifts all names alike when only the seed differs.
-        mixed = zlib.crc32(f'{self.salt}/{name}'.encode())
-        return zlib.crc32(mixed.to_bytes(4)) / _CRC_RANGE
+        # A CRC alone shifts all names alike where only the seed differs.
+        mixed = zlib.crc32(name.encode(), self.salt) * _MIXER
+        return (mixed & _CRC_MASK) / _CRC_MASK
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,11 +72,15 @@
 
     :param profile: speed of the model on engines.
     :param draft_time_s: usual time of a draft in this pool, in seconds.
+    :param step_factor: mean step factor of the layers of the pool. A chain
+        has engines of several kinds, so a draft on an engine takes a time
+        between that of its kind and this.
     :param unseen: drafts that are not in the engines' loads.
     """
 
     profile: ModelProfile
     draft_time_s: float
+    step_factor: float
     unseen: UnseenSends = UnseenSends()
 
     @classmethod
@@ -103,37 +111,47 @@
         )
         running = sum(engine.first_stage_count for engine in engines)
         unseen = UnseenSends(running / draft_time_s * news_age_s, salt)
-        return cls(profile, draft_time_s, unseen)
+        return cls(profile, draft_time_s, step_factor, unseen)
 
-    def costs_s(
-        self, engines: Sequence[EngineLoad], need: DraftNeed
-    ) -> dict[str, float]:
+    def costs_s(self, engines: Sequence[EngineLoad]) -> dict[str, float]:
         """Return the cost of the wait at each engine, in seconds of a draft."""
         return {
             engine.name: _WAIT_WEIGHT
-            * self.wait_s(engine, need, self.unseen.sent_to(engine))
+            * self.wait_s(engine, self.unseen.sent_to(engine))
             for engine in engines
         }
 
-    def wait_s(
-        self, engine: EngineLoad, need: DraftNeed, unseen: float = 0.0
-    ) -> float:
-        """Return the time until an engine has read a prompt, in seconds.
+    def wait_s(self, engine: EngineLoad, unseen: float = 0.0) -> float:
+        """Return the wait of a prompt for other prompts, in seconds.
 
         :param unseen: drafts to add to those that the engine is known to have.
         """
-        profile = self.profile
-        piece_s = self._piece_s(engine)
-        usual_s = piece_s * self._pieces(profile.usual_prompt_tokens)
-        requests = engine.request_count + unseen
-        utilization = requests * usual_s / self.draft_time_s
+        read_s = self._piece_s(engine) * self._pieces
+        utilization = (engine.request_count + unseen) * read_s
+        utilization /= self.draft_time_s * math.sqrt(
+            engine.accelerator.step_factor / self.step_factor
+        )
         stable = min(_STABLE_UTILIZATION, utilization)
-        queue_s = usual_s * stable / (1 - stable)
-        overload_s = (utilization - stable) * _OVERLOAD_S
-        return piece_s * self._pieces(need.prompt_tokens) + queue_s + overload_s
+        queue_s = read_s * stable / (1 - stable)
+        return queue_s + (utilization - stable) * _OVERLOAD_S
+
+    def chain_wait_s(
+        self, chain: Chain, engines: Iterable[EngineLoad]
+    ) -> float:
+        """Return the expected wait of a prompt on a chain, in seconds.
 
-    def _pieces(self, prompt_tokens: float) -> float:
-        return prompt_tokens / self.profile.read_chunk_tokens + 0.5
+        :param engines: all engines of the chain; other engines are ignored.
+        """
+        names = {stage.target for stage in chain}
+        return sum(
+            self.wait_s(engine) for engine in engines if engine.name in names
+        )
+
+    @property
+    def _pieces(self) -> float:
+        """Return the pieces of a usual prompt; the last one is smaller."""
+        profile = self.profile
+        return profile.usual_prompt_tokens / profile.read_chunk_tokens + 0.5
 
     def _piece_s(self, engine: EngineLoad) -> float:
         """Return the time of a pass that reads a piece of a prompt."""
--- /dev/null
+++ b/tests/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the balance of drafts over engines of unlike speed."""
