--- a/tests/balance/test_read_waits.py
+++ b/tests/balance/test_read_waits.py
@@ -80,8 +80,8 @@
 
     def test_many_hosts_with_old_news(self) -> None:
         """Guards against hosts that all send to the engine that was idle."""
-        before = _play(_even_per_s, is_balanced=False, news_interval_s=0.5)
-        after = _play(_even_per_s, is_balanced=True, news_interval_s=0.5)
+        before = _play(_even_per_s, is_balanced=False, news_interval_s=0.75)
+        after = _play(_even_per_s, is_balanced=True, news_interval_s=0.75)
         self.assertGreater(before.late_share, 0.2)
         self.assertLess(after.late_share, before.late_share / 3)
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -51,6 +51,17 @@
         self.assertEqual(profile.max_layers('quick'), 41)
         self.assertEqual(profile.max_layers('unknown'), 0)
 
+    def test_the_prompt_tokens_of_a_step(self) -> None:
+        """Guards against a balance by a number that the operator never gave."""
+        for chunk, expected in ((None, 0.0), (512, 512.0), (-1, 0.0)):
+            service = build.wire_engine_service()
+            if chunk is not None:
+                service['engine']['chunk'] = chunk
+            body = build.wire_configuration(services=[service])
+            with self.subTest(chunk):
+                profile = decode_configuration(body).pools['engines'].profile
+                self.assertEqual(profile.read_chunk_tokens, expected)
+
     def test_refuses_other_rows(self) -> None:
         """An invalid row raises an error instead of yielding partial tables."""
         for body in (b'', b'{}', build.wire_configuration(version='x')):
