--- a/nutmegspoke/balance/read_waits.py
+++ b/nutmegspoke/balance/read_waits.py
@@ -34,10 +34,12 @@
 # Time for which an engine with a higher utilization is assumed to stay there.
 _OVERLOAD_S = 1.0
 # Cost of a second of waiting before the first event, in seconds of a draft.
-_WAIT_WEIGHT = 16.0
+_WAIT_WEIGHT = 8.0
 # Tokens of a draft take longer than the steps for them: they wait for a step.
 _TOKEN_OVERHEAD = 1.5
 _CRC_MASK = 2**32 - 1
+# Mean share of the unseen drafts of a pool that an engine is assumed to have.
+_UNSEEN_SHARE = 0.3
 # An odd number near the golden ratio of the range.
 _MIXER = 0x9E3779B1
 
@@ -54,16 +56,17 @@
     salt: int = 0
 
     def sent_to(self, engine: EngineLoad) -> float:
-        """Return the drafts assumed to have been sent to an engine."""
+        """Return the drafts assumed to have been sent to an engine.
+
+        This is an exponential variate. If costs are proportional to it and to
+        the work of a draft, engines are chosen in proportion to their speeds.
+        """
         if not self.count:
             return 0.0
-        zone_share = self._share(engine.availability_zone)
-        return self.count * (zone_share + self._share(engine.name)) / 2
-
-    def _share(self, name: str) -> float:
         # A CRC alone shifts all names alike where only the seed differs.
-        mixed = zlib.crc32(name.encode(), self.salt) * _MIXER
-        return (mixed & _CRC_MASK) / _CRC_MASK
+        mixed = zlib.crc32(engine.name.encode(), self.salt) * _MIXER
+        fraction = ((mixed & _CRC_MASK) + 1) / (_CRC_MASK + 1)
+        return -_UNSEEN_SHARE * self.count * math.log(fraction)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,15 +127,16 @@
     def wait_s(self, engine: EngineLoad, unseen: float = 0.0) -> float:
         """Return the wait of a prompt for other prompts, in seconds.
 
-        :param unseen: drafts to add to those that the engine is known to have.
+        :param unseen: drafts that were sent to the engine just now, beside
+            those that it is known to have.
         """
         read_s = self._piece_s(engine) * self._pieces
-        utilization = (engine.request_count + unseen) * read_s
-        utilization /= self.draft_time_s * math.sqrt(
+        draft_time_s = self.draft_time_s * math.sqrt(
             engine.accelerator.step_factor / self.step_factor
         )
+        utilization = engine.request_count * read_s / draft_time_s
         stable = min(_STABLE_UTILIZATION, utilization)
-        queue_s = read_s * stable / (1 - stable)
+        queue_s = read_s * (unseen + stable / (1 - stable))
         return queue_s + (utilization - stable) * _OVERLOAD_S
 
     def chain_wait_s(
