--- a/tests/mutation_list_balance.py
+++ b/tests/mutation_list_balance.py
@@ -8,7 +8,7 @@
     Mutation(
         'balance: all drafts assume the same of unseen sends',
         'nutmegspoke/balance/read_waits.py',
-        'zlib.crc32(name.encode(), self.salt) * _MIXER',
+        'zlib.crc32(engine.name.encode(), self.salt) * _MIXER',
         '_CRC_MASK // 2',
         (
             'tests.balance.test_read_waits.PoolLoadTest.test_many_hosts_with_old_news',
