--- /dev/null
+++ b/tests/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that stay outside the limits, against real processes."""
