--- a/nutmegspoke/edge/callers.py
+++ b/nutmegspoke/edge/callers.py
@@ -9,7 +9,7 @@
 
 from nutmegspoke.admission.answer_memory import HeldAnswer
 from nutmegspoke.admission.opening import opening_wait_s
-from nutmegspoke.edge.http_server import CallerGoneError
+from nutmegspoke.edge.caller_answer import CallerGoneError
 from nutmegspoke.edge.work import OwnAnswer, RequestContext
 from nutmegspoke.retries.suspects import request_fingerprint
 from nutmegspoke.routing.entry_routes import pick_pool
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from nutmegspoke.admission.answer_memory import AnswerMemory
     from nutmegspoke.border.clock import Clock
+    from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.edge.drafts import DraftHandler
-    from nutmegspoke.edge.http_server import Answer
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.plain_calls import PlainCalls
     from nutmegspoke.edge.view import View
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -11,12 +11,12 @@
 )
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.edge.announcing import announce
+from nutmegspoke.edge.caller_answer import CloseCause
 from nutmegspoke.edge.edge_metrics import EdgeMetrics
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.feeds import Listeners, new_feeds
 from nutmegspoke.edge.held_lease import PlacementLease
 from nutmegspoke.edge.http_server import (
-    CloseCause,
     ConnectionSet,
     ListeningSocket,
     listen,
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -11,9 +11,9 @@
 
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import CompleteAnswer
+    from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.edge_metrics import EdgeMetrics
-    from nutmegspoke.edge.http_server import Answer
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.forwarded import HeaderCodec
--- a/nutmegspoke/edge/status_pages.py
+++ b/nutmegspoke/edge/status_pages.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.edge.edge_metrics import EdgeMetrics
-    from nutmegspoke.edge.http_server import Answer
     from nutmegspoke.forwarded import CallerRequest
 
 _OK = 200
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from nutmegspoke.admission.answer_memory import HeldAnswer
-    from nutmegspoke.edge.http_server import Answer
+    from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.entry_host import EntryPool, EntryRoute
     from nutmegspoke.forwarded import CallerRequest, RequestFacts
 
--- a/tests/edge/test_connection_ends.py
+++ b/tests/edge/test_connection_ends.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
+from nutmegspoke.edge.caller_connection import _MAX_PIPELINED
 from nutmegspoke.edge.http_server import (
-    _MAX_PIPELINED,
     ConnectionSet,
     listen,
     stop_listening,
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from nutmegspoke.edge.http_server import Answer, HttpConnection
+    from nutmegspoke.edge.caller_answer import Answer
+    from nutmegspoke.edge.caller_connection import HttpConnection
     from nutmegspoke.forwarded import CallerRequest
 
 _CLOSE = b'Connection: close\r\n'
--- a/tests/edge/test_http_server.py
+++ b/tests/edge/test_http_server.py
@@ -11,7 +11,7 @@
 from nutmegspoke.entry_host import CallerLimits
 
 if TYPE_CHECKING:
-    from nutmegspoke.edge.http_server import Answer
+    from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.forwarded import CallerRequest
 
 _LIMITS = CallerLimits(
--- a/tests/mutation_list_edge.py
+++ b/tests/mutation_list_edge.py
@@ -186,7 +186,7 @@
     ),
     Mutation(
         'edge: an unexpected error closes the connection',
-        'nutmegspoke/edge/http_server.py',
+        'nutmegspoke/edge/caller_answer.py',
         '        if self.has_begun:\n            self.abort()',
         '        if True:\n            self.abort()',
         ('tests.edge.test_changed_tables.HandlerErrorTest',),
