--- a/nutmegspoke/edge/target_connections.py
+++ b/nutmegspoke/edge/target_connections.py
@@ -92,6 +92,7 @@
         self._buffered = 0
         self._waiter: asyncio.Future[None] | None = None
         self._is_closed = False
+        self._is_counted = False
         self._arrival: asyncio.Event | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -101,8 +102,11 @@
         has no common base class.
         """
         self._transport = transport
+        if self._is_closed:
+            transport.abort()
+            return
         probe(transport.get_extra_info('socket'))
-        self._counts.opened(self.address)
+        self._count(is_open=True)
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes; unexpected ones close the connection."""
@@ -129,7 +133,7 @@
         self._reader.fail(f'connection lost: {error}')
         self._is_closed = True
         self._transport = None
-        self._counts.ended(self.address)
+        self._count(is_open=False)
 
     def send(
         self,
@@ -194,6 +198,24 @@
             self._has_answer = True
             self._on_unanswered(self.address)
 
+    def abandon(self) -> None:
+        """Close the connection and drop what nobody will read.
+
+        The connection and its reader refer to each other, so that what they
+        hold would stay in memory for some time.
+        """
+        self.close()
+        self._events.clear()
+        self._buffered = 0
+
+    def discard(self) -> None:
+        """Close a connection whose opening was given up.
+
+        The loop may close its transport without a further call.
+        """
+        self.close()
+        self._count(is_open=False)
+
     def is_answer_pending(self) -> bool:
         """Return whether an expected answer is not yet complete."""
         return self._reader.is_expecting
@@ -210,6 +232,16 @@
         # Between two requests only a late answer or the end can arrive.
         return not has_input(transport)
 
+    def _count(self, *, is_open: bool) -> None:
+        """Include the connection in the counters, or no longer."""
+        if is_open == self._is_counted:
+            return
+        self._is_counted = is_open
+        if is_open:
+            self._counts.opened(self.address)
+        else:
+            self._counts.ended(self.address)
+
     def _on_event(self, event: AnswerEvent) -> None:
         self._events.append(event)
         if isinstance(event, AnswerPart):
@@ -382,18 +414,16 @@
     async def _open(self, address: str) -> TargetConnection:
         ip, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
+        connection = TargetConnection(address, self._counts, self._drop_idle)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: TargetConnection(
-                        address, self._counts, self._drop_idle
-                    ),
-                    ip,
-                    int(port),
-                )
-        except TimeoutError as error:
-            raise ConnectionError(
-                f'{address}: no connection in time'
-            ) from error
+                await loop.create_connection(lambda: connection, ip, int(port))
+        except BaseException as error:
+            connection.discard()
+            if isinstance(error, TimeoutError):
+                raise ConnectionError(
+                    f'{address}: no connection in time'
+                ) from error
+            raise
         self.opened += 1
         return connection
--- a/tests/edge/test_target_connections.py
+++ b/tests/edge/test_target_connections.py
@@ -27,6 +27,9 @@
 
 
 _MEMORY_BYTES = 300_000_000
+# Steps of the loop within which a connection is opened.
+_MOST_STEPS = 8
+_WAIT_S = 20.0
 
 
 class TargetConnectionsTest(unittest.IsolatedAsyncioTestCase):
@@ -149,3 +152,39 @@
 
 class StreamLoopDroppedConnectionsTest(StreamLoopCase, DroppedConnectionsTest):
     """The tests of dropped connections on the event loop of the daemon."""
+
+
+class CancelledOpeningTest(StreamLoopCase):
+    """Callers leave while a connection to a target is being opened."""
+
+    async def test_a_cancelled_opening_is_not_counted(self) -> None:
+        """Guards against a target that is never called again.
+
+        A connection whose opening was cancelled stayed counted for good, so
+        that after some of them the limit was reached without any connection.
+        """
+        server = await asyncio.start_server(_serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        connections = TargetConnections(2, _MEMORY_BYTES)
+        for steps in range(_MOST_STEPS):
+            opening = asyncio.create_task(self._open(connections, port))
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            opening.cancel()
+            (result,) = await asyncio.gather(opening, return_exceptions=True)
+            if isinstance(result, TargetConnection):
+                result.close()
+            async with asyncio.timeout(_WAIT_S):
+                while connections._counts.total:  # noqa: SLF001 -- no other
+                    await asyncio.sleep(0)
+            (await self._open(connections, port)).close()
+            await asyncio.sleep(0)
+
+    async def _open(
+        self, connections: TargetConnections, port: int
+    ) -> TargetConnection:
+        address = f'127.0.0.1:{port}'
+        return await connections.acquire(
+            address, 0.0, fresh=True, max_connections=2
+        )
