--- a/nutmegspoke/admission/answer_memory.py
+++ b/nutmegspoke/admission/answer_memory.py
@@ -8,6 +8,13 @@
 
 # Share of the memory of the process.
 _MEMORY_SHARE = 0.3
+# Memory of the process without any request.
+_PROCESS_BYTES = 60_000_000
+# Share of the rest for answers and requests. Parts that are joined and bytes
+# that are sent take as much again, and so do small pieces of freed memory.
+_SHARED_SHARE = 0.5
+# Least share of the whole memory for answers and requests.
+_LEAST_SHARE = 0.15
 # Share of the memory left that one answer may hold; joining its parts takes as
 # much again.
 _LEFT_SHARE = 0.5
@@ -17,6 +24,15 @@
 MAX_ANSWER_BYTES = 8_388_608
 
 
+def shared_bytes(memory_bytes: int) -> int:
+    """Return the memory for answers and for requests of callers together.
+
+    :param memory_bytes: memory limit of the process.
+    """
+    by_rest = (memory_bytes - _PROCESS_BYTES) * _SHARED_SHARE
+    return int(max(by_rest, memory_bytes * _LEAST_SHARE))
+
+
 class AnswerMemory:
     """Memory for held answers of all requests of a process.
 
@@ -40,7 +56,9 @@
 
     def set_memory_limit(self, memory_bytes: int) -> None:
         """Change the memory limit of the process."""
-        self._limit_bytes = int(memory_bytes * _MEMORY_SHARE)
+        self._limit_bytes = min(
+            int(memory_bytes * _MEMORY_SHARE), shared_bytes(memory_bytes)
+        )
 
     def longest_bytes(self) -> float:
         """Return the size up to which an answer is held now."""
--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -181,10 +181,10 @@
             async with asyncio.timeout(timeout_s):
                 event = await connection.next_event()
         except TimeoutError:
-            connection.close()
+            connection.abandon()
             return Broken('no answer in time', is_timeout=True)
         except BaseException:
-            connection.close()
+            connection.abandon()
             raise
         return self.classify_first_event(connection, event)
 
@@ -215,7 +215,7 @@
         The connection is closed instead if the answer requires it.
         """
         if opened.facts.must_close:
-            opened.connection.close()
+            opened.connection.abandon()
             return
         self.connections.release(
             opened.connection,
@@ -230,10 +230,10 @@
             async with asyncio.timeout(timeout_s):
                 return await self._collect_body(opened.connection, held)
         except TimeoutError:
-            opened.connection.close()
+            opened.connection.abandon()
             return Broken('no whole answer in time', is_timeout=True)
         except BaseException:
-            opened.connection.close()
+            opened.connection.abandon()
             raise
 
     async def _collect_body(
@@ -247,10 +247,10 @@
             if not isinstance(event, AnswerPart):
                 break
             if not held.add(len(event.body)):
-                connection.close()
+                connection.abandon()
                 return Broken('answer too long to hold')
             parts.append(event.body)
-        connection.close()
+        connection.abandon()
         return Broken(_interrupted_reason(event))
 
     def _match_by_id(self, request_id: str) -> Callable[[Headers], bool]:
@@ -266,11 +266,11 @@
     ) -> OpenResult:
         """Return the result that the first event of an answer stands for."""
         if not isinstance(event, AnswerHead):
-            connection.close()
+            connection.abandon()
             return Broken(_interrupted_reason(event))
         facts = self.header_codec.read_answer(event.status, event.headers)
         if facts.kind == AnswerKind.INVALID:
-            connection.close()
+            connection.abandon()
             return Broken(f'answer without proof, status {event.status}')
         opened = OpenedAnswer(connection, event, facts)
         if facts.kind != AnswerKind.NOT_RUN:
@@ -283,7 +283,7 @@
         if is_whole and facts.request_id:
             self.release_connection(opened)
         else:
-            connection.close()
+            connection.abandon()
         return Refused(event.status, facts)
 
 
--- a/nutmegspoke/edge/caller_answer.py
+++ b/nutmegspoke/edge/caller_answer.py
@@ -25,7 +25,9 @@
     many. ``STOPPING``: the daemon stops. ``ANSWERED``: the answer announced the
     end of the connection. ``REJECTED``: an invalid request. ``ABORTED``: the
     handler gave an answer up or failed. ``NOT_READING``: the caller does not
-    read its answer.
+    read its answer. ``MEMORY``: others needed the memory that its requests or
+    its answer took. ``STALLED``: another caller needed its place, and its
+    request was not complete.
     """
 
     CALLER = 'caller'
@@ -36,6 +38,8 @@
     REJECTED = 'rejected'
     ABORTED = 'aborted'
     NOT_READING = 'not_reading'
+    MEMORY = 'memory'
+    STALLED = 'stalled'
 
 
 class AnswerConnection(Protocol):
--- a/nutmegspoke/edge/caller_connection.py
+++ b/nutmegspoke/edge/caller_connection.py
@@ -7,15 +7,14 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
-from nutmegspoke.edge.caller_answer import (
-    Answer,
-    CallerGoneError,
-    CloseCause,
-    status_phrase,
+from nutmegspoke.edge.caller_answer import Answer, CallerGoneError, CloseCause
+from nutmegspoke.edge.caller_transport import (
+    LINGER_S,
+    WRITE_BUFFER_BYTES,
+    CallerTransport,
 )
-from nutmegspoke.edge.connection_timer import ConnectionTimer
+from nutmegspoke.edge.request_queue import RequestQueue
 from nutmegspoke.edge.request_reader import RequestReader
-from nutmegspoke.edge.write_gate import GatedProtocol
 
 if TYPE_CHECKING:
     from nutmegspoke.edge.http_server import ConnectionSet
@@ -23,19 +22,13 @@
 
 logger = logging.getLogger(__name__)
 
-# Unsent bytes on a connection above which its writer has to wait.
-_WRITE_BUFFER_BYTES = 65_536
 # Limit on queued requests that a caller pipelines on one connection.
 _MAX_PIPELINED = 16
-# The connection of a caller that does not read for this time is aborted.
-_WRITE_TIMEOUT_S = 15.0
 # Time for the first request on a new connection while stopping.
 _FIRST_REQUEST_S = 0.5
-# Time for a caller to read its last answer and to close the connection.
-_LINGER_S = 1.0
 
 
-class HttpConnection(GatedProtocol):
+class HttpConnection(CallerTransport):
     """A connection from a caller.
 
     :param owner: set of the open connections, to which this one is added.
@@ -43,20 +36,18 @@
 
     def __init__(self, owner: ConnectionSet) -> None:
         """Create a connection that waits for its transport."""
-        super().__init__()
-        self._owner = owner
+        super().__init__(owner, self._shed, self._close_unused)
         self._reader = RequestReader(owner.limits, self._on_request)
         # The value of the request in progress; queued ones have their own.
         self._keep_alive = True
         self._has_announced_close = False
         self._is_new = True
-        self._is_ending = False
-        self._pipelined: list[tuple[CallerRequest, bool]] = []
+        self._is_head_timed = False
+        self._pipelined = RequestQueue(self._reader, self._account, owner)
         # Status for invalid bytes behind the requests that were read.
         self._fault: HTTPStatus | None = None
+        self._fault_cause = CloseCause.REJECTED
         self._task: asyncio.Task[None] | None = None
-        self._timer = ConnectionTimer(self._close_unused)
-        self._close_cause: CloseCause | None = None
         self._unanswered_count = 0
 
     @property
@@ -74,6 +65,13 @@
             return True
         return self._reader.is_reading or self._has_unread
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether all that keeps it busy is an incomplete request."""
+        if self._task is not None or self._pipelined or self._has_unsent:
+            return False
+        return self._reader.is_reading and not self._is_ending
+
     def connection_made(self, transport: Any) -> None:
         """Store the transport, or abort it at the connection limit.
 
@@ -84,8 +82,8 @@
         if not self._owner.make_capacity():
             self.abort(CloseCause.CAPACITY)
             return
-        transport.set_write_buffer_limits(_WRITE_BUFFER_BYTES)
-        self._owner.open.add(self)
+        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+        self._owner.open[self] = None
         self._timer.start(self._owner.limits.idle_timeout_s)
 
     def data_received(self, received: bytes) -> None:
@@ -94,17 +92,24 @@
         if self._is_ending or self._fault is not None:
             return
         if self._task is None and not self._reader.is_reading:
-            self._timer.start(self._owner.limits.header_timeout_s)
+            if not self._is_head_timed:
+                self._is_head_timed = True
+                self._timer.start(self._owner.limits.header_timeout_s)
         self._reader.limits = self._owner.limits
         fault = self._reader.feed(received)
-        if fault is not None:
-            self._reject(fault)
+        if fault is not None and self._fault is None:
+            self._reject(fault, CloseCause.REJECTED)
         elif self._task is None and not self._is_ending:
             _ask_for_body(self._reader, self._transport)
+        self._note_progress(len(received))
+        self._pipelined.count()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request in progress."""
-        self._owner.open.discard(self)
+        self._owner.open.pop(self, None)
+        self._reader.release()
+        self._pipelined.clear()
+        self._account.release()
         self._timer.clear()
         self._gate.open(CallerGoneError('caller left'))
         if self._task is not None:
@@ -114,21 +119,6 @@
             self._close_cause or CloseCause.CALLER, self._unanswered_count
         )
 
-    async def write(self, part: bytes) -> None:
-        """Write bytes and wait until the write buffer has space.
-
-        :raises CallerGoneError: if the connection is closed, or if the
-            caller does not read in time.
-        """
-        if self._transport is None or self._transport.is_closing():
-            raise CallerGoneError('caller left')
-        self._transport.write(part)
-        try:
-            await self._gate.wait(_WRITE_TIMEOUT_S)
-        except TimeoutError as error:
-            self.abort(CloseCause.NOT_READING)
-            raise CallerGoneError('caller does not read') from error
-
     def closes_after_answer(self) -> bool:
         """Return whether the connection closes after the current answer.
 
@@ -141,17 +131,19 @@
         )
         return self._has_announced_close
 
-    def abort(self, cause: CloseCause) -> None:
-        """Abort the connection without sending the unsent bytes."""
-        self._close_cause = self._close_cause or cause
-        if self._transport is not None:
-            self._transport.abort()
+    def time_out(self) -> None:
+        """Refuse an incomplete request, as its place is needed.
 
-    def close(self, cause: CloseCause) -> None:
-        """Close the connection after the unsent bytes."""
-        self._close_cause = self._close_cause or cause
-        if self._transport is not None:
-            self._transport.close()
+        What is received afterwards is not read.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._write_status(HTTPStatus.REQUEST_TIMEOUT)
+        self._is_ending = True
+        self._reader.release()
+        self._pipelined.count()
+        self.close(CloseCause.STALLED)
+        self._timer.start(LINGER_S)
 
     def retire(self) -> None:
         """Close the connection unless it has, or awaits, a request.
@@ -163,42 +155,53 @@
         elif not self.is_busy:
             self.close(CloseCause.STOPPING)
 
-    def _end(self, cause: CloseCause) -> None:
-        """Close the connection once the caller has read its last answer.
-
-        Received bytes are dropped until then. A connection that is closed with
-        unread ones is reset, and a reset discards what the caller has not read.
-        """
-        self._close_cause = self._close_cause or cause
-        if self._transport is None or self._transport.is_closing():
-            return
-        self._is_ending = True
-        self._transport.write_eof()
-        self._timer.start(_WRITE_TIMEOUT_S if self._has_unsent else _LINGER_S)
-
     def _on_request(self, request: CallerRequest) -> None:
         if self._fault is not None:
             return
         if len(self._pipelined) == _MAX_PIPELINED:
-            self._reject(HTTPStatus.BAD_REQUEST)
+            self._reject(HTTPStatus.BAD_REQUEST, CloseCause.REJECTED)
             return
         self._unanswered_count += 1
         if self._transport is None or self._transport.is_closing():
             return
         self._timer.clear()
-        self._pipelined.append((request, self._reader.keep_alive))
+        self._is_head_timed = False
+        self._note_progress()
+        self._pipelined.append(request)
         if self._task is None:
             self._serve_next()
 
     def _serve_next(self) -> None:
         if self._owner.is_refusing:
+            self._refuse_waiting(CloseCause.REJECTED)
+            return
+        queued = self._pipelined.pop()
+        self._pipelined.count()
+        if not self._account.may_run(queued.running_bytes, self._owner.now_s()):
             self._pipelined.clear()
             self._unanswered_count -= 1
-            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseCause.MEMORY)
             return
-        request, keep_alive = self._pipelined.pop(0)
-        self._keep_alive = keep_alive
-        self._task = asyncio.create_task(self._serve(request))
+        self._keep_alive = queued.keep_alive
+        self._task = asyncio.create_task(self._serve(queued.request))
+
+    def _refuse_waiting(self, cause: CloseCause) -> None:
+        """Refuse all requests that have not begun to run, and close.
+
+        The first of them gets the answer; the others end unread.
+        """
+        if self._pipelined:
+            self._pipelined.clear()
+            self._unanswered_count -= 1
+        self._reject(HTTPStatus.SERVICE_UNAVAILABLE, cause)
+        self._pipelined.count()
+
+    def _shed(self) -> None:
+        """Give memory back: an answer that is not read, or what waits."""
+        if self._account.unread_bytes > self._account.waiting_bytes:
+            self.abort(CloseCause.MEMORY)
+        else:
+            self._refuse_waiting(CloseCause.MEMORY)
 
     async def _serve(self, request: CallerRequest) -> None:
         answer = Answer(self)
@@ -214,6 +217,7 @@
             await answer.fail()
         finally:
             self._task = None
+            self._account.hold_running(0)
         self._finish(answer)
 
     def _finish(self, answer: Answer) -> None:
@@ -237,8 +241,10 @@
         """
         if self._is_ending:
             return
+        self._is_head_timed = False
+        self._note_progress()
         if self._fault is not None:
-            self._reject(self._fault)
+            self._reject(self._fault, self._fault_cause)
         elif self._reader.is_reading:
             self._timer.start(self._owner.limits.header_timeout_s)
             _ask_for_body(self._reader, self._transport)
@@ -258,7 +264,7 @@
         else:
             self.close(CloseCause.IDLE)
 
-    def _reject(self, status: HTTPStatus) -> None:
+    def _reject(self, status: HTTPStatus, cause: CloseCause) -> None:
         """Answer a request with an error status and close.
 
         The requests before it are answered first.
@@ -266,12 +272,11 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._fault = status
+        self._fault_cause = cause
+        self._reader.release()
         if self._task is None and not self._is_ending:
-            self._transport.write(
-                b'HTTP/1.1 %d %s\r\nContent-Length: 0\r\n'
-                b'Connection: close\r\n\r\n' % (status, status_phrase(status)),
-            )
-            self._end(CloseCause.REJECTED)
+            self._write_status(status)
+            self._end(cause)
 
 
 def _ask_for_body(
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -11,12 +11,12 @@
 )
 from nutmegspoke.border.periodic import Periodic
 from nutmegspoke.edge.announcing import announce
-from nutmegspoke.edge.caller_answer import CloseCause
 from nutmegspoke.edge.edge_metrics import EdgeMetrics
 from nutmegspoke.edge.engine_polls import EnginePolls
 from nutmegspoke.edge.feeds import Listeners, new_feeds
 from nutmegspoke.edge.held_lease import PlacementLease
 from nutmegspoke.edge.http_server import (
+    CloseCause,
     ConnectionSet,
     ListeningSocket,
     listen,
@@ -30,7 +30,7 @@
     TargetsListener,
 )
 from nutmegspoke.edge.news_exchange import new_exchange
-from nutmegspoke.edge.serving import new_caller_handler
+from nutmegspoke.edge.serving import new_caller_handler, new_caller_memory
 from nutmegspoke.edge.settings_watch import SettingsWatch
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
 from nutmegspoke.edge.target_connections import TargetConnections
@@ -43,6 +43,8 @@
     from nutmegspoke.entry_host import EntryHost, EntryTables
 
 METRICS_PORT = 9_100
+# Connections to the page on readiness, and as many to that on metrics.
+_MAX_PAGE_CONNECTIONS = 64
 _TICK_S = 0.25
 # A tick that is this late shows that the host was suspended.
 _SUSPENDED_AFTER_S = 1.0
@@ -83,8 +85,13 @@
         self._connections = TargetConnections(
             target_sockets(host.limits), host.limits.memory_bytes
         )
-        self._ready = ConnectionSet(ReadyPage(self.is_ready))
-        self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
+        self._memory = new_caller_memory(self._connections, host.limits)
+        self._ready = ConnectionSet(ReadyPage(self.is_ready), self._memory)
+        self._metrics_pages = ConnectionSet(
+            MetricsPage(self.metrics), self._memory
+        )
+        self._ready.max_open = _MAX_PAGE_CONNECTIONS
+        self._metrics_pages.max_open = _MAX_PAGE_CONNECTIONS
         self._callers = ConnectionSet(
             new_caller_handler(
                 parts,
@@ -94,6 +101,7 @@
                 log,
                 clock,
             ),
+            self._memory,
         )
         self._callers.on_close = self._caller_closed
         self._apply_socket_limits(host)
@@ -259,6 +267,7 @@
         self._connections.answer_memory.set_memory_limit(
             host.limits.memory_bytes
         )
+        self._memory.set_memory_limit(host.limits.memory_bytes)
         self._callers.max_open = caller_sockets(host.limits)
 
     def _caller_closed(self, cause: CloseCause, unanswered: int) -> None:
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import os
 import socket
 from typing import TYPE_CHECKING, Protocol
 
+from nutmegspoke.admission.answer_memory import AnswerMemory
+from nutmegspoke.admission.caller_memory import CallerMemory
 from nutmegspoke.edge.caller_answer import CloseCause
 from nutmegspoke.edge.caller_connection import HttpConnection
 from nutmegspoke.entry_host import CallerLimits
@@ -28,6 +31,8 @@
 
 # Default limit on the open connections of a server.
 _MAX_OPEN = 1_024
+# Memory limit of a process of which a server knows none.
+_MEMORY_BYTES = 300_000_000
 
 
 class Handler(Protocol):
@@ -44,17 +49,25 @@
     number of its requests that were read but not answered completely.
 
     :param handler: answers the requests.
+    :param memory: memory for requests of callers; ``None`` for memory of its
+        own.
+    :ivar open: the connections; that of least recent progress comes first.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self, handler: Handler, memory: CallerMemory | None = None
+    ) -> None:
         """Start without connections."""
         self.handler = handler
+        self.memory = memory or CallerMemory(AnswerMemory(0), _MEMORY_BYTES)
         self._limits = CallerLimits()
         self.is_stopping = False
         self.is_refusing = False
         self.max_open = _MAX_OPEN
         self.rejected_count = 0
-        self.open: set[HttpConnection] = set()
+        self.open: collections.OrderedDict[HttpConnection, None] = (
+            collections.OrderedDict()
+        )
         self.on_close: Callable[[CloseCause, int], None] = _ignore_close
 
     @property
@@ -70,7 +83,7 @@
         """
         is_longer = limits.idle_timeout_s > self._limits.idle_timeout_s
         self._limits = limits
-        for connection in self.open if is_longer else ():
+        for connection in tuple(self.open) if is_longer else ():
             if not connection.is_busy:
                 connection.await_request()
 
@@ -78,21 +91,42 @@
         """Return the protocol of a new connection."""
         return HttpConnection(self)
 
+    def now_s(self) -> float:
+        """Return the time of the loop."""
+        return asyncio.get_running_loop().time()
+
+    def note_progress(self, connection: HttpConnection) -> None:
+        """Order a connection behind those of less recent progress."""
+        if connection in self.open:
+            self.open.move_to_end(connection)
+
+    def shed_excess(self) -> None:
+        """Give back memory beyond the limit."""
+        self.memory.shed_excess(self.now_s())
+
     def make_capacity(self) -> bool:
-        """Make capacity for a connection; ``False`` if all others are busy.
+        """Make capacity for a connection; ``False`` if all others are served.
 
-        At the limit an idle connection is closed; its caller can open a new
-        one.
+        At the limit an idle connection is closed, as its caller can open a new
+        one; without any, one whose request is not complete. The one of least
+        recent progress comes first.
         """
         if len(self.open) < self.max_open:
             return True
+        stalled = None
         for connection in self.open:
             if not connection.is_busy:
-                self.open.discard(connection)
+                self.open.pop(connection)
                 connection.close(CloseCause.CAPACITY)
                 return True
-        self.rejected_count += 1
-        return False
+            if stalled is None and connection.is_incomplete:
+                stalled = connection
+        if stalled is None:
+            self.rejected_count += 1
+            return False
+        self.open.pop(stalled)
+        stalled.time_out()
+        return True
 
     def close_idle(self) -> None:
         """Close the connections that have no request in progress.
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.admission.caller_memory import CallerMemory
 from nutmegspoke.edge.attempts import Attempts
 from nutmegspoke.edge.callers import CallerHandler
 from nutmegspoke.edge.crash_watch import CrashWatch
@@ -20,6 +21,7 @@
     from nutmegspoke.edge.platform_parts import PlatformParts
     from nutmegspoke.edge.target_connections import TargetConnections
     from nutmegspoke.edge.view import View
+    from nutmegspoke.entry_host import HostLimits
 
 
 def new_caller_handler(
@@ -47,3 +49,10 @@
         connections.answer_memory,
         clock,
     )
+
+
+def new_caller_memory(
+    connections: TargetConnections, limits: HostLimits
+) -> CallerMemory:
+    """Return the memory for requests, which they share with answers."""
+    return CallerMemory(connections.answer_memory, limits.memory_bytes)
