--- a/nutmegspoke/edge/caller_connection.py
+++ b/nutmegspoke/edge/caller_connection.py
@@ -166,7 +166,6 @@
             return
         self._timer.clear()
         self._is_head_timed = False
-        self._note_progress()
         self._pipelined.append(request)
         if self._task is None:
             self._serve_next()
@@ -176,8 +175,9 @@
             self._refuse_waiting(CloseCause.REJECTED)
             return
         queued = self._pipelined.pop()
-        self._pipelined.count()
-        if not self._account.may_run(queued.running_bytes, self._owner.now_s()):
+        if self._account.waiting_bytes:
+            self._pipelined.count()
+        if not self._account.may_run(queued.running_bytes, self._now_s()):
             self._pipelined.clear()
             self._unanswered_count -= 1
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseCause.MEMORY)
--- a/nutmegspoke/edge/caller_transport.py
+++ b/nutmegspoke/edge/caller_transport.py
@@ -48,7 +48,8 @@
         super().__init__()
         self._owner = owner
         self._timer = ConnectionTimer(on_timeout)
-        self._account = CallerAccount(owner.memory, shed, owner.now_s())
+        self._now_s = asyncio.get_running_loop().time
+        self._account = CallerAccount(owner.memory, shed, self._now_s())
         # Bytes received since the connection was last noted to progress.
         self._unnoted_bytes = 0
         self._is_ending = False
@@ -82,10 +83,10 @@
         if len(part) <= WRITE_BUFFER_BYTES:
             await self._write_piece(part, _WRITE_TIMEOUT_S)
             return
-        last_s = self._owner.now_s() + _WRITE_TIMEOUT_S
+        last_s = self._now_s() + _WRITE_TIMEOUT_S
         for start in range(0, len(part), WRITE_BUFFER_BYTES):
             piece = part[start : start + WRITE_BUFFER_BYTES]
-            await self._write_piece(piece, last_s - self._owner.now_s())
+            await self._write_piece(piece, last_s - self._now_s())
 
     async def _write_piece(self, piece: bytes, timeout_s: float) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -137,5 +138,5 @@
         self._unnoted_bytes += received_bytes
         if self._unnoted_bytes >= _PROGRESS_BYTES:
             self._unnoted_bytes = 0
-            self._account.progressed(self._owner.now_s())
+            self._account.progressed(self._now_s())
             self._owner.note_progress(self)
--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -23,7 +23,7 @@
     stop_listening,
 )
 from nutmegspoke.edge.layer_keeper import LayerController
-from nutmegspoke.edge.limit_log import LimitLog
+from nutmegspoke.edge.limit_log import CallerLog, LimitLog
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
     TablesListener,
@@ -158,7 +158,7 @@
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._last_tick_s = clock.now_s()
         self._limit_log = LimitLog(self.view, self.metrics, log)
-        self._reported_rejections = 0
+        self._caller_log = CallerLog(self._callers, self.metrics, log)
         self._logged_relays: tuple[str, ...] = ()
 
     def is_ready(self) -> bool:
@@ -293,7 +293,7 @@
         if late_s > _SUSPENDED_AFTER_S:
             await self._recover_from_suspend(late_s)
         self._connections.close_idle(now_s)
-        self._log_rejections()
+        self._caller_log.tick()
         self._log_relays(now_s)
         self._limit_log.tick(now_s)
         self._measure_followers(now_s)
@@ -336,17 +336,6 @@
                 daemons_heard=updates.daemons(now_s),
             )
 
-    def _log_rejections(self) -> None:
-        count = self._callers.rejected_count
-        if count != self._reported_rejections:
-            self._reported_rejections = count
-            self._log.decided(
-                'callers_turned_away',
-                count=count,
-                open=len(self._callers.open),
-                limit=self._callers.max_open,
-            )
-
     async def _recover_from_suspend(self, late_s: float) -> None:
         """Discard idle connections and read all tables again.
 
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -59,6 +59,21 @@
             'Answers so far that were too long to be held.',
             registry=self.registry,
         )
+        self._open_callers = aioprometheus.Gauge(
+            'nutmegspoke_edge_caller_connections',
+            'Open connections of callers.',
+            registry=self.registry,
+        )
+        self._held_requests = aioprometheus.Gauge(
+            'nutmegspoke_edge_held_request_bytes',
+            'Bytes of requests, and of answers that callers do not read.',
+            registry=self.registry,
+        )
+        self._held_limit = aioprometheus.Gauge(
+            'nutmegspoke_edge_held_request_limit_bytes',
+            'Bytes that requests and unread answers may take now.',
+            registry=self.registry,
+        )
         self._events = aioprometheus.Counter(
             'nutmegspoke_edge_events_total',
             'Decisions and changes of belief by kind.',
@@ -95,6 +110,14 @@
         self._held_answers.set({}, held_bytes)
         self._refused_answers.set({}, refused_count)
 
+    def observe_callers(
+        self, count: int, held_bytes: int, limit_bytes: int
+    ) -> None:
+        """Record the connections of callers and the memory that they take."""
+        self._open_callers.set({}, count)
+        self._held_requests.set({}, held_bytes)
+        self._held_limit.set({}, limit_bytes)
+
     def observe_limits(self, count: int) -> None:
         """Record the number of targets that name a limit."""
         self._target_limits.set({}, count)
--- a/nutmegspoke/edge/http_server.py
+++ b/nutmegspoke/edge/http_server.py
@@ -65,6 +65,7 @@
         self.is_refusing = False
         self.max_open = _MAX_OPEN
         self.rejected_count = 0
+        self.stalled_count = 0
         self.open: collections.OrderedDict[HttpConnection, None] = (
             collections.OrderedDict()
         )
@@ -125,6 +126,7 @@
             self.rejected_count += 1
             return False
         self.open.pop(stalled)
+        self.stalled_count += 1
         stalled.time_out()
         return True
 
--- a/nutmegspoke/edge/limit_log.py
+++ b/nutmegspoke/edge/limit_log.py
@@ -1,4 +1,4 @@
-"""Logs, at a bounded rate, how the limits that targets name are used."""
+"""Logs, at a bounded rate, how limits on targets and callers are used."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.edge_metrics import EdgeMetrics
+    from nutmegspoke.edge.http_server import ConnectionSet
     from nutmegspoke.edge.view import View
 
 
@@ -50,3 +51,54 @@
                 requests_per_s=round(demand.requests_per_s, 2),
                 hosts_unheard=demand.unheard_hosts,
             )
+
+
+class CallerLog:
+    """Log and metrics of the memory and places that callers take.
+
+    Connections that were closed for others are logged together, at most once
+    for each tick.
+    """
+
+    def __init__(
+        self, callers: ConnectionSet, metrics: EdgeMetrics, log: DecisionLog
+    ) -> None:
+        """Create a log of the connections of callers."""
+        self._callers = callers
+        self._metrics = metrics
+        self._log = log
+        self._logged_rejections = 0
+        self._logged_closings = (0, 0)
+
+    def tick(self) -> None:
+        """Give back memory that answers need, and log what has changed."""
+        callers = self._callers
+        callers.shed_excess()
+        memory = callers.memory
+        self._metrics.observe_callers(
+            len(callers.open), memory.held_bytes, memory.limit_bytes
+        )
+        self._log_rejections()
+        closings = (memory.shed_count, callers.stalled_count)
+        if closings != self._logged_closings:
+            self._logged_closings = closings
+            self._log.decided(
+                'callers_gave_way',
+                memory=memory.shed_count,
+                stalled=callers.stalled_count,
+                held_bytes=memory.held_bytes,
+                limit_bytes=memory.limit_bytes,
+                open=len(callers.open),
+                limit=callers.max_open,
+            )
+
+    def _log_rejections(self) -> None:
+        count = self._callers.rejected_count
+        if count != self._logged_rejections:
+            self._logged_rejections = count
+            self._log.decided(
+                'callers_turned_away',
+                count=count,
+                open=len(self._callers.open),
+                limit=self._callers.max_open,
+            )
--- a/nutmegspoke/edge/request_queue.py
+++ b/nutmegspoke/edge/request_queue.py
@@ -79,6 +79,9 @@
 
     def count(self) -> None:
         """Count what all requests take, also the one that is being read."""
+        if not self._reader.is_reading and not self._waiting:
+            self._account.hold_waiting(0)
+            return
         waiting_bytes = self._held_bytes + self._reader.held_bytes
         self._account.hold_waiting(waiting_bytes)
         if waiting_bytes > SMALL_BYTES:
--- a/nutmegspoke/edge/request_reader.py
+++ b/nutmegspoke/edge/request_reader.py
@@ -22,7 +22,9 @@
 # Method, version, empty lines and spaces beside the headers that are counted.
 _LINES_EXTRA_BYTES = 1_024
 # The parser collects a line before it passes it on, so it gets little at once.
-_SLICE_BYTES = 16_384
+_SLICE_BYTES = 65_536
+# Parts of a body that are shorter are joined, for the memory of each part.
+_JOINED_BYTES = 4_096
 _LENGTH = b'content-length'
 _EXPECT = b'expect'
 _TUNNEL = b'CONNECT'
@@ -76,7 +78,7 @@
         return (
             self._header_bytes
             + len(self._headers) * _HEADER_MEMORY_BYTES
-            + len(self._body)
+            + self._body_bytes
             + self._line_bytes
         )
 
@@ -139,14 +141,18 @@
         """Append a part of the body."""
         self.awaits_continue = False
         self._has_moved = True
-        if len(self._body) + len(part) > self.limits.max_body_bytes:
+        self._body_bytes += len(part)
+        if self._body_bytes > self.limits.max_body_bytes:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self._body:
-            self._body = part
+        parts = self._body
+        if not parts or len(part) >= _JOINED_BYTES:
+            parts.append(part)
             return
-        if isinstance(self._body, bytes):
-            self._body = bytearray(self._body)
-        self._body += part
+        last = parts[-1]
+        if isinstance(last, bytearray) and len(last) < _SLICE_BYTES:
+            last += part
+        else:
+            parts.append(bytearray(part))
 
     def on_message_complete(self) -> None:
         """Call ``on_request`` unless the request exceeded a limit."""
@@ -161,7 +167,7 @@
             method=self._parser.get_method(),
             url=self._url,
             headers=self._headers,
-            body=bytes(self._body),
+            body=b''.join(self._body),
         )
         self._reset()
         self._on_request(request)
@@ -172,7 +178,8 @@
         self._headers: Headers = []
         self._header_bytes = 0
         self._trailer_bytes = 0
-        self._body: bytes | bytearray = b''
+        self._body: list[bytes | bytearray] = []
+        self._body_bytes = 0
         self._has_head = False
 
     def _feed_slice(self, received: bytes | memoryview) -> None:
--- a/tests/edge/test_crowded_callers.py
+++ b/tests/edge/test_crowded_callers.py
@@ -4,11 +4,14 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from nutmegspoke.admission.answer_memory import AnswerMemory
 from nutmegspoke.admission.caller_memory import CallerMemory
 from nutmegspoke.edge.caller_answer import CloseCause
+from nutmegspoke.edge.edge_metrics import EdgeMetrics
 from nutmegspoke.edge.http_server import ConnectionSet, listen
+from nutmegspoke.edge.limit_log import CallerLog
 from nutmegspoke.entry_host import CallerLimits
 from tests.edge.stream_loop_case import StreamLoopCase
 
@@ -96,6 +99,22 @@
         )
         self.assertEqual(self.handler.urls, [b'/wait'])
 
+    async def test_who_gave_way_is_logged_once(self) -> None:
+        """Guards against a log that a crowd fills, or that shows nothing."""
+        metrics = EdgeMetrics()
+        log = mock.Mock()
+        caller_log = CallerLog(self.connections, metrics, log)
+        self.connections.memory.shed_count = 5
+        self.connections.stalled_count = 7
+        caller_log.tick()
+        caller_log.tick()
+        log.decided.assert_called_once()
+        fields = log.decided.call_args.kwargs
+        self.assertEqual((fields['memory'], fields['stalled']), (5, 7))
+        page = metrics.render().decode()
+        self.assertIn('nutmegspoke_edge_held_request_limit_bytes', page)
+        self.assertIn('nutmegspoke_edge_caller_connections 0', page)
+
     async def test_empty_lines_do_not_extend_the_time(self) -> None:
         """Guards against a connection kept open by empty lines."""
         self.connections.limits = _LIMITS
--- a/tests/edge/test_request_reader.py
+++ b/tests/edge/test_request_reader.py
@@ -16,7 +16,7 @@
     from nutmegspoke.forwarded import CallerRequest
 
 _LIMITS = CallerLimits(max_header_bytes=512, max_body_bytes=1_024)
-_SLICE_BYTES = 16_384
+_SLICE_BYTES = 65_536
 # Lines and memory of headers beside their bytes, of at most a head.
 _HEAD_MEMORY_BYTES = 1_024 + 200 * _LIMITS.max_header_bytes
 _MOST_BYTES = _HEAD_MEMORY_BYTES + _LIMITS.max_body_bytes + _SLICE_BYTES
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tests.mutation_list_callers import CALLER_MUTATIONS
 from tests.mutation_list_claims import CLAIM_MUTATIONS
 from tests.mutation_list_edge import EDGE_MUTATIONS
 from tests.mutation_list_knowledge import KNOWLEDGE_MUTATIONS
@@ -46,6 +47,7 @@
         'settlement.settle(found, verdict, operator, ())',
         ('tests.cmd.test_cli_processes',),
     ),
+    *CALLER_MUTATIONS,
     *CLAIM_MUTATIONS,
     *EDGE_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
--- a/tests/proofs.py
+++ b/tests/proofs.py
@@ -88,6 +88,12 @@
         'tests.membership.test_reader_words',
         'tests.membership.test_table_delays',
     ),
+    'callers outside the limits': (
+        'tests.clients.test_crowds',
+        'tests.admission.test_caller_memory',
+        'tests.edge.test_crowded_callers',
+        'tests.edge.test_request_reader',
+    ),
     'memory for answers': (
         'tests.edge.test_endless_answers',
         'tests.admission.test_answer_memory',
