--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -23,6 +23,7 @@
     stop_listening,
 )
 from nutmegspoke.edge.layer_keeper import LayerController
+from nutmegspoke.edge.limit_log import CallerLog
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
     TablesListener,
@@ -30,7 +31,7 @@
 )
 from nutmegspoke.edge.news_exchange import new_exchange
 from nutmegspoke.edge.room_log import LoadLogs
-from nutmegspoke.edge.serving import new_caller_handler
+from nutmegspoke.edge.serving import new_caller_handler, new_caller_memory
 from nutmegspoke.edge.settings_watch import SettingsWatch
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
 from nutmegspoke.edge.target_connections import TargetConnections
@@ -43,6 +44,8 @@
     from nutmegspoke.entry_host import EntryHost, EntryTables
 
 METRICS_PORT = 9_100
+# Connections to the page on readiness, and as many to that on metrics.
+_MAX_PAGE_CONNECTIONS = 64
 _TICK_S = 0.25
 # A tick that is this late shows that the host was suspended.
 _SUSPENDED_AFTER_S = 1.0
@@ -83,8 +86,13 @@
         self._connections = TargetConnections(
             target_sockets(host.limits), host.limits.memory_bytes
         )
-        self._ready = ConnectionSet(ReadyPage(self.is_ready))
-        self._metrics_pages = ConnectionSet(MetricsPage(self.metrics))
+        self._memory = new_caller_memory(self._connections, host.limits)
+        self._ready = ConnectionSet(ReadyPage(self.is_ready), self._memory)
+        self._metrics_pages = ConnectionSet(
+            MetricsPage(self.metrics), self._memory
+        )
+        self._ready.max_open = _MAX_PAGE_CONNECTIONS
+        self._metrics_pages.max_open = _MAX_PAGE_CONNECTIONS
         self._callers = ConnectionSet(
             new_caller_handler(
                 parts,
@@ -94,6 +102,7 @@
                 log,
                 clock,
             ),
+            self._memory,
         )
         self._callers.on_close = self._caller_closed
         self._apply_socket_limits(host)
@@ -150,7 +159,7 @@
         self._ticker = Periodic('tick', _TICK_S, self._tick)
         self._last_tick_s = clock.now_s()
         self._load_logs = LoadLogs(self.view, self.metrics, log)
-        self._reported_rejections = 0
+        self._caller_log = CallerLog(self._callers, self.metrics, log)
         self._logged_relays: tuple[str, ...] = ()
 
     def is_ready(self) -> bool:
@@ -259,6 +268,7 @@
         self._connections.answer_memory.set_memory_limit(
             host.limits.memory_bytes
         )
+        self._memory.set_memory_limit(host.limits.memory_bytes)
         self._callers.max_open = caller_sockets(host.limits)
 
     def _caller_closed(self, cause: CloseCause, unanswered: int) -> None:
@@ -284,7 +294,7 @@
         if late_s > _SUSPENDED_AFTER_S:
             await self._recover_from_suspend(late_s)
         self._connections.close_idle(now_s)
-        self._log_rejections()
+        self._caller_log.tick()
         self._log_relays(now_s)
         self._load_logs.tick(now_s)
         self._measure_followers(now_s)
@@ -327,17 +337,6 @@
                 daemons_heard=updates.daemons(now_s),
             )
 
-    def _log_rejections(self) -> None:
-        count = self._callers.rejected_count
-        if count != self._reported_rejections:
-            self._reported_rejections = count
-            self._log.decided(
-                'callers_turned_away',
-                count=count,
-                open=len(self._callers.open),
-                limit=self._callers.max_open,
-            )
-
     async def _recover_from_suspend(self, late_s: float) -> None:
         """Discard idle connections and read all tables again.
 
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.mutation_list_balance import BALANCE_MUTATIONS
+from tests.mutation_list_callers import CALLER_MUTATIONS
 from tests.mutation_list_claims import CLAIM_MUTATIONS
 from tests.mutation_list_contention import CONTENTION_MUTATIONS
 from tests.mutation_list_edge import EDGE_MUTATIONS
@@ -50,6 +51,7 @@
         ('tests.cmd.test_cli_processes',),
     ),
     *BALANCE_MUTATIONS,
+    *CALLER_MUTATIONS,
     *CLAIM_MUTATIONS,
     *CONTENTION_MUTATIONS,
     *EDGE_MUTATIONS,
