--- a/nutmegspoke/admission/answer_memory.py
+++ b/nutmegspoke/admission/answer_memory.py
@@ -60,6 +60,10 @@
         self._memory = memory
         self._bytes = 0
 
+    def another(self) -> HeldAnswer:
+        """Return what another answer takes of the same memory; nothing yet."""
+        return HeldAnswer(self._memory)
+
     def add(self, count: int) -> bool:
         """Add received bytes.
 
--- a/nutmegspoke/edge/crash_watch.py
+++ b/nutmegspoke/edge/crash_watch.py
@@ -8,7 +8,7 @@
 
 from nutmegspoke import outcomes
 from nutmegspoke.retries.notices import RunAtRisk
-from nutmegspoke.retries.quarantine import SendAlone
+from nutmegspoke.retries.quarantine import Clear, SendAlone
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -104,6 +104,20 @@
             return True
         return crashes.parts.has_suspect(context.facts.shared_parts, now_s)
 
+    def may_crash(self, context: RequestContext) -> bool:
+        """Return whether a request may have crashed a target.
+
+        It is so while a target that ran it is being checked, too.
+        """
+        fingerprint = context.fingerprint
+        if fingerprint in self._checks or fingerprint in self._later_checks:
+            return True
+        now_s = self._clock.now_s()
+        decision = self._view.crashes.quarantine.check(fingerprint, now_s)
+        if not isinstance(decision, Clear):
+            return True
+        return self._is_suspect(context)
+
     def started(
         self, context: RequestContext, targets: Iterable[str]
     ) -> WatchedRun:
--- a/nutmegspoke/edge/edge_metrics.py
+++ b/nutmegspoke/edge/edge_metrics.py
@@ -59,6 +59,17 @@
             'Answers so far that were too long to be held.',
             registry=self.registry,
         )
+        self._hedges = aioprometheus.Counter(
+            'nutmegspoke_edge_hedges_total',
+            'Copies of slow requests by route: sent, won, lost, failed, or why '
+            'withheld.',
+            registry=self.registry,
+        )
+        self._copied_share = aioprometheus.Gauge(
+            'nutmegspoke_edge_copied_share',
+            'Copies as a share of the requests for a pool when one was sent.',
+            registry=self.registry,
+        )
         self._events = aioprometheus.Counter(
             'nutmegspoke_edge_events_total',
             'Decisions and changes of belief by kind.',
@@ -103,6 +114,14 @@
         """Record the time since the store has confirmed a table."""
         self._feed_ages.set({'table': table}, age_s)
 
+    def count_hedge(self, route: str, outcome: str) -> None:
+        """Count what became of a copy of a slow request, or why there is none."""
+        self._hedges.inc({'route': route, 'outcome': outcome})
+
+    def observe_copied_share(self, pool: str, share: float) -> None:
+        """Record the copies as a share of the requests for a pool."""
+        self._copied_share.set({'pool': pool}, share)
+
     def count_event(self, kind: str) -> None:
         """Count a decision or a state change."""
         self._events.inc({'kind': kind})
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -15,6 +15,7 @@
     Refused,
     failure_reason,
 )
+from nutmegspoke.edge.hedged_calls import HedgedCalls, is_answered
 from nutmegspoke.edge.target_notices import (
     TargetNotices,
     closed_by_limits,
@@ -29,10 +30,12 @@
 from nutmegspoke.routing.least_loaded import LeastLoaded
 
 if TYPE_CHECKING:
+    from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, FetchResult
     from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
+    from nutmegspoke.edge.edge_metrics import EdgeMetrics
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
@@ -61,6 +64,7 @@
         answer_sender: AnswerSender,
         crashes: CrashWatch,
         log: DecisionLog,
+        metrics: EdgeMetrics,
         clock: Clock,
     ) -> None:
         """Create a handler."""
@@ -72,6 +76,9 @@
         self._answer_sender = answer_sender
         self._clock = clock
         self._loads = LeastLoaded(view.host.availability_zone)
+        self._hedged = HedgedCalls(
+            view, self._loads, crashes, self._retries, log, metrics, clock
+        )
 
     async def serve(self, context: RequestContext) -> None:
         """Answer a request with a target's answer or one of the router's own."""
@@ -88,8 +95,8 @@
             if target is None:
                 break
             context.has_target = True
-            last_result = await self._send(context, target)
-            if _is_answered(last_result):
+            last_result = await self._fetch(context, target)
+            if is_answered(last_result):
                 break
             is_allowed = self._is_retry_allowed(context, last_result)
         await self._send_answer(context, last_result)
@@ -121,21 +128,42 @@
         ]
         return self._loads.choose(usable or live, context.avoided, now_s)
 
-    async def _send(
+    async def _fetch(
         self, context: RequestContext, target: TargetEntry
     ) -> FetchResult:
+        if self._hedged.applies(context):
+            return await self._hedged.fetch(context, target, self._send)
         may_retry = context.route.retry_rule.may_retry
         may_retry = may_retry and context.route.max_targets > context.sends + 1
+        return await self._send(
+            context, target, context.held, may_retry=may_retry
+        )
+
+    async def _send(
+        self,
+        context: RequestContext,
+        target: TargetEntry,
+        held: HeldAnswer,
+        *,
+        may_retry: bool,
+    ) -> FetchResult:
         self._loads.sent(target.name)
         try:
-            result = await self._exchange(context, target, may_retry=may_retry)
+            result = await self._exchange(
+                context, target, held, may_retry=may_retry
+            )
         finally:
             self._loads.ended(target.name)
         self._record_result(context, target, result)
         return result
 
     async def _exchange(
-        self, context: RequestContext, target: TargetEntry, *, may_retry: bool
+        self,
+        context: RequestContext,
+        target: TargetEntry,
+        held: HeldAnswer,
+        *,
+        may_retry: bool,
     ) -> FetchResult:
         now_s = self._clock.now_s()
         dispatch = Dispatch(target.name, context.team, context.left_s(now_s))
@@ -163,7 +191,7 @@
         result: FetchResult | None = None
         try:
             result = await self._receive(
-                context, connection, may_retry=may_retry
+                context, connection, held, may_retry=may_retry
             )
         finally:
             self._end_run(run, result)
@@ -182,13 +210,14 @@
         self,
         context: RequestContext,
         connection: TargetConnection,
+        held: HeldAnswer,
         *,
         may_retry: bool,
     ) -> FetchResult:
         """Wait for an answer; give it up once another attempt can follow."""
         left_s = max(0.0, context.left_s(self._clock.now_s()))
         answer = asyncio.create_task(
-            self._attempts.receive(connection, context.held, left_s)
+            self._attempts.receive(connection, held, left_s)
         )
         try:
             if may_retry:
@@ -203,6 +232,8 @@
 
     def _can_go_elsewhere(self, context: RequestContext) -> bool:
         """Return whether a silent target can be replaced by another one."""
+        if context.is_hedged:
+            return False
         if self._choose_target(context, self._clock.now_s()) is None:
             return False
         return self._retries.allows(
@@ -324,10 +355,6 @@
     return _NO_TARGET_RETRY_AFTER_S
 
 
-def _is_answered(result: FetchResult) -> bool:
-    return isinstance(result, CompleteAnswer) and not _is_error(result)
-
-
 def _failure_cause(result: FetchResult) -> str:
     if isinstance(result, CompleteAnswer):
         return f'answered {result.status}'
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -41,7 +41,7 @@
     return CallerHandler(
         view,
         parts.header_codec,
-        PlainCalls(view, attempts, answer_sender, crashes, log, clock),
+        PlainCalls(view, attempts, answer_sender, crashes, log, metrics, clock),
         DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
         answer_sender,
         connections.answer_memory,
--- a/nutmegspoke/edge/update_contents.py
+++ b/nutmegspoke/edge/update_contents.py
@@ -119,6 +119,7 @@
             group=relays.group,
             asks_summary=relays.is_relayed,
             limits=self._view.conditions.limits.outgoing(now_s),
+            copied=self._view.retry_budgets.copies.outgoing(now_s),
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -51,6 +51,8 @@
     :param targets: names of the targets to which it was sent.
     :param lost: names of targets that were found to be unreachable.
     :param avoided: names of the targets on which it failed, reached or not.
+    :param is_hedged: whether a copy was sent, so that its first target is not
+        given up.
     """
 
     request: CallerRequest
@@ -70,6 +72,7 @@
     targets: list[str] = dataclasses.field(default_factory=list)
     lost: set[str] = dataclasses.field(default_factory=set)
     avoided: set[str] = dataclasses.field(default_factory=set)
+    is_hedged: bool = False
 
     @property
     def reservation_key(self) -> str:
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -65,6 +65,17 @@
     retry_window_s: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgingLimits:
+    """Limit on copies of slow requests that the operator sets.
+
+    :param max_share: copies as a share of the requests for a pool, over all
+        daemons; 0 for none.
+    """
+
+    max_share: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryHost:
     """The host that this daemon runs on.
@@ -78,6 +89,7 @@
     :param store_address: ``IP:PORT`` of the metadata store.
     :param limits: resources of the host.
     :param bounds: guaranteed limits on recovery.
+    :param hedging: limit on copies of slow requests.
     """
 
     name: str
@@ -89,6 +101,7 @@
     store_address: str
     limits: HostLimits
     bounds: RecoveryBounds
+    hedging: HedgingLimits = HedgingLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/membership/host_changes.py
+++ b/nutmegspoke/membership/host_changes.py
@@ -10,7 +10,7 @@
 
 # Fields that a daemon can change while it runs. Its name and addresses are
 # known to callers, the balancer and other daemons, and stay until a restart.
-_CHANGEABLE = ('store_address', 'limits', 'bounds')
+_CHANGEABLE = ('store_address', 'limits', 'bounds', 'hedging')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -31,6 +31,8 @@
 _MAX_DAEMONS = 100_000
 # Largest believable number of requests between two events.
 _MAX_SENT = 10_000
+# Largest believable number of copies in a window.
+_MAX_COPIED = 1_000_000
 # Interval between updates to relays, which receive those of a whole group.
 _RELAYED_INTERVAL_S = 0.25
 # Age of the last update from which a daemon is ignored. Several updates in a
@@ -115,6 +117,7 @@
     :param known_daemons: the same, with those that have become silent lately.
     :param first_hosts: hosts of some of these daemons, the first in rank.
     :param limits: limits of targets, and requests sent to these lately.
+    :param copied: by pool, the copies of slow requests in the last window.
     """
 
     host: str
@@ -139,6 +142,7 @@
     known_daemons: int = 1
     first_hosts: tuple[str, ...] = ()
     limits: dict[str, LimitNews] = {}
+    copied: dict[str, int] = {}
 
 
 class EventUpdate(msgspec.Struct, frozen=True, array_like=True, tag='event'):
@@ -187,3 +191,5 @@
         raise ValueError('impossible duration of a fault')
     if not all(limit.is_possible() for limit in update.limits.values()):
         raise ValueError('impossible limit of a target')
+    if not all(0 < count <= _MAX_COPIED for count in update.copied.values()):
+        raise ValueError('impossible number of copies')
--- a/nutmegspoke/membership/received_updates.py
+++ b/nutmegspoke/membership/received_updates.py
@@ -247,6 +247,11 @@
     return total
 
 
+def count_copied(updates: Iterable[ReceivedUpdate], pool: str) -> int:
+    """Return the copies of slow requests that daemons have sent lately."""
+    return sum(received.update.copied.get(pool, 0) for received in updates)
+
+
 def hosts_of(update: LoadUpdate) -> tuple[str, ...]:
     """Return the hosts that an update names as those of its daemons."""
     if update.scope == Scope.HOST:
--- a/nutmegspoke/membership/summaries.py
+++ b/nutmegspoke/membership/summaries.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -104,6 +105,7 @@
         known_daemons=known_daemons,
         first_hosts=tuple(sorted(hosts, key=rank_key)[:READER_COUNT]),
         limits=_merge_limits(updates),
+        copied=_sum_counts(updates),
     )
 
 
@@ -128,6 +130,10 @@
             else limit
             for target, limit in summary.limits.items()
         },
+        copied=dict(
+            collections.Counter(summary.copied)
+            - collections.Counter(member.copied)
+        ),
     )
 
 
@@ -166,6 +172,14 @@
     return total
 
 
+def _sum_counts(updates: Iterable[LoadUpdate]) -> dict[str, int]:
+    """Return the copies of slow requests that the updates tell, by pool."""
+    total: collections.Counter[str] = collections.Counter()
+    for update in updates:
+        total.update(update.copied)
+    return dict(total)
+
+
 def _difference(sums: _Sums, part: _Sums) -> _Sums:
     """Return sums without a part that they contain."""
     left = dict(sums)
--- a/nutmegspoke/platform/boot_settings.py
+++ b/nutmegspoke/platform/boot_settings.py
@@ -8,10 +8,17 @@
 
 import msgspec
 
-from nutmegspoke.entry_host import EntryHost, HostLimits, RecoveryBounds
+from nutmegspoke.entry_host import (
+    EntryHost,
+    HedgingLimits,
+    HostLimits,
+    RecoveryBounds,
+)
 from nutmegspoke.errors import SettingsError
 
 SETTINGS_VARIABLE = 'NUTMEGSPOKE_SETTINGS'
+# Limit on copies of slow requests where the file has no ``hedging.max_share``.
+HEDGING_VARIABLE = 'NUTMEGSPOKE_HEDGING_MAX_SHARE'
 _MS_PER_S = 1_000
 _BYTES_PER_MB = 1_000_000
 _BYTES_PER_MBIT = 125_000
@@ -20,6 +27,7 @@
 
 _Address = Annotated[str, msgspec.Meta(pattern=r'^[0-9.]+:\d+$')]
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
+_CopyShare = Annotated[float, msgspec.Meta(ge=0, le=0.2)]
 
 
 class _Listen(msgspec.Struct):
@@ -49,6 +57,10 @@
     address: _Address
 
 
+class _Hedging(msgspec.Struct):
+    max_share: _CopyShare = 0.0
+
+
 class _Settings(msgspec.Struct):
     node_name: str
     ip: str
@@ -58,6 +70,7 @@
     limits: _Limits
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    hedging: _Hedging = msgspec.field(default_factory=_Hedging)
 
 
 def settings_path() -> pathlib.Path:
@@ -80,6 +93,7 @@
     def __init__(self, path: pathlib.Path) -> None:
         """Store the path; the file is not read until :meth:`read`."""
         self._path = path
+        self._hedging_share = os.environ.get(HEDGING_VARIABLE, '')
         self._text = ''
         self._host: EntryHost | None = None
 
@@ -90,7 +104,7 @@
         """
         text = _read_text(self._path)
         if self._host is None or text != self._text:
-            self._host = parse_settings(text)
+            self._host = parse_settings(text, self._hedging_share)
             self._text = text
         return self._host
 
@@ -106,13 +120,17 @@
         raise SettingsError((f'{path}: {error}',)) from error
 
 
-def parse_settings(text: str) -> EntryHost:
+def parse_settings(text: str, hedging_share: str = '') -> EntryHost:
     """Decode the text of a settings file.
 
+    :param hedging_share: limit on copies if the file has none; empty for 0.
     :raises SettingsError: if a value is missing or invalid.
     """
     try:
-        decoded = msgspec.convert(_parse_lines(text), _Settings, strict=False)
+        sections = _parse_lines(text)
+        if hedging_share:
+            sections.setdefault('hedging', {'max_share': hedging_share})
+        decoded = msgspec.convert(sections, _Settings, strict=False)
         return _build_host(decoded)
     except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError((f'settings: {error}',)) from error
@@ -154,6 +172,7 @@
             link_bytes_per_s=limits.link_mbps * _BYTES_PER_MBIT,
         ),
         bounds=_build_bounds(decoded.bounds),
+        hedging=HedgingLimits(decoded.hedging.max_share),
     )
 
 
--- a/nutmegspoke/retries/pool_budgets.py
+++ b/nutmegspoke/retries/pool_budgets.py
@@ -1,9 +1,10 @@
-"""Retry budgets of this daemon, one for each pool."""
+"""Retry budgets of this daemon, one for each pool, and copies sent."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.retries.copy_shares import CopyShares
 from nutmegspoke.retries.window_budget import WindowBudget
 
 if TYPE_CHECKING:
@@ -11,16 +12,21 @@
 
 
 class PoolBudgets:
-    """Retry budgets of this daemon by pool."""
+    """Retry budgets of this daemon by pool.
+
+    :ivar copies: copies of slow requests that this daemon has sent.
+    """
 
     def __init__(self, settings: WindowSettings) -> None:
         """Create without budgets; all pools get the same settings."""
         self._settings = settings
         self._budgets: dict[str, WindowBudget] = {}
+        self.copies = CopyShares(settings.window_s)
 
     def update_settings(self, settings: WindowSettings) -> None:
         """Apply new settings to all pools."""
         self._settings = settings
+        self.copies.set_window(settings.window_s)
         for budget in self._budgets.values():
             budget.update_settings(settings)
 
--- a/nutmegspoke/routing/least_loaded.py
+++ b/nutmegspoke/routing/least_loaded.py
@@ -27,6 +27,10 @@
     errors: float = 0.0
     errors_at_s: float = 0.0
 
+    def running(self, now_s: float) -> int:
+        is_recent = now_s - self.reported_at_s < _REPORT_TIMEOUT_S
+        return max(self.own_running, self.reported_running if is_recent else 0)
+
     def error_weight(self, now_s: float) -> float:
         age_s = now_s - self.errors_at_s
         return self.errors * 0.5 ** (age_s / _ERROR_HALF_LIFE_S)
@@ -68,6 +72,14 @@
         load.errors = load.error_weight(now_s) + 1
         load.errors_at_s = now_s
 
+    def busy_share(self, entry: TargetEntry, now_s: float) -> float:
+        """Return the requests at a target as a share of its slots.
+
+        Those of other daemons are as the target last reported.
+        """
+        load = self._loads.get(entry.name)
+        return 0.0 if load is None else load.running(now_s) / entry.slots
+
     def choose(
         self,
         entries: Iterable[TargetEntry],
@@ -94,9 +106,5 @@
         weight = 0.0 if is_home else _REMOTE_ZONE_WEIGHT
         if load is None:
             return weight
-        is_recent = now_s - load.reported_at_s < _REPORT_TIMEOUT_S
-        running = max(
-            load.own_running, load.reported_running if is_recent else 0
-        )
-        weight += running / entry.slots
+        weight += load.running(now_s) / entry.slots
         return weight + _ERROR_WEIGHT * load.error_weight(now_s)
--- a/tests/membership/test_host_changes.py
+++ b/tests/membership/test_host_changes.py
@@ -5,7 +5,11 @@
 import dataclasses
 import unittest
 
-from nutmegspoke.entry_host import HostLimits, RecoveryBounds
+from nutmegspoke.entry_host import (
+    HedgingLimits,
+    HostLimits,
+    RecoveryBounds,
+)
 from nutmegspoke.membership.host_changes import compare_hosts
 from tests import builders_edge as build
 
@@ -26,10 +30,14 @@
             bounds=RecoveryBounds(retry_slack=7.0),
             limits=HostLimits(0.5, 1, 2),
             store_address='10.0.0.9:1',
+            hedging=HedgingLimits(0.05),
         )
         changes = compare_hosts(build.host(), described)
         self.assertEqual(changes.host, described)
-        self.assertEqual(changes.applied, ('store_address', 'limits', 'bounds'))
+        self.assertEqual(
+            changes.applied,
+            ('store_address', 'limits', 'bounds', 'hedging'),
+        )
 
     def test_addresses_wait_for_a_start(self) -> None:
         """A port that callers use stays until the process restarts."""
--- a/tests/platform/test_boot_settings.py
+++ b/tests/platform/test_boot_settings.py
@@ -40,6 +40,28 @@
             with self.subTest(changes), self.assertRaises(SettingsError):
                 parse_settings(build.boot_text(**changes))
 
+    def test_the_limit_on_copies(self) -> None:
+        """Guards against copies where neither file nor environment ask."""
+        text = build.boot_text()
+        share = '0.05'
+        from_file = build.boot_text(**{'hedging.max_share': '0.02'})
+        self.assertEqual(parse_settings(text).hedging.max_share, 0.0)
+        self.assertEqual(parse_settings(text, share).hedging.max_share, 0.05)
+        self.assertEqual(parse_settings(from_file).hedging.max_share, 0.02)
+        host = parse_settings(from_file, share)
+        self.assertEqual(host.hedging.max_share, 0.02)
+
+    def test_refuses_odd_limits_on_copies(self) -> None:
+        """Guards against a limit that lifts itself."""
+        for share in ('-0.01', '0.21', 'nan', 'inf', 'much', '5%'):
+            with self.subTest(share):
+                with self.assertRaises(SettingsError):
+                    parse_settings(build.boot_text(), share)
+                with self.assertRaises(SettingsError):
+                    parse_settings(
+                        build.boot_text(**{'hedging.max_share': share})
+                    )
+
     def test_refuses_missing_values(self) -> None:
         """An empty file raises a settings error."""
         with self.assertRaises(SettingsError):
