--- a/nutmegspoke/edge/hedged_calls.py
+++ b/nutmegspoke/edge/hedged_calls.py
@@ -13,20 +13,15 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmegspoke.edge.attempts import Broken, CompleteAnswer
+from nutmegspoke.edge.copies import ROOM_SHARE
 from nutmegspoke.entry_host import RetryRule
 from nutmegspoke.forwarded import AnswerKind
-from nutmegspoke.membership.received_updates import count_copied
-from nutmegspoke.retries.copy_shares import PoolCopies
-from nutmegspoke.retries.hedging import HedgeConditions, HedgePolicy, Withheld
 
 if TYPE_CHECKING:
     from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import FetchResult
-    from nutmegspoke.edge.crash_watch import CrashWatch
-    from nutmegspoke.edge.decision_log import DecisionLog
-    from nutmegspoke.edge.edge_metrics import EdgeMetrics
-    from nutmegspoke.edge.repeats import RetryPolicy
+    from nutmegspoke.edge.copies import Copies
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.entry_host import TargetEntry
@@ -35,9 +30,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A target takes copies while at most this share of its slots is in use.
-_ROOM_SHARE = 0.5
-
 
 class CallSender(Protocol):
     """Sends a call to one target and waits for the result."""
@@ -61,7 +53,7 @@
 class _Run:
     """A call at one target.
 
-    :ivar is_overtaken: whether it was ended as the other one was answered.
+    :ivar is_overtaken: whether it is ended as its copy was answered.
     """
 
     target: TargetEntry
@@ -75,37 +67,18 @@
     """Sender of calls that may send copies of slow ones."""
 
     def __init__(
-        self,
-        view: View,
-        loads: LeastLoaded,
-        crashes: CrashWatch,
-        retries: RetryPolicy,
-        log: DecisionLog,
-        metrics: EdgeMetrics,
-        clock: Clock,
+        self, view: View, loads: LeastLoaded, copies: Copies, clock: Clock
     ) -> None:
         """Create a sender without calls."""
         self._view = view
         self._loads = loads
-        self._crashes = crashes
-        self._retries = retries
-        self._log = log
-        self._metrics = metrics
+        self._copies = copies
         self._clock = clock
-        self._policy = HedgePolicy()
 
     def applies(self, context: RequestContext) -> bool:
-        """Return whether a copy of a call may be sent if it becomes slow.
-
-        It may be of a call that was not sent to another target before.
-        """
-        route = context.route
-        return (
-            self._view.host.hedging.max_share > 0
-            and route.retry_rule is RetryRule.IDEMPOTENT
-            and route.max_targets > 1
-            and not context.sends
-        )
+        """Return whether a copy of a call may be sent if it becomes slow."""
+        is_idempotent = context.route.retry_rule is RetryRule.IDEMPOTENT
+        return is_idempotent and self._copies.may_apply(context)
 
     async def fetch(
         self, context: RequestContext, target: TargetEntry, send: CallSender
@@ -137,7 +110,14 @@
             return first
         runs.append(copy)
         winner = await self._wait(runs)
-        self._record_end(context, runs, winner)
+        first.is_overtaken = winner is copy
+        outcome = 'won' if winner is copy else 'lost'
+        self._copies.record_end(
+            context,
+            first.exchange,
+            copy.exchange,
+            outcome if winner else 'failed',
+        )
         kept = winner or _most_telling(runs)
         context.held = kept.held
         return kept
@@ -151,10 +131,7 @@
         *,
         is_copy: bool,
     ) -> _Run:
-        exchange = self._policy.sent(
-            context.route.name, target.name, self._clock.now_s()
-        )
-        run = _Run(target, exchange, held)
+        run = _Run(target, self._copies.begin(context, target.name), held)
         run.task = asyncio.create_task(
             self._send(context, run, send, is_copy=is_copy)
         )
@@ -179,9 +156,8 @@
             logger.exception('calls: a copy failed')
             return Broken(repr(error))
         finally:
-            self._policy.ended(
+            self._copies.end(
                 run.exchange,
-                self._clock.now_s(),
                 is_counted=run.is_overtaken or _tells_latency(result),
             )
         return result
@@ -193,134 +169,53 @@
 
         While one is withheld, it is looked at again after twice the time.
         """
-        share = self._view.host.hedging.max_share
-        delay_s = self._policy.delay_s(
-            context.route.name,
-            context.route.goal_s,
-            share,
-            self._clock.now_s(),
-        )
+        delay_s = self._copies.delay_s(context)
         wait_s = delay_s
         while not await _has_ended(first, wait_s):
-            target = self._find_copy_target(context, first, delay_s)
+            target = self._choose(context, first, delay_s)
             if target is not None:
-                return self._start_copy(context, first, target, send, delay_s)
+                context.is_hedged = True
+                self._copies.record_sent(
+                    context, first.exchange, target.name, delay_s
+                )
+                return self._start(
+                    context, target, context.held.another(), send, is_copy=True
+                )
             wait_s = first.exchange.lasted_s(self._clock.now_s())
         return None
 
-    def _find_copy_target(
+    def _choose(
         self, context: RequestContext, first: _Run, delay_s: float
     ) -> TargetEntry | None:
         """Return the target for a copy; ``None`` if it is withheld."""
-        now_s = self._clock.now_s()
-        pool = first.target.pool
-        target = self._find_target(context, pool, now_s, _ROOM_SHARE)
-        conditions = self._find_conditions(
-            context, pool, now_s, has_room=target is not None
-        )
-        withheld = self._policy.decide(
-            first.exchange, conditions, delay_s, now_s
+        target = self._find_target(context, first, ROOM_SHARE)
+        is_permitted = self._copies.permits(
+            context,
+            first.exchange,
+            delay_s,
+            has_target=self._find_target(context, first, math.inf) is not None,
+            has_room=target is not None,
         )
-        if withheld is None and not self._has_budget(context):
-            withheld = Withheld.BUDGET
-        if withheld is not None:
-            self._count(context, f'withheld_{withheld}')
+        if not is_permitted or not self._copies.charge(context):
             return None
         return target
 
-    def _start_copy(
-        self,
-        context: RequestContext,
-        first: _Run,
-        target: TargetEntry,
-        send: CallSender,
-        delay_s: float,
-    ) -> _Run:
-        now_s = self._clock.now_s()
-        pool = target.pool
-        context.is_hedged = True
-        self._view.retry_budgets.copies.sent(pool, now_s)
-        known = self._known_copies(pool, now_s)
-        share = self._view.retry_budgets.copies.share(pool, known, now_s)
-        self._count(context, 'sent')
-        self._metrics.observe_copied_share(pool, share)
-        self._log.decided(
-            'hedge_sent',
-            request=context.facts.request_id,
-            route=context.route.name,
-            cause='slow',
-            target=first.target.name,
-            copy_target=target.name,
-            waited_s=round(first.exchange.lasted_s(now_s), 4),
-            delay_s=round(delay_s, 4),
-            requests_in_window=known.requests,
-            copied_elsewhere=known.copied_elsewhere,
-            copied_share=round(share, 4),
-        )
-        return self._start(
-            context, target, context.held.another(), send, is_copy=True
-        )
-
-    def _find_conditions(
-        self,
-        context: RequestContext,
-        pool: str,
-        now_s: float,
-        *,
-        has_room: bool,
-    ) -> HedgeConditions:
-        conditions = self._view.conditions
-        live = self._view.targets.live(pool)
-        return HedgeConditions(
-            may_crash=self._crashes.may_crash(context),
-            is_sent=bool(context.sends),
-            is_limited=bool(conditions.limits.limited(live, now_s)),
-            is_paused=any(
-                conditions.pauses.is_closed(entry.name, now_s) for entry in live
-            ),
-            has_target=self._find_target(context, pool, now_s) is not None,
-            has_room=has_room,
-            has_share=self._view.retry_budgets.copies.is_left(
-                pool,
-                self._known_copies(pool, now_s),
-                self._view.host.hedging.max_share,
-                now_s,
-            ),
-            left_s=context.left_s(now_s),
-        )
-
     def _find_target(
-        self,
-        context: RequestContext,
-        pool: str,
-        now_s: float,
-        room_share: float = math.inf,
+        self, context: RequestContext, first: _Run, room_share: float
     ) -> TargetEntry | None:
-        """Return the target for a copy.
+        """Return the best other target.
 
         :param room_share: share of its slots that may be in use.
         """
+        now_s = self._clock.now_s()
         usable = [
             entry
-            for entry in self._view.targets.live(pool)
+            for entry in self._view.targets.live(first.target.pool)
             if not self._view.faults.failed_recently(entry.name, now_s)
             and self._loads.busy_share(entry, now_s) <= room_share
         ]
         return self._loads.choose(usable, context.avoided, now_s)
 
-    def _has_budget(self, context: RequestContext) -> bool:
-        return self._retries.allows(
-            context, 'slow', max_targets=context.route.max_targets
-        )
-
-    def _known_copies(self, pool: str, now_s: float) -> PoolCopies:
-        own_count, _ = self._view.retry_budgets.for_pool(pool).usage(now_s)
-        updates = self._view.load_updates
-        return PoolCopies(
-            own_count + updates.usage(pool, now_s).requests,
-            count_copied(updates.others(now_s), pool),
-        )
-
     async def _wait(self, runs: list[_Run]) -> _Run | None:
         """Wait for an answer; ``None`` if all runs have failed."""
         pending = {run.task for run in runs}
@@ -345,30 +240,6 @@
             if run.held is not context.held:
                 run.held.release()
 
-    def _record_end(
-        self, context: RequestContext, runs: list[_Run], winner: _Run | None
-    ) -> None:
-        first, copy = runs
-        outcome = 'failed'
-        if winner is not None:
-            outcome = 'won' if winner is copy else 'lost'
-            for run in runs:
-                run.is_overtaken = run is not winner
-        now_s = self._clock.now_s()
-        self._count(context, outcome)
-        self._log.decided(
-            'hedge_ended',
-            request=context.facts.request_id,
-            outcome=outcome,
-            target=first.target.name,
-            copy_target=copy.target.name,
-            first_s=round(first.exchange.lasted_s(now_s), 4),
-            copy_s=round(copy.exchange.lasted_s(now_s), 4),
-        )
-
-    def _count(self, context: RequestContext, outcome: str) -> None:
-        self._metrics.count_hedge(context.route.name, outcome)
-
 
 def is_answered(result: FetchResult) -> bool:
     """Return whether a target has answered, and not with an error."""
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -33,9 +33,9 @@
     from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, FetchResult
+    from nutmegspoke.edge.copies import Copies
     from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
-    from nutmegspoke.edge.edge_metrics import EdgeMetrics
     from nutmegspoke.edge.own_answers import AnswerSender
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
@@ -64,7 +64,7 @@
         answer_sender: AnswerSender,
         crashes: CrashWatch,
         log: DecisionLog,
-        metrics: EdgeMetrics,
+        copies: Copies,
         clock: Clock,
     ) -> None:
         """Create a handler."""
@@ -76,9 +76,7 @@
         self._answer_sender = answer_sender
         self._clock = clock
         self._loads = LeastLoaded(view.host.availability_zone)
-        self._hedged = HedgedCalls(
-            view, self._loads, crashes, self._retries, log, metrics, clock
-        )
+        self._hedged = HedgedCalls(view, self._loads, copies, clock)
 
     async def serve(self, context: RequestContext) -> None:
         """Answer a request with a target's answer or one of the router's own."""
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -6,6 +6,7 @@
 
 from nutmegspoke.edge.attempts import Attempts
 from nutmegspoke.edge.callers import CallerHandler
+from nutmegspoke.edge.copies import Copies
 from nutmegspoke.edge.crash_watch import CrashWatch
 from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.drafts import DraftHandler
@@ -37,11 +38,12 @@
     crashes = CrashWatch(view, connections, log, clock)
     view.lost_engines.subscribe(watch.engine_ended)
     view.lost_engines.subscribe(crashes.engine_ended)
+    copies = Copies(view, crashes, log, metrics, clock)
     runs = DraftRuns(view, attempts, watch, crashes, log, clock)
     return CallerHandler(
         view,
         parts.header_codec,
-        PlainCalls(view, attempts, answer_sender, crashes, log, metrics, clock),
+        PlainCalls(view, attempts, answer_sender, crashes, log, copies, clock),
         DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
         answer_sender,
         connections.answer_memory,
