--- a/nutmegspoke/edge/draft_admission.py
+++ b/nutmegspoke/edge/draft_admission.py
@@ -110,6 +110,27 @@
         finally:
             self._queue.remove(position)
 
+    def admit_beside(
+        self,
+        context: RequestContext,
+        need: DraftNeed,
+        chain: Chain,
+    ) -> Chain | None:
+        """Reserve a second chain, without the engines of the first.
+
+        :param chain: chain that runs the draft already.
+        :returns: ``None`` if none has enough free memory now, or other drafts
+            wait for it.
+        """
+        if len(self._queue):
+            return None
+        added = {stage.target for stage in chain} - context.avoided
+        context.avoided |= added
+        try:
+            return self._reserve_chain(context, need)
+        finally:
+            context.avoided -= added
+
     def _is_expected_wait_too_long(self, position: QueuePosition) -> bool:
         """Return whether the expected wait is too long for a new draft."""
         if not position.is_new:
--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -1,7 +1,8 @@
 """Looks for another run of a draft while an engine is silent.
 
 A silent run stays open: its engine may go on at any time. The run that yields
-something first is relayed, and the others end.
+something first is relayed, and the others end. A run whose first event is late
+is handled alike, though nothing is held against its engines.
 """
 
 from __future__ import annotations
@@ -11,9 +12,14 @@
 import logging
 from typing import TYPE_CHECKING
 
-from nutmegspoke.edge.answer_reader import AnswerLost, AnswerStalled
+from nutmegspoke.edge.answer_reader import (
+    AnswerHead,
+    AnswerLost,
+    AnswerStalled,
+)
 from nutmegspoke.edge.attempts import OpenedAnswer
 from nutmegspoke.edge.draft_runs import DraftRun
+from nutmegspoke.edge.hedged_drafts import FirstEventSlow
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S
 from nutmegspoke.forwarded import AnswerKind
 
@@ -21,9 +27,10 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.draft_admission import DraftAdmission
     from nutmegspoke.edge.draft_runs import DraftRuns
+    from nutmegspoke.edge.hedged_drafts import FirstEvent, HedgedDrafts
     from nutmegspoke.edge.repeats import RetryPolicy
     from nutmegspoke.edge.stream_relay import DraftStream
-    from nutmegspoke.edge.stream_watch import StreamWatch
+    from nutmegspoke.edge.stream_watch import EngineSilent, StreamWatch
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.routing.engine_loads import DraftNeed
 
@@ -43,6 +50,7 @@
     :param open_runs: runs that may yield the next event.
     :param arrival: set when one of them has an event.
     :param suspects: names of silent engines.
+    :param first_event: the wait for the first event if it is only late.
     """
 
     context: RequestContext
@@ -51,6 +59,7 @@
     open_runs: list[DraftRun] = dataclasses.field(default_factory=list)
     arrival: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     suspects: set[str] = dataclasses.field(default_factory=set)
+    first_event: FirstEvent | None = None
 
     def add_run(self, run: DraftRun) -> None:
         """Add a run that may yield the next event."""
@@ -66,6 +75,7 @@
         runs: DraftRuns,
         admission: DraftAdmission,
         retries: RetryPolicy,
+        hedged: HedgedDrafts,
         watch: StreamWatch,
         clock: Clock,
     ) -> None:
@@ -73,6 +83,7 @@
         self._runs = runs
         self._admission = admission
         self._retries = retries
+        self._hedged = hedged
         self._watch = watch
         self._clock = clock
 
@@ -81,20 +92,24 @@
         context: RequestContext,
         stream: DraftStream,
         silent_run: DraftRun,
-        address: str,
+        end: EngineSilent | FirstEventSlow,
         need: DraftNeed,
     ) -> DraftRun:
         """Return the run that goes on first; all others end.
 
-        :param silent_run: run whose engine is silent.
-        :param address: ``IP:PORT`` of the silent engine.
+        :param silent_run: run whose engine is silent, or whose first event is
+            late.
+        :param end: which of both.
         :param need: memory that another run needs.
         :returns: a run that has an event; the last one left if all others
             have failed, or any if the deadline has passed.
         """
         search = _Search(context, stream, need)
         search.add_run(silent_run)
-        self._suspect(search, address)
+        if isinstance(end, FirstEventSlow):
+            search.first_event = end.first_event
+        else:
+            self._suspect(search, end.address)
         seeker = asyncio.create_task(self._seek(search))
         try:
             next_run = await self._wait(search)
@@ -104,14 +119,29 @@
             seeker.cancel()
             self._end_others(search, None)
             raise
+        self._record_end(search, silent_run, next_run)
+        return next_run
+
+    def _record_end(
+        self, search: _Search, silent_run: DraftRun, next_run: DraftRun
+    ) -> None:
+        context = search.context
         is_replaced = next_run is not silent_run
         is_lost = isinstance(next_run.connection.peek(), AnswerLost)
         if not is_replaced and not is_lost:
             context.avoided -= search.suspects
-        self._runs.record_silence_end(
-            context, next_run, search.suspects, is_replaced=is_replaced
-        )
-        return next_run
+        if search.first_event is not None:
+            has_event = next_run.opened is not None and not is_lost
+            has_event = has_event and next_run.connection.peek() is not None
+            self._hedged.end(
+                context,
+                search.first_event,
+                run=next_run if has_event else None,
+            )
+        if search.suspects:
+            self._runs.record_silence_end(
+                context, next_run, search.suspects, is_replaced=is_replaced
+            )
 
     async def _wait(self, search: _Search) -> DraftRun:
         """Wait until a run goes on or fails as the last one.
@@ -138,14 +168,33 @@
         for run in tuple(search.open_runs):
             if search.stream.has_head:
                 await self._skip_stalls(search, run)
+            if search.first_event is not None:
+                await self._take_head(search, run)
             if run.connection.peek() is None:
                 continue
             if len(search.open_runs) == 1 or await self._goes_on(search, run):
                 return run
             search.open_runs.remove(run)
+            # Its engine may have crashed under the draft, and is checked.
+            is_lost = isinstance(run.connection.peek(), AnswerLost)
+            run.is_broken_off |= search.first_event is not None and is_lost
             self._runs.end(run)
         return None
 
+    async def _take_head(self, search: _Search, run: DraftRun) -> None:
+        """Read the head of an answer, as it may come before the first event.
+
+        That of a refusal, or of an engine's own failure, is left.
+        """
+        head = run.connection.peek()
+        if run.opened is not None or not isinstance(head, AnswerHead):
+            return
+        if not self._runs.is_stream_head(head):
+            return
+        self._runs.record_head(
+            search.context, run, await run.connection.next_event()
+        )
+
     async def _skip_stalls(self, search: _Search, run: DraftRun) -> None:
         """Suspect the engines that have ended; the run stays open."""
         event = run.connection.peek()
@@ -170,7 +219,10 @@
     async def _seek(self, search: _Search) -> None:
         """Start further runs, at growing intervals, while all are silent."""
         pause_s = QUERY_AFTER_SEND_S
-        are_silent = True
+        are_silent = search.first_event is None
+        if search.first_event is not None:
+            pause_s = self._hedged.query_after_s(search.first_event)
+            await self._start_copy(search, search.first_event)
         while True:
             if are_silent:
                 await self._start_other(search)
@@ -205,6 +257,27 @@
         if isinstance(run, DraftRun):
             search.add_run(run)
 
+    async def _start_copy(
+        self, search: _Search, first_event: FirstEvent
+    ) -> None:
+        """Start another run if a chain of other engines is free now."""
+        context = search.context
+        if not context.has_usable_target():
+            return
+        chain = self._admission.admit_beside(
+            context, search.need, search.open_runs[0].chain
+        )
+        if chain is None:
+            self._hedged.found_no_room(context)
+            return
+        if not self._hedged.may_start(context):
+            self._runs.release_reservation(context)
+            return
+        run = await self._runs.start(context, chain, search.stream)
+        if isinstance(run, DraftRun):
+            self._hedged.started(context, first_event, run)
+            search.add_run(run)
+
     async def _are_all_silent(self, search: _Search) -> bool:
         """Query the first engines; ``False`` if a run seems to go on."""
         for run in tuple(search.open_runs):
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -14,13 +14,13 @@
     Refused,
 )
 from nutmegspoke.edge.target_notices import TargetNotices
-from nutmegspoke.forwarded import Dispatch
+from nutmegspoke.forwarded import AnswerKind, Dispatch
 from nutmegspoke.pipelines.event_stream import EventSplitter
 from nutmegspoke.retries.target_faults import Fault
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
-    from nutmegspoke.edge.answer_reader import AnswerEvent
+    from nutmegspoke.edge.answer_reader import AnswerEvent, AnswerHead
     from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
@@ -169,6 +169,13 @@
             self._view.faults.succeeded(first_engine, now_s)
         return result
 
+    def is_stream_head(self, head: AnswerHead) -> bool:
+        """Return whether the events of a run follow a head."""
+        facts = self._attempts.header_codec.read_answer(
+            head.status, head.headers
+        )
+        return facts.kind == AnswerKind.SUCCESS
+
     def record_events(self, run: DraftRun) -> None:
         """Record that events of a run were received."""
         self._crashes.wrote(run.watched)
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -18,9 +18,14 @@
 from nutmegspoke.edge.chain_choice import ChainSelector
 from nutmegspoke.edge.draft_admission import DraftAdmission
 from nutmegspoke.edge.draft_replacements import DraftReplacements
+from nutmegspoke.edge.hedged_drafts import (
+    FirstEvent,
+    FirstEventSlow,
+    HedgedDrafts,
+)
 from nutmegspoke.edge.repeats import RetryPolicy
 from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
-from nutmegspoke.edge.stream_watch import QUERY_AFTER_SEND_S, EngineSilent
+from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S, EngineSilent
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind
 from nutmegspoke.pipelines.stream_position import StreamPosition
@@ -50,6 +55,7 @@
         watch: StreamWatch,
         runs: DraftRuns,
         log: DecisionLog,
+        hedged: HedgedDrafts,
         clock: Clock,
     ) -> None:
         """Create the handler and its admission queue."""
@@ -60,8 +66,9 @@
         )
         self._retries = RetryPolicy(view, log, clock)
         self._runs = runs
+        self._hedged = hedged
         self._replacements = DraftReplacements(
-            runs, self._admission, self._retries, watch, clock
+            runs, self._admission, self._retries, self._hedged, watch, clock
         )
         self._view = view
         self._attempts = attempts
@@ -154,22 +161,28 @@
 
         :returns: ``None`` if it was answered, otherwise the failure reason.
         """
+        first_event = self._hedged.begin(context, stream, chain[0].target)
         run = await self._runs.start(context, chain, stream)
         if isinstance(run, NotSent):
+            self._hedged.end_unless_seen(context, first_event)
             return run.reason
         try:
             while True:
-                end = await self._follow(context, run, stream, profile)
-                if not isinstance(end, EngineSilent):
+                end = await self._follow(
+                    context, run, stream, profile, first_event
+                )
+                if not isinstance(end, EngineSilent | FirstEventSlow):
                     return end
                 run = await self._replacements.find_next_run(
                     context,
                     stream,
                     run,
-                    end.address,
+                    end,
                     self._estimate_need(context, profile, stream),
                 )
+                first_event = None
         finally:
+            self._hedged.end_unless_seen(context, first_event)
             self._runs.end_last(context, run)
 
     async def _follow(
@@ -178,20 +191,30 @@
         run: DraftRun,
         stream: DraftStream,
         profile: ModelProfile,
-    ) -> EngineSilent | str | None:
+        first_event: FirstEvent | None,
+    ) -> EngineSilent | FirstEventSlow | str | None:
         """Relay a run until it ends or an engine is silent.
 
-        :returns: ``None`` if the draft was answered, the failure reason, or
-            the silent engine.
+        :param first_event: the wait for the first event if another run may be
+            sought as it is late.
+        :returns: ``None`` if the draft was answered, the failure reason, the
+            silent engine, or that the first event is late.
         """
-        opened = await self._receive_head(context, run)
-        if isinstance(opened, EngineSilent):
+        opened = await self._receive_head(context, run, first_event)
+        if isinstance(opened, EngineSilent | FirstEventSlow):
             return opened
         if not isinstance(opened, OpenedAnswer):
             return failure_reason(opened)
         if opened.facts.kind == AnswerKind.FAILURE:
             return await self._forward_failure(context, stream, run, opened)
-        end = await self._relay.run(context, stream, run, opened)
+        query_after_s = QUERY_AFTER_PAUSE_S
+        if first_event is not None:
+            self._hedged.received_head(first_event)
+            if await self._hedged.is_slow(context, run, first_event):
+                return FirstEventSlow(first_event)
+            self._hedged.end_if_seen(context, run, first_event)
+            query_after_s = self._hedged.query_after_s(first_event)
+        end = await self._relay.run(context, stream, run, opened, query_after_s)
         if isinstance(end, RelayEnd):
             run.is_broken_off = end.is_broken_off
             self._runs.avoid_stalled_engine(
@@ -203,13 +226,20 @@
         return end
 
     async def _receive_head(
-        self, context: RequestContext, run: DraftRun
-    ) -> OpenResult | EngineSilent:
+        self,
+        context: RequestContext,
+        run: DraftRun,
+        first_event: FirstEvent | None,
+    ) -> OpenResult | EngineSilent | FirstEventSlow:
         """Return the answer of a run as soon as its head is received."""
         if run.opened is not None:
             return run.opened
+        if first_event is not None and await self._hedged.is_slow(
+            context, run, first_event
+        ):
+            return FirstEventSlow(first_event)
         event = await self._relay.next_event(
-            context, run.connection, QUERY_AFTER_SEND_S
+            context, run.connection, self._hedged.query_after_s(first_event)
         )
         if isinstance(event, EngineSilent):
             return event
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -10,6 +10,7 @@
 from nutmegspoke.edge.crash_watch import CrashWatch
 from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.drafts import DraftHandler
+from nutmegspoke.edge.hedged_drafts import HedgedDrafts
 from nutmegspoke.edge.own_answers import AnswerSender
 from nutmegspoke.edge.plain_calls import PlainCalls
 from nutmegspoke.edge.stream_watch import StreamWatch
@@ -39,12 +40,15 @@
     view.lost_engines.subscribe(watch.engine_ended)
     view.lost_engines.subscribe(crashes.engine_ended)
     copies = Copies(view, crashes, log, metrics, clock)
+    hedged = HedgedDrafts(view, copies, clock)
     runs = DraftRuns(view, attempts, watch, crashes, log, clock)
     return CallerHandler(
         view,
         parts.header_codec,
         PlainCalls(view, attempts, answer_sender, crashes, log, copies, clock),
-        DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
+        DraftHandler(
+            view, attempts, answer_sender, watch, runs, log, hedged, clock
+        ),
         answer_sender,
         connections.answer_memory,
         clock,
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -111,6 +111,7 @@
         stream: DraftStream,
         run: DraftRun,
         opened: OpenedAnswer,
+        query_after_s: float,
     ) -> RelayEnd | EngineSilent | None:
         """Relay events until the stream ends or an engine is silent.
 
@@ -119,14 +120,17 @@
         counts as silent once its caller has a part of it.
 
         :param opened: answer of the run.
+        :param query_after_s: time without the next event after which the first
+            engine is queried.
         :returns: ``None`` if the stream is complete.
         """
         while True:
             event = await self.next_event(
                 context,
                 opened.connection,
-                QUERY_AFTER_PAUSE_S,
+                query_after_s,
             )
+            query_after_s = QUERY_AFTER_PAUSE_S
             if isinstance(event, EngineSilent):
                 return event
             if not isinstance(event, AnswerPart):
