--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -4,6 +4,7 @@
 
 from tests.mutation_list_claims import CLAIM_MUTATIONS
 from tests.mutation_list_edge import EDGE_MUTATIONS
+from tests.mutation_list_hedging import HEDGING_MUTATIONS
 from tests.mutation_list_knowledge import KNOWLEDGE_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
 from tests.mutation_list_parts import PART_MUTATIONS
@@ -48,6 +49,7 @@
     ),
     *CLAIM_MUTATIONS,
     *EDGE_MUTATIONS,
+    *HEDGING_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *RELAY_MUTATIONS,
     *PART_MUTATIONS,
