--- a/nutmegspoke/edge/copies.py
+++ b/nutmegspoke/edge/copies.py
@@ -22,6 +22,8 @@
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.retries.hedging import Exchange
 
+# Retries of this daemon that copies leave to failed requests.
+_RESERVED_RETRIES = 2
 # Targets take copies while at most this share of their room is in use.
 ROOM_SHARE = 0.5
 
@@ -198,9 +200,17 @@
                 self._view.host.hedging.max_share,
                 now_s,
             ),
+            has_budget=self._left_retries(pool, now_s) >= 1 + _RESERVED_RETRIES,
             left_s=context.left_s(now_s),
         )
 
+    def _left_retries(self, pool: str, now_s: float) -> float:
+        """Return the retries to a pool that this daemon may make now."""
+        budget = self._view.retry_budgets.for_pool(pool)
+        daemons = self._view.count_budget_daemons(now_s)
+        others = self._view.load_updates.usage(pool, now_s)
+        return budget.available(daemons, now_s, others)
+
     def _known_copies(self, pool: str, now_s: float) -> PoolCopies:
         own_count, _ = self._view.retry_budgets.for_pool(pool).usage(now_s)
         updates = self._view.load_updates
--- a/nutmegspoke/retries/hedging.py
+++ b/nutmegspoke/retries/hedging.py
@@ -41,7 +41,8 @@
     first target is still being reached. ``LIMITED`` and
     ``PAUSED``: targets of the pool name limits or ask for pauses. ``NO_ROOM``:
     the best other target is too busy. ``SHARE``: the operator's limit is
-    reached. ``BUDGET``: the retry policy does not allow another target.
+    reached. ``BUDGET``: the retry budget is left to failed requests, or the
+    retry policy does not allow another target.
     """
 
     MAY_CRASH = 'may_crash'
@@ -68,6 +69,8 @@
     :param has_target: whether there is another usable target.
     :param has_room: whether that target is not too busy.
     :param has_share: whether one more copy is within the operator's limit.
+    :param has_budget: whether the retry budget has one more than is left to
+        failed requests.
     :param left_s: seconds until the deadline of the request.
     """
 
@@ -78,6 +81,7 @@
     has_target: bool = True
     has_room: bool = True
     has_share: bool = True
+    has_budget: bool = True
     left_s: float = float('inf')
 
 
@@ -182,6 +186,7 @@
             (Withheld.OUT_OF_TIME, waited_s > latest_s),
             (Withheld.ALL_SLOW, self._are_all_slow(exchange, delay_s, now_s)),
             (Withheld.SHARE, not conditions.has_share),
+            (Withheld.BUDGET, not conditions.has_budget),
         )
         return next((reason for reason, holds in checks if holds), None)
 
--- a/tests/edge/test_hedged_calls.py
+++ b/tests/edge/test_hedged_calls.py
@@ -24,6 +24,8 @@
 _TIMEOUT_MS = 15_000
 _FATAL = b'fatal'
 _NO_RETRIES = RecoveryBounds(retry_share=0.0, retry_slack=0.0)
+# Less than two retries for each of the daemons that are assumed.
+_FEW_RETRIES = RecoveryBounds(retry_share=0.0, retry_slack=27.0)
 _PAUSE_S = 30.0
 # For a failure to be read before the other target answers.
 _FAILURE_S = 0.2
@@ -311,6 +313,14 @@
         )
         await self._assert_withheld('budget')
 
+    async def test_few_retries_are_left(self) -> None:
+        """Guards against failed requests whose retries were spent on copies."""
+        self._set_host(hedging=HedgingLimits(_SHARE), bounds=_FEW_RETRIES)
+        budget = self._view().retry_budgets.for_pool('records')
+        daemons = self._view().count_budget_daemons(self._now_s())
+        self.assertGreaterEqual(budget.available(daemons, self._now_s()), 1)
+        await self._assert_withheld('budget')
+
     async def test_a_target_asks_for_a_pause(self) -> None:
         """Guards against copies in a pool that asks for less."""
         await self.deployment.add_service('r3')
--- a/tests/retries/test_hedging.py
+++ b/tests/retries/test_hedging.py
@@ -135,6 +135,7 @@
             Withheld.NO_ROOM: {'has_room': False},
             Withheld.OUT_OF_TIME: {'left_s': 0.001},
             Withheld.SHARE: {'has_share': False},
+            Withheld.BUDGET: {'has_budget': False},
         }
         self.assertIsNone(policy.decide(exchange, fine, delay_s, now_s))
         for reason, change in reasons.items():
