--- a/tests/edge/test_hedged_calls.py
+++ b/tests/edge/test_hedged_calls.py
@@ -247,6 +247,18 @@
         self.assertEqual(third.caller_requests(), [])
         self.assertEqual(self._outcomes(), ['failed'])
 
+    async def test_the_host_stops(self) -> None:
+        """Guards against a call that is cut as its host stops as planned."""
+        call = await self._begin_hedged_call()
+        stopping = asyncio.create_task(self.deployment.daemon.stop())
+        await self.deployment.until(
+            lambda: bool(self.deployment.events('stopping'))
+        )
+        self.second.silence.end()
+        answer = await call
+        self.assertEqual((answer.status, answer.body), (200, b'record of r2'))
+        await stopping
+
     async def test_the_caller_leaves(self) -> None:
         """Guards against work at either target for nobody."""
         call = await self._begin_hedged_call()
--- a/tests/mutation_list_hedging.py
+++ b/tests/mutation_list_hedging.py
@@ -33,6 +33,13 @@
         'copied = self._count(pool, now_s)\n        return copied + 1',
         (f'{_CALL_TESTS}SharedLimitTest',),
     ),
+    Mutation(
+        'hedging: copies use up the retries of failed requests',
+        'nutmegspoke/edge/copies.py',
+        '_RESERVED_RETRIES = 2',
+        '_RESERVED_RETRIES = 0',
+        (f'{_CALL_TESTS}WithheldCopiesTest.test_few_retries_are_left',),
+    ),
     Mutation(
         'hedging: the loser goes on',
         _CALLS,
