--- a/tests/retries/hedging_model.py
+++ b/tests/retries/hedging_model.py
@@ -11,6 +11,8 @@
 import heapq
 import itertools
 import random
+import statistics
+import sys
 from typing import TYPE_CHECKING
 
 from nutmegspoke.retries.copy_shares import CopyShares, PoolCopies
@@ -269,3 +271,32 @@
 
 def _quantile(ordered: list[float], quantile: float) -> float:
     return ordered[min(len(ordered) - 1, int(quantile * len(ordered)))]
+
+
+def _mean(outcomes: list[Outcome]) -> Outcome:
+    """Return the mean of each figure."""
+    return Outcome(
+        *(
+            statistics.fmean(figures)
+            for figures in zip(
+                *(dataclasses.astuple(outcome) for outcome in outcomes),
+                strict=True,
+            )
+        )
+    )
+
+
+def main(seed_count: int) -> None:
+    """Print the mean outcome of each load and way, over some seeds."""
+    for load, way, share in itertools.product(Load, Way, (0.02, 0.05)):
+        if way is not Way.QUANTILE and share > 0.02:
+            continue
+        seeds = range(1, seed_count + 1)
+        mean = _mean(
+            [HedgingModel(way, load, share, seed).run() for seed in seeds]
+        )
+        print(load.value, way.value, share, mean, sep=', ')  # noqa: WPS421
+
+
+if __name__ == '__main__':
+    main(int(sys.argv[1]))
