--- a/nutmegspoke/edge/daemon.py
+++ b/nutmegspoke/edge/daemon.py
@@ -23,14 +23,13 @@
     stop_listening,
 )
 from nutmegspoke.edge.layer_keeper import LayerController
-from nutmegspoke.edge.limit_log import CallerLog
+from nutmegspoke.edge.limit_log import CallerLog, LoadLogs
 from nutmegspoke.edge.listeners import (
     DaemonsListener,
     TablesListener,
     TargetsListener,
 )
 from nutmegspoke.edge.news_exchange import new_exchange
-from nutmegspoke.edge.room_log import LoadLogs
 from nutmegspoke.edge.serving import new_caller_handler, new_caller_memory
 from nutmegspoke.edge.settings_watch import SettingsWatch
 from nutmegspoke.edge.status_pages import MetricsPage, ReadyPage
--- a/nutmegspoke/edge/limit_log.py
+++ b/nutmegspoke/edge/limit_log.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from nutmegspoke.edge.room_log import RoomLog
 from nutmegspoke.edge.target_notices import find_demand
 from nutmegspoke.membership.received_updates import requests_to_limited
 from nutmegspoke.retries.target_limits import WINDOW_S
@@ -102,3 +103,18 @@
                 open=len(self._callers.open),
                 limit=self._callers.max_open,
             )
+
+
+class LoadLogs:
+    """All logs of the load, written at bounded rates."""
+
+    def __init__(
+        self, view: View, metrics: EdgeMetrics, log: DecisionLog
+    ) -> None:
+        """Create the logs of a view."""
+        self._logs = (LimitLog(view, metrics, log), RoomLog(view, metrics, log))
+
+    def tick(self, now_s: float) -> None:
+        """Write what is due."""
+        for each in self._logs:
+            each.tick(now_s)
--- a/nutmegspoke/edge/room_log.py
+++ b/nutmegspoke/edge/room_log.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from nutmegspoke.contention import protection
-from nutmegspoke.edge.limit_log import LimitLog
 from nutmegspoke.edge.pool_rooms import find_demand, find_room
 
 if TYPE_CHECKING:
@@ -66,18 +65,3 @@
                 narrowest_used=round(room.used_share, 3),
                 daemons_heard=self._view.load_updates.daemons(now_s),
             )
-
-
-class LoadLogs:
-    """All logs of the load, written at bounded rates."""
-
-    def __init__(
-        self, view: View, metrics: EdgeMetrics, log: DecisionLog
-    ) -> None:
-        """Create the logs of a view."""
-        self._logs = (LimitLog(view, metrics, log), RoomLog(view, metrics, log))
-
-    def tick(self, now_s: float) -> None:
-        """Write what is due."""
-        for each in self._logs:
-            each.tick(now_s)
--- a/nutmegspoke/edge/serving.py
+++ b/nutmegspoke/edge/serving.py
@@ -7,9 +7,11 @@
 from nutmegspoke.admission.caller_memory import CallerMemory
 from nutmegspoke.edge.attempts import Attempts
 from nutmegspoke.edge.callers import CallerHandler
+from nutmegspoke.edge.copies import Copies
 from nutmegspoke.edge.crash_watch import CrashWatch
 from nutmegspoke.edge.draft_runs import DraftRuns
 from nutmegspoke.edge.drafts import DraftHandler
+from nutmegspoke.edge.hedged_drafts import HedgedDrafts
 from nutmegspoke.edge.own_answers import AnswerSender
 from nutmegspoke.edge.plain_calls import PlainCalls
 from nutmegspoke.edge.stream_watch import StreamWatch
@@ -39,12 +41,16 @@
     crashes = CrashWatch(view, connections, log, clock)
     view.lost_engines.subscribe(watch.engine_ended)
     view.lost_engines.subscribe(crashes.engine_ended)
+    copies = Copies(view, crashes, log, metrics, clock)
+    hedged = HedgedDrafts(view, copies, clock)
     runs = DraftRuns(view, attempts, watch, crashes, log, clock)
     return CallerHandler(
         view,
         parts.header_codec,
-        PlainCalls(view, attempts, answer_sender, crashes, log, clock),
-        DraftHandler(view, attempts, answer_sender, watch, runs, log, clock),
+        PlainCalls(view, attempts, answer_sender, crashes, log, copies, clock),
+        DraftHandler(
+            view, attempts, answer_sender, watch, runs, log, hedged, clock
+        ),
         answer_sender,
         connections.answer_memory,
         clock,
--- a/nutmegspoke/edge/update_contents.py
+++ b/nutmegspoke/edge/update_contents.py
@@ -120,6 +120,7 @@
             asks_summary=relays.is_relayed,
             limits=self._view.conditions.limits.outgoing(now_s),
             demand=self._view.contention.own.outgoing(now_s),
+            copied=self._view.retry_budgets.copies.outgoing(now_s),
         )
 
     def _reassignments(self, now_s: float) -> dict[str, tuple[int, int, float]]:
--- a/nutmegspoke/membership/load_news.py
+++ b/nutmegspoke/membership/load_news.py
@@ -32,6 +32,8 @@
 _MAX_DAEMONS = 100_000
 # Largest believable number of requests between two events.
 _MAX_SENT = 10_000
+# Largest believable number of copies in a window.
+_MAX_COPIED = 1_000_000
 # Interval between updates to relays, which receive those of a whole group.
 _RELAYED_INTERVAL_S = 0.25
 # Age of the last update from which a daemon is ignored. Several updates in a
@@ -118,6 +120,7 @@
     :param limits: limits of targets, and requests sent to these lately.
     :param demand: by pool with several ranks, and by rank, the room that drafts
         hold, ask for and free.
+    :param copied: by pool, the copies of slow requests in the last window.
     """
 
     host: str
@@ -143,6 +146,7 @@
     first_hosts: tuple[str, ...] = ()
     limits: dict[str, LimitNews] = {}
     demand: DemandNews = {}
+    copied: dict[str, int] = {}
 
 
 class EventUpdate(msgspec.Struct, frozen=True, array_like=True, tag='event'):
@@ -191,5 +195,15 @@
         raise ValueError('impossible duration of a fault')
     if not all(limit.is_possible() for limit in update.limits.values()):
         raise ValueError('impossible limit of a target')
+    _check_work(update)
+
+
+def _check_work(update: LoadUpdate) -> None:
+    """Check the demand and the copies that an update tells.
+
+    :raises ValueError: if they can't be true.
+    """
     if not is_possible(update.demand):
         raise ValueError('impossible demand')
+    if not all(0 < count <= _MAX_COPIED for count in update.copied.values()):
+        raise ValueError('impossible number of copies')
--- a/nutmegspoke/membership/received_updates.py
+++ b/nutmegspoke/membership/received_updates.py
@@ -253,6 +253,11 @@
     return sum_demand(received.update.demand for received in updates)
 
 
+def count_copied(updates: Iterable[ReceivedUpdate], pool: str) -> int:
+    """Return the copies of slow requests that daemons have sent lately."""
+    return sum(received.update.copied.get(pool, 0) for received in updates)
+
+
 def hosts_of(update: LoadUpdate) -> tuple[str, ...]:
     """Return the hosts that an update names as those of its daemons."""
     if update.scope == Scope.HOST:
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -7,6 +7,7 @@
 from tests.mutation_list_claims import CLAIM_MUTATIONS
 from tests.mutation_list_contention import CONTENTION_MUTATIONS
 from tests.mutation_list_edge import EDGE_MUTATIONS
+from tests.mutation_list_hedging import HEDGING_MUTATIONS
 from tests.mutation_list_knowledge import KNOWLEDGE_MUTATIONS
 from tests.mutation_list_load import LOAD_MUTATIONS
 from tests.mutation_list_membership import MEMBERSHIP_MUTATIONS
@@ -55,6 +56,7 @@
     *CLAIM_MUTATIONS,
     *CONTENTION_MUTATIONS,
     *EDGE_MUTATIONS,
+    *HEDGING_MUTATIONS,
     *KNOWLEDGE_MUTATIONS,
     *LOAD_MUTATIONS,
     *RELAY_MUTATIONS,
