--- a/nutmegspoke/balance/read_waits.py
+++ b/nutmegspoke/balance/read_waits.py
@@ -19,9 +19,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
-    from nutmegspoke.entry_host import ModelProfile
+    from nutmegspoke.entry_host import AcceleratorKind, ModelProfile
     from nutmegspoke.layers import Chain
     from nutmegspoke.routing.engine_loads import EngineLoad
 
@@ -55,35 +55,78 @@
     count: float = 0.0
     salt: int = 0
 
-    def sent_to(self, engine: EngineLoad) -> float:
+    def sent_to(self, engine: str) -> float:
         """Return the drafts assumed to have been sent to an engine.
 
         This is an exponential variate. If costs are proportional to it and to
         the work of a draft, engines are chosen in proportion to their speeds.
+
+        :param engine: name of the engine.
         """
         if not self.count:
             return 0.0
         # A CRC alone shifts all names alike where only the seed differs.
-        mixed = zlib.crc32(engine.name.encode(), self.salt) * _MIXER
+        mixed = zlib.crc32(engine.encode(), self.salt) * _MIXER
         fraction = ((mixed & _CRC_MASK) + 1) / (_CRC_MASK + 1)
         return -_UNSEEN_SHARE * self.count * math.log(fraction)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindTimes:
+    """Times of a kind of engine that holds all layers.
+
+    :param piece_s: time of a pass that reads a piece of a prompt, in seconds.
+    :param per_request_s: increase of that time for each request that generates
+        tokens in the pass, in seconds.
+    :param draft_time_s: usual time of a draft whose chain has such an engine,
+        in seconds.
+    """
+
+    piece_s: float
+    per_request_s: float
+    draft_time_s: float
+
+    @classmethod
+    def from_profile(
+        cls,
+        accelerator: AcceleratorKind,
+        profile: ModelProfile,
+        mean_step_factor: float,
+    ) -> KindTimes:
+        """Return the times of a kind.
+
+        :param mean_step_factor: mean step factor of the layers of the pool. A
+            chain mixes kinds, so a draft takes a time between both.
+        """
+        step_factor = accelerator.step_factor
+        tokens_factor = profile.tokens_per_event * step_factor
+        read_s = (
+            profile.read_chunk_tokens
+            / profile.read_tokens_per_s
+            * accelerator.read_factor
+        )
+        token_s = profile.step_s * math.sqrt(step_factor * mean_step_factor)
+        return cls(
+            _PASS_OVERHEAD * (tokens_factor * profile.step_s + read_s),
+            _PASS_OVERHEAD * tokens_factor * profile.step_per_request_s,
+            _TOKEN_OVERHEAD * token_s * max(1.0, profile.usual_answer_tokens),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadWaits:
     """Waits of prompts at the engines of a pool.
 
-    :param profile: speed of the model on engines.
-    :param draft_time_s: usual time of a draft in this pool, in seconds.
-    :param step_factor: mean step factor of the layers of the pool. A chain
-        has engines of several kinds, so a draft on an engine takes a time
-        between that of its kind and this.
+    :param layer_count: number of layers of the model.
+    :param pieces: pieces in which engines read a usual prompt; the last one is
+        smaller.
+    :param by_kind: times by name of the kind of engine.
     :param unseen: drafts that are not in the engines' loads.
     """
 
-    profile: ModelProfile
-    draft_time_s: float
-    step_factor: float
+    layer_count: int
+    pieces: float
+    by_kind: Mapping[str, KindTimes]
     unseen: UnseenSends = UnseenSends()
 
     @classmethod
@@ -105,22 +148,33 @@
             (engine.accelerator.step_factor for engine in engines),
             [max(1, len(engine.layers)) for engine in engines],
         )
-        draft_time_s = max(
-            profile.usual_answer_tokens
-            * profile.step_s
-            * step_factor
-            * _TOKEN_OVERHEAD,
-            profile.step_s,
+        accelerators = {
+            engine.accelerator.name: engine.accelerator for engine in engines
+        }
+        by_kind = {
+            name: KindTimes.from_profile(accelerator, profile, step_factor)
+            for name, accelerator in accelerators.items()
+        }
+        draft_time_s = statistics.fmean(
+            times.draft_time_s for times in by_kind.values()
+        )
+        # Updates may be untrue; an engine begins no more chains than this.
+        running = sum(
+            min(engine.first_stage_count, profile.first_slots)
+            for engine in engines
+        )
+        return cls(
+            profile.layer_count,
+            profile.usual_prompt_tokens / profile.read_chunk_tokens + 0.5,
+            by_kind,
+            UnseenSends(running / draft_time_s * news_age_s, salt),
         )
-        running = sum(engine.first_stage_count for engine in engines)
-        unseen = UnseenSends(running / draft_time_s * news_age_s, salt)
-        return cls(profile, draft_time_s, step_factor, unseen)
 
     def costs_s(self, engines: Sequence[EngineLoad]) -> dict[str, float]:
         """Return the cost of the wait at each engine, in seconds of a draft."""
         return {
             engine.name: _WAIT_WEIGHT
-            * self.wait_s(engine, self.unseen.sent_to(engine))
+            * self.wait_s(engine, self.unseen.sent_to(engine.name))
             for engine in engines
         }
 
@@ -130,11 +184,12 @@
         :param unseen: drafts that were sent to the engine just now, beside
             those that it is known to have.
         """
-        read_s = self._piece_s(engine) * self._pieces
-        draft_time_s = self.draft_time_s * math.sqrt(
-            engine.accelerator.step_factor / self.step_factor
-        )
-        utilization = engine.request_count * read_s / draft_time_s
+        times = self.by_kind[engine.accelerator.name]
+        requests = engine.request_count
+        share = len(engine.layers) / self.layer_count
+        piece_s = times.piece_s + times.per_request_s * requests * share
+        read_s = piece_s * share * engine.slowness * self.pieces
+        utilization = requests * read_s / times.draft_time_s
         stable = min(_STABLE_UTILIZATION, utilization)
         queue_s = read_s * (unseen + stable / (1 - stable))
         return queue_s + (utilization - stable) * _OVERLOAD_S
@@ -151,30 +206,6 @@
             self.wait_s(engine) for engine in engines if engine.name in names
         )
 
-    @property
-    def _pieces(self) -> float:
-        """Return the pieces of a usual prompt; the last one is smaller."""
-        profile = self.profile
-        return profile.usual_prompt_tokens / profile.read_chunk_tokens + 0.5
-
-    def _piece_s(self, engine: EngineLoad) -> float:
-        """Return the time of a pass that reads a piece of a prompt."""
-        profile = self.profile
-        share = len(engine.layers) / profile.layer_count
-        step_s = (
-            profile.step_s
-            + profile.step_per_request_s * engine.request_count * share
-        )
-        decode_s = (
-            profile.tokens_per_event * step_s * engine.accelerator.step_factor
-        )
-        read_s = (
-            profile.read_chunk_tokens
-            / profile.read_tokens_per_s
-            * engine.accelerator.read_factor
-        )
-        return _PASS_OVERHEAD * share * (decode_s + read_s) * engine.slowness
-
 
 def is_needed(
     engines: Sequence[EngineLoad], profile: ModelProfile, gap_goal_s: float
@@ -182,8 +213,10 @@
     """Return whether engines have to be balanced by their waits.
 
     :param gap_goal_s: goal of the route for pauses, in seconds; 0 if none.
-    :returns: ``False`` where all engines are of the same speed.
+    :returns: ``False`` where all engines are of the same speed, or where it is
+        not known.
     """
-    if gap_goal_s <= 0 or profile.read_chunk_tokens <= 0:
+    if gap_goal_s <= 0 or profile.read_chunk_tokens <= 0 or profile.step_s <= 0:
         return False
-    return len({engine.accelerator.step_factor for engine in engines}) > 1
+    factors = {engine.accelerator.step_factor for engine in engines}
+    return len(factors) > 1 and min(factors) > 0
--- a/tests/balance/test_read_waits.py
+++ b/tests/balance/test_read_waits.py
@@ -132,6 +132,18 @@
         )
         self.assertIsNotNone(chain)
 
+    def test_untrue_starts_assume_no_more_than_engines_begin(self) -> None:
+        """Guards against a choice by chance alone after untrue news."""
+        counts = []
+        for starts in (model.PROFILE.first_slots, 10**300):
+            engines = [
+                dataclasses.replace(engine, first_stage_count=starts)
+                for engine in _pool()
+            ]
+            waits = ReadWaits.from_engines(engines, model.PROFILE, 0.75, 3)
+            counts.append(waits.unseen.count)
+        self.assertEqual(counts[0], counts[1])
+
     def test_an_engine_turns_slow_after_the_choice(self) -> None:
         """Guards against an engine known as slow that gets a usual share."""
         slow = {
@@ -169,6 +181,9 @@
         self.assertFalse(is_needed(unlike, model.PROFILE, 0.0))
         self.assertFalse(is_needed(unlike, build.profile(), 0.25))
         self.assertFalse(is_needed([], model.PROFILE, 0.25))
+        for unknown in ({'read_chunk_tokens': 0.0}, {'step_s': 0.0}):
+            profile = dataclasses.replace(model.PROFILE, **unknown)
+            self.assertFalse(is_needed(unlike, profile, 0.25))
 
     def test_an_idle_pool_has_no_waits(self) -> None:
         """Guards against costs where there is room for all."""
@@ -190,12 +205,12 @@
 
     def test_unseen_sends_differ_between_drafts(self) -> None:
         """Guards against drafts that all assume the same of an engine."""
-        engines = [build.load(f'i-{number}', (0, 20)) for number in range(8)]
+        engines = [f'i-{number}' for number in range(8)]
         lowest = collections.Counter(
-            min(engines, key=UnseenSends(40.0, salt).sent_to).name
+            min(engines, key=UnseenSends(40.0, salt).sent_to)
             for salt in range(800)
         )
-        self.assertEqual(set(lowest), {engine.name for engine in engines})
+        self.assertEqual(set(lowest), set(engines))
         self.assertLess(max(lowest.values()), 2 * 100)
         sent = [UnseenSends(40.0, 7).sent_to(engine) for engine in engines]
         self.assertTrue(all(0 <= count < math.inf for count in sent))
--- a/tests/mutation_list_balance.py
+++ b/tests/mutation_list_balance.py
@@ -8,7 +8,7 @@
     Mutation(
         'balance: all drafts assume the same of unseen sends',
         'nutmegspoke/balance/read_waits.py',
-        'zlib.crc32(engine.name.encode(), self.salt) * _MIXER',
+        'zlib.crc32(engine.encode(), self.salt) * _MIXER',
         '_CRC_MASK // 2',
         (
             'tests.balance.test_read_waits.PoolLoadTest.test_many_hosts_with_old_news',
@@ -17,8 +17,8 @@
     Mutation(
         'balance: the speed of engines does not count for waits',
         'nutmegspoke/balance/read_waits.py',
-        ' * engine.slowness\n',
-        '\n',
+        'share * engine.slowness * self.pieces',
+        'share * self.pieces',
         (
             'tests.balance.test_read_waits.ReadWaitsTest.test_waits_grow_with_requests_and_slowness',
         ),
