Pass the position of resumed streams on to plain services

Cause: the codec drops the header, as only the router sets it, and the handler of plain calls never set a position. The handler of drafts does.

--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -168,6 +168,7 @@
             target.name,
             context.team,
             context.left_s(now_s),
+            resume_after=context.facts.resume_after,
             urgency=self._view.contention.urgency(
                 context.pool.name, context.priority, has_answer=False
             ),
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -270,7 +270,8 @@
 class WireTarget:
     """Target that streams events if a request names a chain.
 
-    Other requests get one plain answer.
+    Other requests get one plain answer. A target without layers answers them with
+    a stream if it has a format of events.
 
     :param name: id of the target.
     :param layers: first layer and layer after the last one that it reports;
@@ -423,7 +424,8 @@
             return await _write_answer(
                 writer, self.faults.error_status, own_headers, b'an error'
             )
-        if 'hops' in request.headers:
+        is_streaming = self.layers is None and self.event_format is not None
+        if is_streaming or 'hops' in request.headers:
             return await self._send_stream(request, own_headers, writer)
         return await self._answer_plainly(own_headers, writer)
 
