Relay the streams of plain services as they arrive

Ruled out: the codec and the connections, which drafts share, and whose streams keep their events and positions.

Now PlainCalls relays an answer that is an event stream on a streaming route. The position, the order and the end of the events are decided by the same code as for drafts (edge/event_sender.py), and a resumable stream goes on at another target behind its last event. Other answers are held as before. What an answer says of its target is recorded with its head, as the caller may get it long before its end. The final answers move to a module of their own, as the module of calls would be too large.

--- a/nutmegspoke/edge/attempts.py
+++ b/nutmegspoke/edge/attempts.py
@@ -93,8 +93,16 @@
     facts: AnswerFacts
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SentAnswer:
+    """A complete stream from a target, whose events the caller has received."""
+
+    status: int
+    facts: AnswerFacts
+
+
 OpenResult = NotSent | Refused | Broken | OpenedAnswer
-FetchResult = NotSent | Refused | Broken | CompleteAnswer
+FetchResult = NotSent | Refused | Broken | CompleteAnswer | SentAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,28 +163,13 @@
             return NotSent(repr(error))
         return connection
 
-    async def receive(
-        self, connection: TargetConnection, held: HeldAnswer, timeout_s: float
-    ) -> FetchResult:
-        """Wait for the complete answer to a request that was sent.
-
-        An answer is held until it is complete, so that an interrupted one can
-        still be replaced by a retry.
+    async def open_answer(
+        self, connection: TargetConnection, timeout_s: float
+    ) -> OpenResult:
+        """Wait for the head of the answer to a request that was sent.
 
-        :param held: memory that the answer takes.
         :param timeout_s: timeout, after which the connection is closed.
         """
-        started_s = self._clock.now_s()
-        result = await self._open_answer(connection, timeout_s)
-        if not isinstance(result, OpenedAnswer):
-            return result
-        used_s = self._clock.now_s() - started_s
-        return await self.read_body(result, held, timeout_s - used_s)
-
-    async def _open_answer(
-        self, connection: TargetConnection, timeout_s: float
-    ) -> OpenResult:
-        """Wait for the head of an answer."""
         try:
             async with asyncio.timeout(timeout_s):
                 event = await connection.next_event()
@@ -196,6 +189,9 @@
     ) -> CompleteAnswer | Broken:
         """Read the body of an answer.
 
+        It is held until it is complete, so that an interrupted one can still be
+        replaced by a retry.
+
         :param held: memory that the body takes; of an earlier answer to the
             same request, nothing is held any more.
         :param timeout_s: timeout, after which the connection is closed.
--- a/nutmegspoke/edge/draft_replacements.py
+++ b/nutmegspoke/edge/draft_replacements.py
@@ -29,7 +29,7 @@
     from nutmegspoke.edge.draft_runs import DraftRuns
     from nutmegspoke.edge.hedged_drafts import FirstEvent, HedgedDrafts
     from nutmegspoke.edge.repeats import RetryPolicy
-    from nutmegspoke.edge.stream_relay import DraftStream
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.edge.stream_watch import EngineSilent, StreamWatch
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.routing.engine_loads import DraftNeed
@@ -54,7 +54,7 @@
     """
 
     context: RequestContext
-    stream: DraftStream
+    stream: SentStream
     need: DraftNeed
     open_runs: list[DraftRun] = dataclasses.field(default_factory=list)
     arrival: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -90,7 +90,7 @@
     async def find_next_run(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         silent_run: DraftRun,
         end: EngineSilent | FirstEventSlow,
         need: DraftNeed,
--- a/nutmegspoke/edge/draft_runs.py
+++ b/nutmegspoke/edge/draft_runs.py
@@ -24,7 +24,7 @@
     from nutmegspoke.edge.attempts import Attempts, OpenResult
     from nutmegspoke.edge.crash_watch import CrashWatch, WatchedRun
     from nutmegspoke.edge.decision_log import DecisionLog
-    from nutmegspoke.edge.stream_relay import DraftStream
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.view import View
@@ -100,7 +100,7 @@
         self,
         context: RequestContext,
         chain: Chain,
-        stream: DraftStream,
+        stream: SentStream,
     ) -> DraftRun | NotSent:
         """Send a draft to a chain on which memory is reserved for it.
 
@@ -255,7 +255,7 @@
         self,
         context: RequestContext,
         chain: Chain,
-        stream: DraftStream,
+        stream: SentStream,
     ) -> OutboundRequest:
         now_s = self._clock.now_s()
         left_s = context.left_s(now_s)
--- a/nutmegspoke/edge/drafts.py
+++ b/nutmegspoke/edge/drafts.py
@@ -24,11 +24,11 @@
     HedgedDrafts,
 )
 from nutmegspoke.edge.repeats import RetryPolicy
-from nutmegspoke.edge.stream_relay import DraftStream, RelayEnd, StreamRelay
+from nutmegspoke.edge.event_sender import SentStream
+from nutmegspoke.edge.stream_relay import RelayEnd, StreamRelay
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S, EngineSilent
 from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind
-from nutmegspoke.pipelines.stream_position import StreamPosition
 from nutmegspoke.routing.engine_loads import DraftNeed
 
 if TYPE_CHECKING:
@@ -81,7 +81,7 @@
         profile: ModelProfile,
     ) -> None:
         """Answer a draft."""
-        stream = DraftStream(StreamPosition(context.facts.resume_after))
+        stream = SentStream.after(context.facts.resume_after)
         try:
             reason = await self._run_until_answered(context, stream, profile)
         finally:
@@ -93,7 +93,7 @@
     async def _run_until_answered(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         profile: ModelProfile,
     ) -> str | None:
         """Run a draft until it is answered or no further run is possible.
@@ -122,7 +122,7 @@
                 return reason
 
     async def _may_run_again(
-        self, context: RequestContext, stream: DraftStream, reason: str
+        self, context: RequestContext, stream: SentStream, reason: str
     ) -> bool:
         if context.is_out_of_time(self._clock.now_s()):
             return False
@@ -135,7 +135,7 @@
         self,
         context: RequestContext,
         profile: ModelProfile,
-        stream: DraftStream,
+        stream: SentStream,
     ) -> DraftNeed:
         facts = context.facts
         answer_tokens = self._view.answer_lengths(
@@ -155,7 +155,7 @@
         self,
         context: RequestContext,
         chain: Chain,
-        stream: DraftStream,
+        stream: SentStream,
         profile: ModelProfile,
     ) -> str | None:
         """Run a draft on a chain, and on others while engines are silent.
@@ -190,7 +190,7 @@
         self,
         context: RequestContext,
         run: DraftRun,
-        stream: DraftStream,
+        stream: SentStream,
         profile: ModelProfile,
         first_event: FirstEvent | None,
     ) -> EngineSilent | FirstEventSlow | str | None:
@@ -265,7 +265,7 @@
     async def _forward_failure(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         run: DraftRun,
         opened: OpenedAnswer,
     ) -> str | None:
@@ -287,7 +287,7 @@
     async def _complete(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         run: DraftRun,
         opened: OpenedAnswer,
         profile: ModelProfile,
@@ -297,31 +297,19 @@
         answer_lengths = self._view.answer_lengths(context.pool.name, profile)
         answer_lengths.add_length(context.route.name, tokens)
         self._admission.retry_times.record_ended_draft(self._clock.now_s())
-        status = opened.head.status
-        self._answer_sender.record_end(
-            context,
-            'answered',
-            status,
-            '',
-            {
-                **_timing_fields(context, stream),
-                'is_late': stream.is_late(context.received_s, context.route),
-            },
+        await self._answer_sender.end_stream(
+            context, stream, opened.head.status
         )
-        await context.answer.end()
 
     async def _answer_failure(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         profile: ModelProfile,
         reason: str,
     ) -> None:
         if stream.has_head:
-            self._answer_sender.record_end(
-                context, 'cut', 0, reason, self._cut_fields(context, stream)
-            )
-            context.answer.abort()
+            self._answer_sender.cut_stream(context, stream, reason)
             return
         is_late = context.is_out_of_time(self._clock.now_s())
         if context.may_have_run:
@@ -341,33 +329,3 @@
             retry_after_s=retry_after_s,
             log_fields=refusal.log_fields,
         )
-
-    def _cut_fields(
-        self, context: RequestContext, stream: DraftStream
-    ) -> dict[str, object]:
-        """Return the log fields of a stream that is cut."""
-        fields = _timing_fields(context, stream)
-        fields['last_event_id'] = stream.position.last_id
-        fields['is_position_known'] = stream.position.is_known
-        if stream.first_event_s is not None:
-            silent_s = self._clock.now_s() - stream.last_event_s
-            fields['silent_s'] = round(silent_s, 3)
-        fields['targets_listed'] = [
-            name
-            for name in context.targets
-            if self._view.targets.find(name) is not None
-        ]
-        return fields
-
-
-def _timing_fields(
-    context: RequestContext, stream: DraftStream
-) -> dict[str, object]:
-    """Return the number of events and their timing, for the log."""
-    if stream.first_event_s is None:
-        return {'events': 0}
-    return {
-        'events': stream.events,
-        'first_event_s': round(stream.first_event_s - context.received_s, 3),
-        'longest_pause_s': round(stream.longest_pause_s, 3),
-    }
--- a/nutmegspoke/edge/hedged_calls.py
+++ b/nutmegspoke/edge/hedged_calls.py
@@ -12,7 +12,7 @@
 import math
 from typing import TYPE_CHECKING, Protocol
 
-from nutmegspoke.edge.attempts import Broken, CompleteAnswer
+from nutmegspoke.edge.attempts import Broken, CompleteAnswer, SentAnswer
 from nutmegspoke.edge.copies import ROOM_SHARE
 from nutmegspoke.entry_host import RetryRule
 from nutmegspoke.forwarded import AnswerKind
@@ -243,6 +243,8 @@
 
 def is_answered(result: FetchResult) -> bool:
     """Return whether a target has answered, and not with an error."""
+    if isinstance(result, SentAnswer):
+        return True
     if not isinstance(result, CompleteAnswer):
         return False
     return result.facts.kind != AnswerKind.FAILURE
--- a/nutmegspoke/edge/hedged_drafts.py
+++ b/nutmegspoke/edge/hedged_drafts.py
@@ -21,7 +21,7 @@
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.copies import Copies
     from nutmegspoke.edge.draft_runs import DraftRun
-    from nutmegspoke.edge.stream_relay import DraftStream
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.retries.hedging import Exchange
@@ -66,7 +66,7 @@
         self._clock = clock
 
     def begin(
-        self, context: RequestContext, stream: DraftStream, target: str
+        self, context: RequestContext, stream: SentStream, target: str
     ) -> FirstEvent | None:
         """Record that a draft is sent to the first engine of a chain.
 
--- a/nutmegspoke/edge/own_answers.py
+++ b/nutmegspoke/edge/own_answers.py
@@ -14,6 +14,7 @@
     from nutmegspoke.edge.caller_answer import Answer
     from nutmegspoke.edge.decision_log import DecisionLog
     from nutmegspoke.edge.edge_metrics import EdgeMetrics
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.edge.view import View
     from nutmegspoke.edge.work import RequestContext
     from nutmegspoke.forwarded import HeaderCodec
@@ -125,6 +126,39 @@
             target_answer.status, headers, target_answer.body
         )
 
+    async def end_stream(
+        self, context: RequestContext, stream: SentStream, status: int
+    ) -> None:
+        """Complete a stream whose events were sent."""
+        self.record_end(
+            context,
+            'answered',
+            status,
+            '',
+            {
+                **stream.timing_fields(context.received_s),
+                'is_late': stream.is_late(context.received_s, context.route),
+            },
+        )
+        await context.answer.end()
+
+    def cut_stream(
+        self, context: RequestContext, stream: SentStream, reason: str
+    ) -> None:
+        """Abort a stream, so that the caller sees that it is incomplete."""
+        listed = [
+            name
+            for name in context.targets
+            if self._view.targets.find(name) is not None
+        ]
+        fields = {
+            **stream.timing_fields(context.received_s),
+            **stream.cut_fields(self._clock.now_s()),
+            'targets_listed': listed,
+        }
+        self.record_end(context, 'cut', 0, reason, fields)
+        context.answer.abort()
+
     def record_end(
         self,
         context: RequestContext,
--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -1,35 +1,39 @@
-"""Handles requests to plain services, which run on a single target."""
+"""Handles requests to plain services, which run on a single target.
+
+Those of streaming routes are answered by the events of one or more runs.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import math
-import zlib
 from typing import TYPE_CHECKING
 
 from nutmegspoke.edge.attempts import (
     Broken,
     CompleteAnswer,
     NotSent,
+    OpenedAnswer,
     OutboundRequest,
     Refused,
+    SentAnswer,
     failure_reason,
 )
 from nutmegspoke.edge.hedged_calls import HedgedCalls, is_answered
+from nutmegspoke.edge.plain_answers import PlainAnswers
+from nutmegspoke.edge.plain_streams import PlainStreams, is_event_stream
 from nutmegspoke.edge.target_notices import (
     TargetNotices,
     closed_by_limits,
-    limit_wait_s,
     open_targets,
-    pause_left_s,
 )
 from nutmegspoke.edge.repeats import RetryPolicy
-from nutmegspoke.edge.work import OwnAnswer
 from nutmegspoke.forwarded import AnswerKind, Dispatch
 from nutmegspoke.retries.target_faults import Fault
 from nutmegspoke.routing.least_loaded import LeastLoaded
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.attempts import Attempts, FetchResult
@@ -45,13 +49,6 @@
 # Share of the remaining time after which an attempt is given up if another one
 # can follow.
 _FIRST_ATTEMPT_SHARE = 0.45
-# Time until a target that refused has capacity again: that of a few calls.
-_REFUSED_RETRY_AFTER_S = 0.2
-# Time until new targets are listed if none is left.
-_NO_TARGET_RETRY_AFTER_S = 0.8
-# Callers return over this time after the first pause has ended.
-_PAUSE_SPREAD_S = 1.0
-_CHECKSUMS = 2**32
 
 
 class PlainCalls:
@@ -73,17 +70,21 @@
         self._notices = TargetNotices(view, log, clock)
         self._view = view
         self._attempts = attempts
-        self._answer_sender = answer_sender
+        self._answers = PlainAnswers(view, answer_sender, clock)
         self._clock = clock
         self._loads = LeastLoaded(view.host.availability_zone)
         self._hedged = HedgedCalls(view, self._loads, copies, clock)
+        self._streams = PlainStreams(attempts, crashes, clock)
 
     async def serve(self, context: RequestContext) -> None:
         """Answer a request with a target's answer or one of the router's own."""
+        context.stream = self._streams.new_stream(context)
         last_result: FetchResult = NotSent('no target')
         is_allowed = context.left_s(self._clock.now_s()) > 0
         while is_allowed:
-            refusal = await self._crashes.find_refusal(context)
+            refusal = await self._crashes.find_refusal(
+                context, has_answer=context.answer.has_begun
+            )
             if refusal is not None:
                 last_result = NotSent(
                     refusal.reason.value, retry_after_s=refusal.retry_after_s
@@ -97,13 +98,15 @@
             if is_answered(last_result):
                 break
             is_allowed = self._is_retry_allowed(context, last_result)
-        await self._send_answer(context, last_result)
+        await self._answers.send(context, last_result)
 
     def _is_retry_allowed(
         self, context: RequestContext, last_result: FetchResult
     ) -> bool:
         if isinstance(last_result, Broken) and last_result.is_given_up:
             return True
+        if context.stream is not None and not context.stream.position.is_known:
+            return False
         return self._retries.allows(
             context,
             _failure_cause(last_result),
@@ -168,9 +171,11 @@
             target.name,
             context.team,
             context.left_s(now_s),
-            resume_after=context.facts.resume_after,
+            resume_after=_position(context),
             urgency=self._view.contention.urgency(
-                context.pool.name, context.priority, has_answer=False
+                context.pool.name,
+                context.priority,
+                has_answer=bool(_position(context)),
             ),
         )
         connection = await self._attempts.send(
@@ -197,14 +202,16 @@
         result: FetchResult | None = None
         try:
             result = await self._receive(
-                context, connection, held, may_retry=may_retry
+                context,
+                self._read(context, target, connection, held, run),
+                may_retry=may_retry,
             )
         finally:
             self._end_run(run, result)
         return result
 
     def _end_run(self, run: WatchedRun, result: FetchResult | None) -> None:
-        if isinstance(result, CompleteAnswer):
+        if isinstance(result, CompleteAnswer | SentAnswer):
             self._crashes.completed(run)
         else:
             is_broken_off = isinstance(result, Broken) and not (
@@ -215,27 +222,55 @@
     async def _receive(
         self,
         context: RequestContext,
-        connection: TargetConnection,
-        held: HeldAnswer,
+        reading: Coroutine[None, None, FetchResult],
         *,
         may_retry: bool,
     ) -> FetchResult:
-        """Wait for an answer; give it up once another attempt can follow."""
+        """Wait for an answer; give it up once another attempt can follow.
+
+        What the caller has begun to receive is not given up.
+        """
         left_s = max(0.0, context.left_s(self._clock.now_s()))
-        answer = asyncio.create_task(
-            self._attempts.receive(connection, held, left_s)
-        )
+        answer = asyncio.create_task(reading)
         try:
             if may_retry:
                 await asyncio.wait(
                     (answer,), timeout=left_s * _FIRST_ATTEMPT_SHARE
                 )
-                if not answer.done() and self._can_go_elsewhere(context):
+                is_waiting = not answer.done() and not context.answer.has_begun
+                if is_waiting and self._can_go_elsewhere(context):
                     return Broken('target silent', is_given_up=True)
             return await answer
         finally:
             answer.cancel()
 
+    async def _read(
+        self,
+        context: RequestContext,
+        target: TargetEntry,
+        connection: TargetConnection,
+        held: HeldAnswer,
+        run: WatchedRun,
+    ) -> FetchResult:
+        """Read an answer; send the events of a stream as they arrive."""
+        opened = await self._attempts.open_answer(
+            connection, context.left_s(self._clock.now_s())
+        )
+        if isinstance(opened, Refused | OpenedAnswer):
+            # The caller may get the answer long before it is complete.
+            self._notices.record(context, target.name, opened.facts)
+        if not isinstance(opened, OpenedAnswer):
+            return opened
+        if context.stream is not None and is_event_stream(opened):
+            return await self._streams.relay(
+                context, context.stream, opened, run
+            )
+        if context.answer.has_begun:
+            connection.abandon()
+            return Broken(f'target answered {opened.head.status}')
+        left_s = context.left_s(self._clock.now_s())
+        return await self._attempts.read_body(opened, held, left_s)
+
     def _can_go_elsewhere(self, context: RequestContext) -> bool:
         """Return whether a silent target can be replaced by another one."""
         if context.is_hedged:
@@ -260,8 +295,6 @@
             fault = Fault.FULL if result.is_full else Fault.UNREACHABLE
             self._view.faults.record_fault(name, fault, now_s)
             return
-        if isinstance(result, Refused | CompleteAnswer):
-            self._notices.record(context, name, result.facts)
         if isinstance(result, Refused):
             self._record_refused(target, result, now_s)
             return
@@ -270,6 +303,7 @@
             self._loads.failed(name, now_s)
         if isinstance(result, CompleteAnswer):
             self._record_load(target, result.facts.load, now_s)
+        if isinstance(result, CompleteAnswer | SentAnswer):
             self._view.faults.succeeded(name, now_s)
 
     def _record_refused(
@@ -291,74 +325,12 @@
             running, waiting, _ = load
             self._loads.reported(target.name, running + waiting, now_s)
 
-    async def _send_answer(
-        self, context: RequestContext, last_result: FetchResult
-    ) -> None:
-        if isinstance(last_result, CompleteAnswer):
-            await self._answer_sender.forward(context, last_result)
-        elif context.may_have_run:
-            is_late = context.is_out_of_time(self._clock.now_s())
-            status = OwnAnswer.TIMEOUT if is_late else OwnAnswer.FAILED
-            await self._answer_sender.send(
-                context, status, reason=failure_reason(last_result)
-            )
-        else:
-            retry_after_s = self._retry_after_s(context, last_result)
-            await self._answer_sender.send(
-                context,
-                OwnAnswer.NOT_RUN,
-                reason=failure_reason(last_result),
-                retry_after_s=retry_after_s,
-                log_fields=self._refusal_log_fields(context),
-            )
-
-    def _refusal_log_fields(self, context: RequestContext) -> dict[str, object]:
-        """Return the values that led to a refusal, for the log."""
-        now_s = self._clock.now_s()
-        live = self._view.targets.live(context.pool.name)
-        return {
-            'targets_live': len(live),
-            'targets_left_out': sum(
-                self._view.faults.is_left_out(entry.name, now_s)
-                for entry in live
-            ),
-            'targets_paused': sum(
-                self._view.conditions.pauses.is_closed(entry.name, now_s)
-                for entry in live
-            ),
-            'closed_by_limits': len(
-                closed_by_limits(self._view, context, now_s)
-            ),
-            'targets_failed': sorted(context.avoided),
-            'targets_version': self._view.targets_version,
-        }
-
-    def _retry_after_s(
-        self, context: RequestContext, result: FetchResult
-    ) -> float:
-        """Return when a request that has not run may be sent again."""
-        now_s = self._clock.now_s()
-        pool = context.pool.name
-        left_s = pause_left_s(self._view, pool, now_s)
-        if open_targets(self._view, pool, now_s):
-            left_s = limit_wait_s(self._view, context, now_s)
-        if math.isfinite(left_s):
-            return left_s + _spread_s(context.facts.request_id)
-        return _usual_retry_after_s(result)
-
-
-def _spread_s(request_id: str) -> float:
-    """Return a delay by which the callers that wait for a pause differ."""
-    return zlib.crc32(request_id.encode()) / _CHECKSUMS * _PAUSE_SPREAD_S
-
 
-def _usual_retry_after_s(result: FetchResult) -> float:
-    """Return when a request that has not run may be sent again."""
-    if isinstance(result, Refused):
-        return _REFUSED_RETRY_AFTER_S
-    if isinstance(result, NotSent) and result.retry_after_s is not None:
-        return result.retry_after_s
-    return _NO_TARGET_RETRY_AFTER_S
+def _position(context: RequestContext) -> str:
+    """Return the id of the last event that the caller has; empty for none."""
+    if context.stream is None:
+        return context.facts.resume_after
+    return context.stream.position.last_id
 
 
 def _failure_cause(result: FetchResult) -> str:
--- a/nutmegspoke/edge/stream_relay.py
+++ b/nutmegspoke/edge/stream_relay.py
@@ -11,63 +11,22 @@
     AnswerPart,
     AnswerStalled,
 )
+from nutmegspoke.edge.event_sender import EventSender
 from nutmegspoke.edge.stream_watch import QUERY_AFTER_PAUSE_S, EngineSilent
-from nutmegspoke.pipelines.stream_position import Placement, StreamPosition
 
 if TYPE_CHECKING:
     from nutmegspoke.border.clock import Clock
     from nutmegspoke.edge.answer_reader import AnswerEvent
     from nutmegspoke.edge.attempts import OpenedAnswer
     from nutmegspoke.edge.draft_runs import DraftRun, DraftRuns
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.edge.stream_watch import StreamWatch
     from nutmegspoke.edge.target_connections import TargetConnection
     from nutmegspoke.edge.work import RequestContext
-    from nutmegspoke.entry_host import EntryRoute
     from nutmegspoke.forwarded import HeaderCodec
     from nutmegspoke.pipelines.event_stream import EventSplitter
 
 
-@dataclasses.dataclass(slots=True)
-class DraftStream:
-    """The part of a draft's answer that was sent to its caller.
-
-    :param position: position up to which it was sent.
-    :param events: number of events sent.
-    :param has_head: whether status and headers were sent.
-    :param first_event_s: time of the first event; ``None`` before it.
-    :param last_event_s: time of the last event.
-    :param longest_pause_s: longest time between two writes of events.
-    """
-
-    position: StreamPosition = dataclasses.field(default_factory=StreamPosition)
-    events: int = 0
-    has_head: bool = False
-    first_event_s: float | None = None
-    last_event_s: float = 0.0
-    longest_pause_s: float = 0.0
-
-    def record_events(self, count: int, now_s: float) -> None:
-        """Record that a number of events was sent."""
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        else:
-            pause_s = now_s - self.last_event_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_event_s = now_s
-        self.events += count
-
-    def is_late(self, received_s: float, route: EntryRoute) -> bool:
-        """Return whether the first event or a pause missed its goal.
-
-        :param received_s: time at which the request was received.
-        """
-        if self.first_event_s is None:
-            return True
-        if self.first_event_s - received_s > route.goal_s:
-            return True
-        return 0 < route.gap_goal_s < self.longest_pause_s
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayEnd:
     """End of a stream that is incomplete.
@@ -100,7 +59,7 @@
         :param runs: receives the progress of runs.
         :param clock: clock of the process.
         """
-        self._header_codec = header_codec
+        self._sender = EventSender(header_codec, clock)
         self._watch = watch
         self._runs = runs
         self._clock = clock
@@ -108,7 +67,7 @@
     async def run(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         run: DraftRun,
         opened: OpenedAnswer,
         query_after_s: float,
@@ -146,17 +105,14 @@
     async def _finish(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         run: DraftRun,
         opened: OpenedAnswer,
         end: RelayEnd | EngineSilent | None,
     ) -> RelayEnd | EngineSilent | None:
         """Send what is left of a complete answer: its head without events."""
         if end is None:
-            await self._send_head(context, stream, opened)
-            line_ends = run.splitter.take_line_ends()
-            if line_ends:
-                await context.answer.send(line_ends)
+            await self._sender.finish(context.answer, stream, run, opened.head)
         return end
 
     async def next_event(
@@ -190,7 +146,7 @@
     async def _relay_events(
         self,
         context: RequestContext,
-        stream: DraftStream,
+        stream: SentStream,
         run: DraftRun,
         opened: OpenedAnswer,
         part: AnswerPart,
@@ -202,40 +158,14 @@
         received = run.splitter.feed(part.body)
         if received:
             self._runs.record_events(run)
-        events = []
-        is_placed = True
-        for event in received:
-            placement = stream.position.place(event, has_joined=run.has_joined)
-            if placement == Placement.UNKNOWN:
-                is_placed = False
-                break
-            if placement == Placement.NEXT:
-                run.has_joined |= event.has_data
-                events.append(event)
-        if events:
-            await self._send_head(context, stream, opened)
-            await context.answer.send(b''.join(event.raw for event in events))
-        count = sum(event.has_data for event in events)
-        if count:
-            stream.record_events(count, self._clock.now_s())
-        return is_placed
-
-    async def _send_head(
-        self,
-        context: RequestContext,
-        stream: DraftStream,
-        opened: OpenedAnswer,
-    ) -> None:
-        if stream.has_head:
-            return
-        stream.has_head = True
-        headers = self._header_codec.returned_headers(opened.head.headers)
-        await context.answer.begin(opened.head.status, headers, None)
+        return await self._sender.send(
+            context.answer, stream, run, opened.head, received
+        )
 
 
 def _relay_end(
     event: AnswerEvent,
-    stream: DraftStream,
+    stream: SentStream,
     splitter: EventSplitter,
 ) -> RelayEnd | EngineSilent | None:
     if isinstance(event, AnswerStalled):
--- a/nutmegspoke/edge/work.py
+++ b/nutmegspoke/edge/work.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from nutmegspoke.admission.answer_memory import HeldAnswer
     from nutmegspoke.edge.caller_answer import Answer
+    from nutmegspoke.edge.event_sender import SentStream
     from nutmegspoke.entry_host import EntryPool, EntryRoute
     from nutmegspoke.forwarded import CallerRequest, RequestFacts
 
@@ -51,6 +52,8 @@
     :param targets: names of the targets to which it was sent.
     :param lost: names of targets that were found to be unreachable.
     :param avoided: names of the targets on which it failed, reached or not.
+    :param stream: the part of a plain stream that the caller has received;
+        ``None`` for calls, and for drafts, whose handler keeps it.
     :param is_hedged: whether a copy was sent, so that its first target is not
         given up.
     """
@@ -72,6 +75,7 @@
     targets: list[str] = dataclasses.field(default_factory=list)
     lost: set[str] = dataclasses.field(default_factory=set)
     avoided: set[str] = dataclasses.field(default_factory=set)
+    stream: SentStream | None = None
     is_hedged: bool = False
 
     @property
--- a/nutmegspoke/entry_host.py
+++ b/nutmegspoke/entry_host.py
@@ -22,6 +22,11 @@
     STREAM = 'stream'
     RESUMABLE_STREAM = 'resumable_stream'
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether answers are streams of events."""
+        return self in {RetryRule.STREAM, RetryRule.RESUMABLE_STREAM}
+
     @property
     def may_retry(self) -> bool:
         """Return whether a request that may have run can be retried."""
--- a/nutmegspoke/forwarded.py
+++ b/nutmegspoke/forwarded.py
@@ -110,6 +110,7 @@
     :param invalid_limit: a limit that can't be true, as text; empty for none.
     :param is_other_target: whether another target answers at the address.
     :param is_leaving: whether the target says that it leaves.
+    :param is_event_stream: whether the body is a stream of server-sent events.
     """
 
     request_id: str
@@ -123,6 +124,7 @@
     invalid_limit: str = ''
     is_other_target: bool = False
     is_leaving: bool = False
+    is_event_stream: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/nutmegspoke/platform/headers.py
+++ b/nutmegspoke/platform/headers.py
@@ -74,6 +74,7 @@
 )
 _NOT_FORWARDED = _HOP_BY_HOP | _ROUTER_ONLY
 _NOT_RETURNED = _HOP_BY_HOP
+_EVENT_STREAM = b'text/event-stream'
 _MS_PER_S = 1_000
 _MISDIRECTED = 421
 # Statuses with which a target may ask for a pause.
@@ -144,6 +145,7 @@
         invalid_limit=invalid_limit,
         is_other_target=status == _MISDIRECTED,
         is_leaving=fields.get(SERVER_LEAVING, b'').strip() == b'1',
+        is_event_stream=_is_event_stream(fields.get(b'content-type', b'')),
     )
 
 
@@ -212,6 +214,11 @@
     return AnswerKind.FAILURE
 
 
+def _is_event_stream(content_type: bytes) -> bool:
+    media_type = content_type.partition(b';')[0]
+    return media_type.strip().lower() == _EVENT_STREAM
+
+
 def _index_by_name(headers: Headers) -> dict[bytes, bytes]:
     return {name.lower(): text for name, text in headers}
 
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -246,6 +246,7 @@
 
     def write_head(self, headers: dict[str, str]) -> None:
         lines = [f'{name}: {text}' for name, text in headers.items()]
+        lines.append('Content-Type: text/event-stream')
         if self.is_chunked:
             lines.append('Transfer-Encoding: chunked')
         head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
