--- a/nutmegspoke/border/service_client.py
+++ b/nutmegspoke/border/service_client.py
@@ -11,6 +11,7 @@
 import yarl
 
 from nutmegspoke.engine_protocol import LOAD_PATH
+from nutmegspoke.untrusted import is_final_status
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -238,6 +239,11 @@
             allow_redirects=False,
             trace_request_ctx=guard,
         ) as response:
+            if not is_final_status(response.status):
+                response.close()
+                return Lost(
+                    LossKind.BROKEN, f'invalid status {response.status}'
+                )
             body = await response.read()
             return _parse_response(response, body)
 
--- a/nutmegspoke/edge/answer_reader.py
+++ b/nutmegspoke/edge/answer_reader.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from nutmegspoke.untrusted import is_final_status
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -90,7 +92,7 @@
         self._on_event = on_event
         self._parser = httptools.HttpResponseParser(self)
         self._headers: Headers = []
-        self._has_excess_headers = False
+        self._head_fault = ''
         self._parts: list[bytes] = []
         self._framing_bytes = 0
         self._skipped_bytes = 0
@@ -143,8 +145,7 @@
         self._emit_part()
         if self._framing_bytes > _MAX_FRAMING_BYTES:
             fault = fault or 'answer without end'
-        if self._has_excess_headers:
-            fault = fault or 'too many headers'
+        fault = fault or self._head_fault
         if fault:
             self.is_in_sync = False
         return fault
@@ -178,7 +179,7 @@
         if len(self._headers) < _MAX_HEADERS:
             self._headers.append((name, text))
         else:
-            self._has_excess_headers = True
+            self._head_fault = 'too many headers'
 
     def on_headers_complete(self) -> None:
         """Emit the head; skip interim answers and those to other requests."""
@@ -193,6 +194,10 @@
             self._is_skipped = True
             self.is_in_sync = False
             return
+        if not is_final_status(status):
+            self._head_fault = f'invalid status {status}'
+            self._is_skipped = True
+            return
         # The parser reports trailers as further headers.
         headers = self._headers
         self._headers = []
--- a/nutmegspoke/http_calls.py
+++ b/nutmegspoke/http_calls.py
@@ -16,6 +16,7 @@
 
 from nutmegspoke.path_doubts import PathDoubts, ending_tasks
 from nutmegspoke.probed_sockets import probed_socket
+from nutmegspoke.untrusted import is_final_status
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -331,6 +332,9 @@
         if status in _INTERIM:
             self._headers = {}
             return
+        if not is_final_status(status):
+            self._fail(f'invalid status {status}')
+            return
         self._keep_alive = self._parser.should_keep_alive()
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(
--- a/nutmegspoke/standins/wire_target.py
+++ b/nutmegspoke/standins/wire_target.py
@@ -42,7 +42,8 @@
     :param omits_length: answers have no length; closing the connection ends
         them.
     :param resets_answers: answers without length are cut short and reset.
-    :param failures: number of requests to answer with status 500.
+    :param failures: number of requests to answer with a failure.
+    :param failure_status: status of these answers.
     :param stray_answers: number of requests that get the answer to another
         request first.
     :param is_silent: requests get no answer.
@@ -77,6 +78,7 @@
     omits_length: bool = False
     resets_answers: bool = False
     failures: int = 0
+    failure_status: int = 500
     stray_answers: int = 0
     is_silent: bool = False
     silent_after: int | None = None
@@ -409,7 +411,9 @@
         }
         if self.faults.failures:
             self.faults.failures -= 1
-            return await _write_answer(writer, 500, own_headers, b'failed')
+            return await _write_answer(
+                writer, self.faults.failure_status, own_headers, b'failed'
+            )
         return await self._run(request, own_headers, writer)
 
     async def _run(
@@ -592,4 +596,4 @@
 def _encode_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
     all_headers = {**headers, 'Content-Length': str(len(body))}
     head = ''.join(f'{name}: {text}\r\n' for name, text in all_headers.items())
-    return b'HTTP/1.1 %d X\r\n%s\r\n%s' % (status, head.encode(), body)
+    return b'HTTP/1.1 %03d X\r\n%s\r\n%s' % (status, head.encode(), body)
--- a/nutmegspoke/untrusted.py
+++ b/nutmegspoke/untrusted.py
@@ -17,6 +17,15 @@
 )
 
 
+# Statuses of HTTP, without those that announce another answer.
+_FINAL_STATUSES = range(200, 600)
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether an answer with this status ends an exchange of HTTP."""
+    return status in _FINAL_STATUSES
+
+
 class UndecodableError(ValueError):
     """Bytes are not of the expected format or types."""
 
--- a/tests/border/test_calls_faults.py
+++ b/tests/border/test_calls_faults.py
@@ -56,6 +56,7 @@
             'half_body_cut',
             'no_http',
             'bare_503',
+            'odd_status',
         ):
             for method in ('POST', 'PUT'):
                 with self.subTest(fault=fault, method=method):
--- a/tests/raw_target.py
+++ b/tests/raw_target.py
@@ -19,6 +19,7 @@
         b'HTTP/1.1 503 No\r\nNutmegspoke-Executed: no\r\n'
         b'Retry-After: 7\r\nContent-Length: 0\r\n\r\n'
     ),
+    'odd_status': b'HTTP/1.1 000 Odd\r\nContent-Length: 3\r\n\r\nodd',
     'bare_503': b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n',
 }
 _REFUSALS = {'refusal'}
--- a/tests/test_http_calls.py
+++ b/tests/test_http_calls.py
@@ -74,6 +74,13 @@
             answer = await self.http.call('GET', self.address, '/a')
             self.assertEqual(answer.body, b'ok')
 
+    async def test_an_answer_without_a_status_of_http(self) -> None:
+        """Guards against orders that count as declined by status 000."""
+        for status in (b'000', b'099', b'600', b'999'):
+            self.answers = [_ANSWER.replace(b'200', status)]
+            with self.subTest(status=status), self.assertRaises(CallError):
+                await self.http.call('POST', self.address, '/a')
+
     async def test_a_late_second_answer(self) -> None:
         """Guards against an answer that the next call takes for its own."""
         self.answers = [_ANSWER + _SECOND, _ANSWER]
