Keep the position that a call names out of its urgency; add mutations

With positions passed on to services, a call of a route that has no streams would have become more urgent by naming one. Only a stream of which the caller has a part is.

Evidence: the new test fails with the condition taken out (mutation 'streams: a position makes calls urgent').

--- a/nutmegspoke/edge/plain_calls.py
+++ b/nutmegspoke/edge/plain_calls.py
@@ -175,7 +175,7 @@
             urgency=self._view.contention.urgency(
                 context.pool.name,
                 context.priority,
-                has_answer=bool(_position(context)),
+                has_answer=_has_part(context),
             ),
         )
         connection = await self._attempts.send(
@@ -326,6 +326,11 @@
             self._loads.reported(target.name, running + waiting, now_s)
 
 
+def _has_part(context: RequestContext) -> bool:
+    """Return whether the caller has a part of a stream."""
+    return context.stream is not None and bool(context.stream.position.last_id)
+
+
 def _position(context: RequestContext) -> str:
     """Return the id of the last event that the caller has; empty for none."""
     if context.stream is None:
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -15,6 +15,7 @@
 from tests.mutation_list_paths import PATH_MUTATIONS
 from tests.mutation_list_pipelines import PIPELINE_MUTATIONS
 from tests.mutation_list_relays import RELAY_MUTATIONS
+from tests.mutation_list_streams import STREAM_MUTATIONS
 from tests.mutation_list_tables import TABLES_MUTATIONS
 from tests.mutation_types import Mutation
 
@@ -60,6 +61,7 @@
     *KNOWLEDGE_MUTATIONS,
     *LOAD_MUTATIONS,
     *RELAY_MUTATIONS,
+    *STREAM_MUTATIONS,
     *PART_MUTATIONS,
     *PATH_MUTATIONS,
     *MEMBERSHIP_MUTATIONS,
