--- a/tests/edge/test_plain_streams.py
+++ b/tests/edge/test_plain_streams.py
@@ -206,6 +206,8 @@
         self.assertFalse(answer.is_whole)
         self.assertEqual(_event_ids(answer.body), _ALL[:8])
         self.assertNotIn(b'an error', answer.body)
+        (line,) = self.deployment.events('request_ended')
+        self.assertEqual(line['reason'], 'target answered 500')
 
 
 class StreamsThatMayRunOnceTest(PlainStreamCase):
--- a/tests/mutation_list_paths.py
+++ b/tests/mutation_list_paths.py
@@ -98,7 +98,7 @@
     ),
     Mutation(
         'pauses: the retry time ignores them',
-        _PLAIN,
+        'nutmegspoke/edge/plain_answers.py',
         'if math.isfinite(left_s):\n            return left_s',
         'if not math.isfinite(left_s):\n            return left_s',
         _PAUSE_TESTS,
