Test that a departure counts from the head of a stream on

A test of positions and urgency stood twice in tests.edge.test_contended_pools, the second time in a class that it does not belong to; the copy is gone.

--- a/tests/edge/test_contended_pools.py
+++ b/tests/edge/test_contended_pools.py
@@ -129,21 +129,6 @@
         metrics = await self.deployment.metrics()
         self.assertIn('nutmegspoke_edge_pool_free_tokens', metrics)
 
-    async def test_calls_have_no_part_of_a_stream(self) -> None:
-        """Guards against calls that a header makes more urgent."""
-        _, calls = build.wire_routes()
-        urgent = {**calls, 'name': 'c-0', 'prefix': '/urgent/', 'priority': 0}
-        await self.deployment.serve_tables(version=8, routes=[calls, urgent])
-        service = await self.deployment.add_service('r1')
-        await self.deployment.call('/calls/1')
-        await self.deployment.call('/calls/1', **{'Last-Event-Id': '3'})
-        await self.deployment.call('/urgent/1')
-        low, named, high = (
-            run.headers['urgency'] for run in service.caller_requests()
-        )
-        self.assertEqual(named, low)
-        self.assertLess(high, low)
-
     async def test_one_rank(self) -> None:
         """Guards against drafts held back where no ranks compete."""
         await self._hear_of_urgent_drafts()
--- a/tests/edge/test_plain_streams.py
+++ b/tests/edge/test_plain_streams.py
@@ -97,6 +97,17 @@
         (line,) = self.deployment.events('request_ended')
         self.assertEqual(line['outcome'], 'caller_left')
 
+    async def test_a_departure_counts_from_the_head_on(self) -> None:
+        """Guards against requests to a target that leaves during a stream."""
+        self.target.faults.is_leaving = True
+        async with aiohttp.ClientSession() as session:
+            answer, _ = await self._read_until_silent(session)
+            self.assertEqual(self.deployment.events('request_ended'), [])
+            (line,) = self.deployment.events('target_says_leaving')
+            self.target.silence.end()
+            await answer.content.read()
+        self.assertEqual(line['target'], 'r1')
+
     async def _read_until_silent(
         self, session: aiohttp.ClientSession
     ) -> tuple[aiohttp.ClientResponse, bytes]:
